--- /dev/null
+++ b/internal/cli/local.go
@@ -0,0 +1,104 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/balsamgauge/balsamgauge/internal/demo"
+	"github.com/balsamgauge/balsamgauge/internal/runner"
+	"github.com/balsamgauge/balsamgauge/internal/settings"
+	"github.com/balsamgauge/balsamgauge/pkg/table"
+	"github.com/sirupsen/logrus"
+)
+
+// addLocal adds the commands that ask no running entry.
+func (cmd *command) addLocal(app *kingpin.Application, actions map[string]action) {
+	serve := app.Command("serve", "Run an entry. SIGTERM shuts it down gracefully.")
+	settingsPath := serve.Flag("settings", "Settings file.").Required().String()
+	actions[serve.FullCommand()] = func(ctx context.Context) error { return cmd.serve(ctx, *settingsPath) }
+
+	check := app.Command("check", "Check both tables and list every error with its position.")
+	routes, pools := tableFlags(check)
+	actions[check.FullCommand()] = func(context.Context) error { return cmd.check(*routes, *pools) }
+
+	demonstrate := app.Command("demo", "Run entries and stand-ins on loopback and check the invariants. Exits with 1 if one broke.")
+	double := demonstrate.Flag("double-runs", "Let the stand-ins run everything twice, to see the checks fail.").Hidden().Bool()
+	brief := demonstrate.Flag("brief", "Play the first scene only.").Bool()
+	actions[demonstrate.FullCommand()] = func(ctx context.Context) error {
+		return cmd.demo(ctx, demo.Options{DoubleRuns: *double, Brief: *brief})
+	}
+}
+
+func tableFlags(clause *kingpin.CmdClause) (routes, pools *string) {
+	routes = clause.Flag("routes", "Table of routes.").Default("routes.toml").String()
+	pools = clause.Flag("pools", "Table of pools.").Default("pools.toml").String()
+	return routes, pools
+}
+
+// serve runs an entry until it is told to shut down.
+func (cmd *command) serve(ctx context.Context, path string) error {
+	set, err := settings.Load(path)
+	if err != nil {
+		return &usageError{err}
+	}
+	logger := logrus.New()
+	logger.SetOutput(cmd.err)
+	if cmd.format == formatJSON {
+		logger.SetFormatter(&logrus.JSONFormatter{})
+	}
+	level, err := logrus.ParseLevel(set.LogLevel)
+	if err != nil {
+		return &usageError{err}
+	}
+	logger.SetLevel(level)
+	rnr, err := runner.New(set, logger)
+	if err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, rnr.Shutdown)
+	defer stop()
+	return rnr.Run()
+}
+
+func readTables(routes, pools string) (tbs table.Tables, err error) {
+	routesText, err := os.ReadFile(routes)
+	if err != nil {
+		return table.Tables{}, &usageError{fmt.Errorf("read table of routes: %w", err)}
+	}
+	poolsText, err := os.ReadFile(pools)
+	if err != nil {
+		return table.Tables{}, &usageError{fmt.Errorf("read table of pools: %w", err)}
+	}
+	return table.Parse(routes, routesText, pools, poolsText)
+}
+
+func (cmd *command) check(routes, pools string) error {
+	tbs, err := readTables(routes, pools)
+	if err != nil {
+		return err
+	}
+	return cmd.print(tbs, func() string {
+		return fmt.Sprintf("%d teams, %d routes and %d pools are fine.", len(tbs.Teams), len(tbs.Routes), len(tbs.Pools))
+	})
+}
+
+func (cmd *command) demo(ctx context.Context, opt demo.Options) error {
+	if cmd.format == formatText {
+		opt.Progress = func(stp demo.Step) { _, _ = fmt.Fprintf(cmd.err, "%6.1fs  %s\n", stp.AtSeconds, stp.Name) }
+	}
+	rep, err := demo.Run(ctx, opt)
+	if err != nil {
+		return err
+	}
+	if cmd.format == formatJSON {
+		err = rep.WriteJSON(cmd.out)
+	} else {
+		err = rep.WriteText(cmd.out)
+	}
+	if err == nil && rep.Broken() {
+		return errBroken
+	}
+	return err
+}
--- /dev/null
+++ b/internal/core/dispatch/dispatcher.go
@@ -0,0 +1,99 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/balsamgauge/balsamgauge/internal/core/message"
+	"github.com/benbjohnson/immutable"
+)
+
+// GatherFor bounds how long a new dispatcher waits for reports.
+const GatherFor = 500 * time.Millisecond
+
+// Dispatcher is the state of one pool's dispatcher. It is immutable.
+type Dispatcher struct {
+	// since is when this entry became the pool's dispatcher.
+	since   time.Time
+	reports *immutable.SortedMap[string, report]
+}
+
+// report is what the dispatcher knows of one member.
+type report struct {
+	heard   bool
+	at      time.Time
+	lanes   []message.LaneDemand
+	running []message.Running
+	// suspects lists VMs that the member could not connect to.
+	suspects []string
+	// seq is the number of the last grant to the member.
+	seq uint64
+	// outstanding holds the grants that the member has not acknowledged, in
+	// the order of their numbers.
+	outstanding []message.Grant
+}
+
+// New returns the dispatcher of an entry that has just come to lead a pool.
+func New(now time.Time) Dispatcher {
+	return Dispatcher{since: now, reports: immutable.NewSortedMap[string, report](nil)}
+}
+
+// WithDemand returns the dispatcher after a member's report.
+func (dsp Dispatcher) WithDemand(now time.Time, from string, dem message.Demand) Dispatcher {
+	rep, _ := dsp.reports.Get(from)
+	rep.heard = true
+	rep.at = now
+	rep.lanes = dem.Lanes
+	rep.running = dem.Running
+	rep.suspects = dem.Suspects
+	rep.outstanding = slices.DeleteFunc(slices.Clone(rep.outstanding), func(grt message.Grant) bool {
+		return grt.Seq <= dem.Acknowledged
+	})
+	rep.seq = max(rep.seq, dem.Acknowledged)
+	dsp.reports = dsp.reports.Set(from, rep)
+	return dsp
+}
+
+// WithoutGrants returns the dispatcher after the link to a member broke: the
+// grants on their way are void.
+func (dsp Dispatcher) WithoutGrants(member string) Dispatcher {
+	rep, ok := dsp.reports.Get(member)
+	if !ok {
+		return dsp
+	}
+	rep.outstanding = nil
+	dsp.reports = dsp.reports.Set(member, rep)
+	return dsp
+}
+
+// WithoutMember returns the dispatcher without a member that is no longer
+// live.
+func (dsp Dispatcher) WithoutMember(member string) Dispatcher {
+	dsp.reports = dsp.reports.Delete(member)
+	return dsp
+}
+
+// Members returns the members that reported, sorted.
+func (dsp Dispatcher) Members() []string {
+	var ids []string
+	itr := dsp.reports.Iterator()
+	for !itr.Done() {
+		id, _, _ := itr.Next()
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// IsGathering reports whether a live member's report is still awaited. Granting
+// before it came could fill slots that are taken.
+func (dsp Dispatcher) IsGathering(now time.Time, live []string) bool {
+	if now.Sub(dsp.since) >= GatherFor {
+		return false
+	}
+	for _, id := range live {
+		if rep, ok := dsp.reports.Get(id); !ok || !rep.heard {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/core/entry/demand.go
@@ -0,0 +1,243 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/balsamgauge/balsamgauge/internal/core/dispatch"
+	"github.com/balsamgauge/balsamgauge/internal/core/member"
+	"github.com/balsamgauge/balsamgauge/internal/core/message"
+	"github.com/balsamgauge/balsamgauge/internal/core/work"
+	"github.com/balsamgauge/balsamgauge/pkg/table"
+	"github.com/benbjohnson/immutable"
+)
+
+// Timing of the reports to dispatchers.
+const (
+	// reportEvery bounds how often one pool is reported on, so that what
+	// changes in between travels in one message.
+	reportEvery = 2 * time.Millisecond
+	// refreshEvery is how often a pool with work is reported on without a
+	// change.
+	refreshEvery = time.Second
+)
+
+type timerMap = *immutable.SortedMap[timer, struct{}]
+
+// dispatcherOf returns the live member that dispatches a pool.
+func (stp *step) dispatcherOf(pool string) string {
+	return member.Leader(stp.st.view.Live(stp.now), "pool/"+pool)
+}
+
+// reportDemands tells the dispatchers what changed.
+func (stp *step) reportDemands() {
+	itr := stp.st.pools.Iterator()
+	for !itr.Done() {
+		name, own, _ := itr.Next()
+		since := stp.now.Sub(own.reportedAt)
+		due := own.dirty && since >= reportEvery
+		if due || since >= refreshEvery {
+			stp.reportDemand(name, own)
+		}
+	}
+}
+
+func (stp *step) reportDemand(name string, own poolState) {
+	leader := stp.dispatcherOf(name)
+	if leader == "" {
+		return
+	}
+	if own.dispatcher != leader {
+		own.dispatcher = leader
+		own.acknowledged = 0
+	}
+	own.dirty = false
+	own.reportedAt = stp.now
+	stp.putPool(name, own)
+	stp.send(leader, message.Demand{
+		Pool:         name,
+		Acknowledged: own.acknowledged,
+		Lanes:        stp.laneDemands(own),
+		Running:      stp.runningOn(name),
+		Suspects:     stp.suspectsOf(name),
+	})
+}
+
+// laneDemands lists the work that a grant could start: no more of a team's
+// than the entry has permits for.
+func (stp *step) laneDemands(own poolState) []message.LaneDemand {
+	if stp.st.view.Leaving() && own.queue.Len() == 0 {
+		return nil
+	}
+	left := map[string]int{}
+	var lanes []message.LaneDemand
+	for _, cnt := range own.queue.Counts() {
+		team := cnt.Lane.Team
+		if _, seen := left[team]; !seen {
+			left[team] = stp.st.Rights(team) - stp.st.Running(team)
+		}
+		startable := min(cnt.Waiting, left[team])
+		if startable <= 0 {
+			continue
+		}
+		left[team] -= startable
+		lanes = append(lanes, message.LaneDemand{
+			Team: team, Urgency: cnt.Lane.Urgency, Waiting: startable,
+			AgeMillis: stp.now.Sub(cnt.Oldest).Milliseconds(),
+		})
+	}
+	return lanes
+}
+
+func (stp *step) runningOn(pool string) []message.Running {
+	var running []message.Running
+	itr := stp.st.held.Iterator()
+	itr.Seek(slotKey{pool: pool, urgent: true})
+	for !itr.Done() {
+		slk, count, _ := itr.Next()
+		if slk.pool != pool {
+			break
+		}
+		running = append(running, message.Running{VM: slk.vm, Team: slk.team, Urgent: slk.urgent, Count: count})
+	}
+	return running
+}
+
+func (stp *step) suspectsOf(pool string) []string {
+	var suspects []string
+	itr := stp.st.suspects.Iterator()
+	for !itr.Done() {
+		vmID, sus, _ := itr.Next()
+		if stp.now.Before(sus.until) && stp.st.config.PoolOf(vmID) == pool {
+			suspects = append(suspects, vmID)
+		}
+	}
+	return suspects
+}
+
+// demandHeard takes a report and grants what it can. A report that reaches an
+// entry which does not lead the pool, in its own view, is dropped: the reporter
+// repeats it to whoever leads.
+func (stp *step) demandHeard(from string, dem message.Demand) {
+	if stp.dispatcherOf(dem.Pool) != stp.st.set.ID {
+		stp.st.leads = stp.st.leads.Delete(dem.Pool)
+		return
+	}
+	dsp, ok := stp.st.leads.Get(dem.Pool)
+	if !ok {
+		dsp = dispatch.New(stp.now)
+		stp.record("dispatch", "dispatcher_began", dem.Pool, "")
+	}
+	dsp = dsp.WithDemand(stp.now, from, dem)
+	stp.st.leads = stp.st.leads.Set(dem.Pool, dsp)
+	stp.grant(dem.Pool)
+}
+
+// grant lets the pool's dispatcher decide and sends what it grants.
+func (stp *step) grant(pool string) {
+	dsp, ok := stp.st.leads.Get(pool)
+	rul, known := stp.ruleOf(pool)
+	if !ok || !known {
+		return
+	}
+	live := stp.st.view.Live(stp.now)
+	if dsp.IsGathering(stp.now, live) {
+		return
+	}
+	dsp, dcs := dsp.Decide(rul)
+	if len(dcs) == 0 {
+		return
+	}
+	stp.st.leads = stp.st.leads.Set(pool, dsp)
+	for _, id := range dsp.Members() {
+		var grants []message.Grant
+		for _, dec := range dcs {
+			if dec.Member == id {
+				grants = append(grants, dec.Grant)
+			}
+		}
+		if len(grants) > 0 {
+			stp.send(id, message.Grants{Pool: pool, Grants: grants})
+		}
+	}
+}
+
+func (stp *step) ruleOf(pool string) (rul dispatch.Rule, ok bool) {
+	poo, ok := stp.st.config.Pool(pool)
+	if !ok {
+		return dispatch.Rule{}, false
+	}
+	return dispatch.Rule{
+		Pool:   poo,
+		Usable: stp.st.fleet.Usable(stp.st.config, pool),
+		Config: stp.st.config,
+	}, true
+}
+
+// dropReports forgets the reports of members that are no longer live, and lets
+// the pools that this entry leads be granted anew.
+func (stp *step) dropReports() {
+	itr := stp.st.leads.Iterator()
+	for !itr.Done() {
+		pool, dsp, _ := itr.Next()
+		if stp.dispatcherOf(pool) != stp.st.set.ID {
+			stp.st.leads = stp.st.leads.Delete(pool)
+			continue
+		}
+		for _, id := range dsp.Members() {
+			if id != stp.st.set.ID && !stp.isReporting(id) {
+				dsp = dsp.WithoutMember(id)
+			}
+		}
+		stp.st.leads = stp.st.leads.Set(pool, dsp)
+		stp.grant(pool)
+	}
+}
+
+// isReporting reports whether a member is heard. One that is leaving still
+// reports the work that it has yet to finish.
+func (stp *step) isReporting(id string) bool {
+	per, ok := stp.st.view.Peer(id)
+	return ok && stp.now.Sub(per.HeardAt) <= member.SilentAfter
+}
+
+// redirectReports marks the pools whose dispatcher changed.
+func (stp *step) redirectReports() {
+	itr := stp.st.pools.Iterator()
+	for !itr.Done() {
+		name, own, _ := itr.Next()
+		if own.dispatcher != stp.dispatcherOf(name) {
+			stp.markDirty(name)
+		}
+	}
+}
+
+func (stp *step) markAllDirty() {
+	itr := stp.st.pools.Iterator()
+	for !itr.Done() {
+		name, _, _ := itr.Next()
+		stp.markDirty(name)
+	}
+}
+
+// hasWaiting reports whether work of a team waits, since when the oldest does,
+// and how much there is.
+func (stp *step) waitingOf(team string) (count int, oldest time.Time) {
+	itr := stp.st.pools.Iterator()
+	for !itr.Done() {
+		_, own, _ := itr.Next()
+		for _, cnt := range own.queue.Counts() {
+			if cnt.Lane.Team != team {
+				continue
+			}
+			count += cnt.Waiting
+			if oldest.IsZero() || cnt.Oldest.Before(oldest) {
+				oldest = cnt.Oldest
+			}
+		}
+	}
+	return count, oldest
+}
+
+func laneOf(grt message.Grant) work.Lane {
+	return work.Lane{Team: grt.Team, Urgency: table.Urgency(grt.Urgency)}
+}
--- /dev/null
+++ b/internal/core/entry/membership.go
@@ -0,0 +1,160 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/balsamgauge/balsamgauge/internal/core/effect"
+	"github.com/balsamgauge/balsamgauge/internal/core/event"
+	"github.com/balsamgauge/balsamgauge/internal/core/member"
+	"github.com/balsamgauge/balsamgauge/internal/core/message"
+)
+
+// forgetPeerAfter is how long a peer that does not vote is remembered in
+// silence.
+const forgetPeerAfter = time.Minute
+
+func (stp *step) peerUp(evt event.PeerUp) {
+	per, _ := stp.st.view.Peer(evt.Member)
+	per.ID, per.AZ, per.Connected, per.HeardAt = evt.Member, evt.AZ, true, stp.now
+	stp.st.view = stp.st.view.WithPeer(per)
+	stp.record("member", "peer_up", evt.Member, evt.AZ)
+	stp.sendHeartbeat(evt.Member)
+	stp.sendTotals(evt.Member)
+	stp.redirectReports()
+	stp.markAllDirty()
+}
+
+func (stp *step) peerDown(evt event.PeerDown) {
+	per, ok := stp.st.view.Peer(evt.Member)
+	if !ok {
+		return
+	}
+	per.Connected = false
+	stp.st.view = stp.st.view.WithPeer(per)
+	stp.record("member", "peer_down", evt.Member, "")
+	itr := stp.st.leads.Iterator()
+	for !itr.Done() {
+		pool, dsp, _ := itr.Next()
+		stp.st.leads = stp.st.leads.Set(pool, dsp.WithoutGrants(evt.Member))
+	}
+}
+
+// heard notes that a member is alive.
+func (stp *step) heard(from string) {
+	if from == stp.st.set.ID {
+		return
+	}
+	per, _ := stp.st.view.Peer(from)
+	if !per.HeardAt.Before(stp.now) {
+		return
+	}
+	silent := stp.now.Sub(per.HeardAt) > member.SilentAfter
+	per.ID, per.HeardAt = from, stp.now
+	stp.st.view = stp.st.view.WithPeer(per)
+	if silent {
+		stp.redirectReports()
+	}
+}
+
+func (stp *step) heartbeatHeard(from string, hbt message.Heartbeat) {
+	per, _ := stp.st.view.Peer(from)
+	wasLeaving := per.Leaving
+	per.AZ = hbt.AZ
+	per.Leaving = hbt.Leaving
+	per.Revision = max(per.Revision, hbt.Revision)
+	if hbt.Echo > 0 {
+		per.ProvenAt = later(per.ProvenAt, stp.st.started.Add(time.Duration(hbt.Echo)))
+	}
+	stp.st.view = stp.st.view.WithPeer(per)
+	stp.st.echoes = stp.st.echoes.Set(from, hbt.SentNanos)
+	stp.hearSpares(from, hbt.Spare)
+	for _, vmID := range hbt.SeenLeaving {
+		if !stp.st.fleet.IsLeaving(vmID) {
+			stp.st.fleet = stp.st.fleet.WithLeaving(vmID, stp.now)
+			stp.record("vm", "vm_leaving", vmID, "seen by "+from)
+		}
+	}
+	if hbt.Leaving && !wasLeaving {
+		stp.record("member", "peer_leaving", from, "")
+		stp.redirectReports()
+	}
+	stp.offerEdits(from, hbt.Revision)
+	if hbt.Revision > stp.st.config.Revision {
+		stp.send(from, message.SnapshotAsk{Have: stp.st.config.Revision})
+	}
+	stp.checkAcknowledged()
+}
+
+func (stp *step) tickMembers() {
+	if stp.now.Sub(stp.st.heartbeatAt) < member.HeartbeatEvery {
+		return
+	}
+	stp.sendHeartbeats()
+	for _, per := range stp.st.view.Peers() {
+		_, votes := stp.st.config.Voter(per.ID)
+		if !votes && !per.Connected && stp.now.Sub(per.HeardAt) > forgetPeerAfter {
+			stp.st.view = stp.st.view.WithoutPeer(per.ID)
+			stp.st.echoes = stp.st.echoes.Delete(per.ID)
+		}
+	}
+	stp.redirectReports()
+	stp.dropReports()
+}
+
+func (stp *step) sendHeartbeats() {
+	stp.st.heartbeatAt = stp.now
+	for _, per := range stp.st.view.Peers() {
+		if per.Connected {
+			stp.sendHeartbeat(per.ID)
+			stp.sendTotals(per.ID)
+		}
+	}
+}
+
+func (stp *step) sendHeartbeat(to string) {
+	echo, _ := stp.st.echoes.Get(to)
+	hbt := message.Heartbeat{
+		Revision:    stp.st.config.Revision,
+		AZ:          stp.st.set.AZ,
+		SentNanos:   max(1, stp.now.Sub(stp.st.started).Nanoseconds()),
+		Echo:        echo,
+		Leaving:     stp.st.view.Leaving(),
+		SeenLeaving: stp.st.fleet.SeenLeaving(),
+	}
+	for _, tea := range stp.st.config.Tables.Teams {
+		if spare := stp.spareOf(tea.Name); spare > 0 {
+			hbt.Spare = append(hbt.Spare, message.Spare{Team: tea.Name, Permits: spare})
+		}
+	}
+	stp.send(to, hbt)
+}
+
+// sendTotals repeats the cumulative permits sent to a member, in case an
+// earlier message was lost.
+func (stp *step) sendTotals(to string) {
+	if totals := stp.st.ledger.SentTo(to); len(totals) > 0 {
+		stp.send(to, message.PermitTransfer{Totals: totals})
+	}
+}
+
+func (stp *step) fleetListed(evt event.FleetListed) {
+	stp.st.fleet = stp.st.fleet.WithList(evt.VMs, stp.now)
+	for _, asg := range stp.st.config.VMs {
+		if _, ok := stp.st.fleet.VM(asg.VM); !ok {
+			stp.clearSuspicion(asg.VM)
+		}
+	}
+	stp.dropReports()
+}
+
+// connect tells the driver which voters to keep links to.
+func (stp *step) connect() {
+	stp.emit(effect.Connect{Voters: stp.st.config.Voters})
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/core/entry/removal.go
@@ -0,0 +1,167 @@
+package entry
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/balsamgauge/balsamgauge/internal/core/member"
+	"github.com/balsamgauge/balsamgauge/internal/core/message"
+	"github.com/balsamgauge/balsamgauge/pkg/table"
+)
+
+// Timing of the removal of members.
+const (
+	// checkRemovalEvery is the time between two looks for departed members.
+	checkRemovalEvery = 500 * time.Millisecond
+	// freezeTimeout bounds how long the others may take to freeze their
+	// transfers.
+	freezeTimeout = 3 * time.Second
+	// stopMargin is added to the time after which a departed member certainly
+	// runs nothing, for clocks that run at different rates.
+	stopMargin = time.Second
+)
+
+// removalState is a removal of voters that this entry carries out.
+type removalState struct {
+	checkedAt time.Time
+	// absent lists the silent voters without a lease, sorted by ID.
+	absent []absence
+	// members is empty while no removal is under way.
+	members []string
+	since   time.Time
+	replies []frozenReply
+}
+
+type absence struct {
+	id    string
+	since time.Time
+}
+
+type frozenReply struct {
+	from  string
+	net   []table.Allotment
+	debts []table.Allotment
+}
+
+// noteAbsent notes the voters that are silent and have no lease. It follows
+// each reading of the members' leases.
+func (stp *step) noteAbsent() {
+	var absent []absence
+	for _, id := range stp.st.config.VoterIDs() {
+		if id == stp.st.set.ID || stp.isReporting(id) || slices.Contains(stp.st.logs.members, id) {
+			continue
+		}
+		abs := absence{id: id, since: stp.now}
+		for _, old := range stp.st.removal.absent {
+			if old.id == id {
+				abs.since = old.since
+			}
+		}
+		absent = append(absent, abs)
+	}
+	stp.st.removal.absent = absent
+}
+
+// StopsWithin is how long after its lease lapsed a member certainly runs
+// nothing: it stops starting work once its configuration is no longer fresh,
+// its requests end with their deadlines, and its tasks with their leases.
+func StopsWithin(cfg *table.Config) time.Duration {
+	return member.FreshFor + max(cfg.Tables.LongestRequest(), TaskLease) + stopMargin
+}
+
+func (stp *step) tickRemoval() {
+	rem := &stp.st.removal
+	if stp.now.Sub(rem.checkedAt) < checkRemovalEvery || stp.st.view.Leaving() {
+		return
+	}
+	rem.checkedAt = stp.now
+	if len(rem.members) > 0 {
+		if stp.now.Sub(rem.since) > freezeTimeout {
+			rem.members = nil
+		}
+		return
+	}
+	var gone []string
+	for _, abs := range rem.absent {
+		if !stp.isReporting(abs.id) && stp.now.Sub(abs.since) >= StopsWithin(stp.st.config) {
+			gone = append(gone, abs.id)
+		}
+	}
+	if len(gone) > 0 && member.Leader(stp.st.view.Live(stp.now), "adoption") == stp.st.set.ID {
+		stp.beginRemoval(gone)
+	}
+}
+
+// beginRemoval asks every remaining voter to end its transfers with the
+// departed ones.
+func (stp *step) beginRemoval(gone []string) {
+	stp.st.removal.members = gone
+	stp.st.removal.since = stp.now
+	stp.st.removal.replies = nil
+	for _, id := range stp.st.config.VoterIDs() {
+		if !slices.Contains(gone, id) {
+			stp.send(id, message.Freeze{Members: gone})
+		}
+	}
+	stp.finishRemoval()
+}
+
+func (stp *step) freezeHeard(from string, msg message.Freeze) {
+	if slices.Contains(msg.Members, stp.st.set.ID) {
+		return
+	}
+	stp.st.ledger = stp.st.ledger.WithFrozen(msg.Members)
+	stp.send(from, message.Frozen{
+		Members: msg.Members,
+		Net:     stp.st.ledger.Net(msg.Members),
+		Debts:   stp.debts(),
+	})
+}
+
+// debts lists how much more of each team's work the entry runs than its
+// permits allow, because it adopted running tasks.
+func (stp *step) debts() []table.Allotment {
+	var debts []table.Allotment
+	for _, tea := range stp.st.config.Tables.Teams {
+		if owed := stp.st.Running(tea.Name) - stp.st.Rights(tea.Name); owed > 0 {
+			debts = append(debts, table.Allotment{Team: tea.Name, Member: stp.st.set.ID, Permits: owed})
+		}
+	}
+	return debts
+}
+
+func (stp *step) frozenHeard(from string, msg message.Frozen) {
+	rem := &stp.st.removal
+	if !slices.Equal(rem.members, msg.Members) || len(rem.members) == 0 {
+		return
+	}
+	rem.replies = slices.DeleteFunc(slices.Clone(rem.replies), func(rpl frozenReply) bool { return rpl.from == from })
+	rem.replies = append(rem.replies, frozenReply{from: from, net: msg.Net, debts: msg.Debts})
+	stp.finishRemoval()
+}
+
+// finishRemoval removes the departed voters once every remaining one has frozen
+// its transfers, so that the sums can no longer change.
+func (stp *step) finishRemoval() {
+	rem := &stp.st.removal
+	var net, debts []table.Allotment
+	for _, id := range stp.st.config.VoterIDs() {
+		if slices.Contains(rem.members, id) {
+			continue
+		}
+		at := slices.IndexFunc(rem.replies, func(rpl frozenReply) bool { return rpl.from == id })
+		if at < 0 {
+			return
+		}
+		net = append(net, rem.replies[at].net...)
+		debts = append(debts, rem.replies[at].debts...)
+	}
+	slices.SortFunc(debts, func(a, b table.Allotment) int {
+		return cmp.Or(cmp.Compare(a.Team, b.Team), cmp.Compare(a.Member, b.Member))
+	})
+	settled := stp.st.config.Settle(rem.members, net, debts)
+	stp.submitEdit(pendingEdit{change: table.VotersRemoved{IDs: rem.members, Settled: settled}})
+	rem.members = nil
+	rem.absent = nil
+}
--- /dev/null
+++ b/internal/core/entry/state.go
@@ -0,0 +1,208 @@
+package entry
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"time"
+
+	"github.com/balsamgauge/balsamgauge/internal/core/dispatch"
+	"github.com/balsamgauge/balsamgauge/internal/core/member"
+	"github.com/balsamgauge/balsamgauge/internal/core/permit"
+	"github.com/balsamgauge/balsamgauge/internal/core/queue"
+	"github.com/balsamgauge/balsamgauge/internal/core/retry"
+	"github.com/balsamgauge/balsamgauge/internal/core/task"
+	"github.com/balsamgauge/balsamgauge/internal/core/vm"
+	"github.com/balsamgauge/balsamgauge/internal/core/work"
+	"github.com/balsamgauge/balsamgauge/pkg/table"
+	"github.com/benbjohnson/immutable"
+)
+
+// Settings are what an entry knows of itself from the start.
+type Settings struct {
+	// ID is unique to this incarnation of the process.
+	ID string
+	// Address is where peers reach the entry.
+	Address string
+	AZ      string
+	// Seed feeds the random generator.
+	Seed uint64
+	// StoreWritesPerSecond is what all entries together may spend on writing
+	// the records of tasks.
+	StoreWritesPerSecond int
+}
+
+// State is all that an entry knows. It is immutable: Reduce returns the next
+// one and leaves this one as it was.
+type State struct {
+	set     Settings
+	started time.Time
+	// now is the time of the last event; it never goes back.
+	now time.Time
+	rnd rand.PCG
+
+	config *table.Config
+	// recent holds the latest changes in their order, for peers that lack
+	// them.
+	recent []table.Edit
+	edits  editState
+	store  storeState
+
+	view  member.View
+	fleet vm.Fleet
+	// echoes maps a member to the SentNanos of its last heartbeat.
+	echoes *immutable.Map[string, int64]
+	// heartbeatAt is when the last heartbeats were sent.
+	heartbeatAt time.Time
+	removal     removalState
+
+	ledger permit.Ledger
+	// spares is what peers said they could give, less what was asked for.
+	spares *immutable.SortedMap[spareKey, int]
+	// askedAt is when permits were last asked for.
+	askedAt time.Time
+
+	nextWork work.ID
+	works    *immutable.Map[work.ID, work.Work]
+	// requests maps a caller's request to its work.
+	requests *immutable.Map[uint64, work.ID]
+	// requestOf is the inverse of requests.
+	requestOf *immutable.Map[work.ID, uint64]
+	// tasks maps a task that is not final to its work.
+	tasks *immutable.Map[string, work.ID]
+	// running counts the work that holds a permit, by team.
+	running *immutable.Map[string, int]
+	// held counts the slots that the entry uses.
+	held *immutable.SortedMap[slotKey, int]
+	// expiry orders the waiting work by deadline.
+	expiry *immutable.SortedMap[timer, struct{}]
+	// delayed orders the work that waits to be retried by time.
+	delayed *immutable.SortedMap[timer, struct{}]
+
+	// pools holds the entry's own part in each pool of the configuration.
+	pools *immutable.SortedMap[string, poolState]
+	// leads holds the dispatchers of the pools that this entry leads.
+	leads *immutable.SortedMap[string, dispatch.Dispatcher]
+	// suspects maps a VM that could not be connected to, to its suspicion.
+	suspects *immutable.SortedMap[string, suspicion]
+
+	log       task.Log
+	logs      logState
+	asks      askState
+	reserved  *immutable.Map[string, reservation]
+	draining  drainState
+	plannedAt time.Time
+	ready     bool
+}
+
+// poolState is the entry's own part in a pool.
+type poolState struct {
+	queue queue.Queue
+	// dirty says that the dispatcher has not heard of a change.
+	dirty      bool
+	reportedAt time.Time
+	// dispatcher is the member that the last report went to.
+	dispatcher string
+	// acknowledged is the number of the last grant of that dispatcher.
+	acknowledged uint64
+	budget       retry.Budget
+}
+
+type slotKey struct {
+	pool   string
+	vm     string
+	team   string
+	urgent bool
+}
+
+type slotKeyComparer struct{}
+
+func (slotKeyComparer) Compare(a, b slotKey) int {
+	return cmp.Or(cmp.Compare(a.pool, b.pool), cmp.Compare(a.vm, b.vm),
+		cmp.Compare(a.team, b.team), compareBool(a.urgent, b.urgent))
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	default:
+		return 1
+	}
+}
+
+type timer struct {
+	at time.Time
+	id work.ID
+}
+
+type timerComparer struct{}
+
+func (timerComparer) Compare(a, b timer) int {
+	return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.id, b.id))
+}
+
+type spareKey struct {
+	team   string
+	member string
+}
+
+type spareKeyComparer struct{}
+
+func (spareKeyComparer) Compare(a, b spareKey) int {
+	return cmp.Or(cmp.Compare(a.team, b.team), cmp.Compare(a.member, b.member))
+}
+
+// suspicion keeps new work from a VM for a while.
+type suspicion struct {
+	until time.Time
+	span  time.Duration
+}
+
+// New returns the state of an entry before its first event.
+func New(set Settings) State {
+	return State{
+		set:       set,
+		rnd:       *rand.NewPCG(set.Seed, 0),
+		config:    table.Empty(),
+		view:      member.NewView(set.ID),
+		fleet:     vm.NewFleet(),
+		ledger:    permit.NewLedger(set.ID),
+		echoes:    immutable.NewMap[string, int64](nil),
+		spares:    immutable.NewSortedMap[spareKey, int](spareKeyComparer{}),
+		works:     immutable.NewMap[work.ID, work.Work](nil),
+		requests:  immutable.NewMap[uint64, work.ID](nil),
+		requestOf: immutable.NewMap[work.ID, uint64](nil),
+		tasks:     immutable.NewMap[string, work.ID](nil),
+		running:   immutable.NewMap[string, int](nil),
+		held:      immutable.NewSortedMap[slotKey, int](slotKeyComparer{}),
+		expiry:    immutable.NewSortedMap[timer, struct{}](timerComparer{}),
+		delayed:   immutable.NewSortedMap[timer, struct{}](timerComparer{}),
+		pools:     immutable.NewSortedMap[string, poolState](nil),
+		leads:     immutable.NewSortedMap[string, dispatch.Dispatcher](nil),
+		suspects:  immutable.NewSortedMap[string, suspicion](nil),
+		log:       task.NewLog(),
+		asks:      newAskState(),
+		logs:      newLogState(),
+		reserved:  immutable.NewMap[string, reservation](nil),
+		store:     newStoreState(),
+	}
+}
+
+// Config returns the configuration that the entry runs by.
+func (sta State) Config() *table.Config { return sta.config }
+
+// ID returns the entry's ID.
+func (sta State) ID() string { return sta.set.ID }
+
+// Running returns how much work of a team the entry has running.
+func (sta State) Running(team string) int {
+	count, _ := sta.running.Get(team)
+	return count
+}
+
+// Rights returns how much work of a team the entry may have running.
+func (sta State) Rights(team string) int {
+	return sta.ledger.Rights(sta.config, team)
+}
--- /dev/null
+++ b/internal/core/entry/status.go
@@ -0,0 +1,59 @@
+package entry
+
+import (
+	"slices"
+
+	"github.com/balsamgauge/balsamgauge/internal/core/effect"
+)
+
+func (stp *step) status() effect.Status {
+	cfg := stp.st.config
+	_, votes := cfg.Voter(stp.st.set.ID)
+	sts := effect.Status{
+		ID:             stp.st.set.ID,
+		AZ:             stp.st.set.AZ,
+		Revision:       cfg.Revision,
+		Fresh:          stp.st.view.IsFresh(stp.now, cfg),
+		Voting:         votes,
+		Leaving:        stp.st.view.Leaving(),
+		AZsOut:         cfg.Tables.AZsOut,
+		PendingRecords: stp.st.log.PendingCount() + len(stp.st.log.InFlight()),
+		Tasks:          stp.st.tasks.Len(),
+	}
+	live := stp.st.view.Live(stp.now)
+	for _, per := range stp.st.view.Peers() {
+		_, votes := cfg.Voter(per.ID)
+		sts.Members = append(sts.Members, effect.MemberStatus{
+			ID: per.ID, AZ: per.AZ, Live: slices.Contains(live, per.ID), Voting: votes, Revision: per.Revision,
+		})
+	}
+	for _, poo := range cfg.Tables.Pools {
+		sts.Pools = append(sts.Pools, stp.poolStatus(poo.Name))
+	}
+	for _, tea := range cfg.Tables.Teams {
+		rights := stp.st.Rights(tea.Name)
+		sts.Teams = append(sts.Teams, effect.TeamStatus{
+			Team: tea.Name, Limit: tea.Limit, Permits: rights,
+			Running: stp.st.Running(tea.Name), InDebt: rights < 0,
+		})
+	}
+	return sts
+}
+
+func (stp *step) poolStatus(name string) effect.PoolStatus {
+	own := stp.pool(name)
+	pst := effect.PoolStatus{Pool: name, Dispatcher: stp.dispatcherOf(name), Waiting: own.queue.Len()}
+	for _, asg := range stp.st.config.VMs {
+		if asg.Pool == name {
+			pst.VMs++
+		}
+	}
+	for _, one := range stp.st.fleet.Usable(stp.st.config, name) {
+		pst.UsableVMs++
+		pst.Slots += one.Slots
+	}
+	for _, run := range stp.runningOn(name) {
+		pst.Running += run.Count
+	}
+	return pst
+}
--- /dev/null
+++ b/internal/core/entry/waiting.go
@@ -0,0 +1,192 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/balsamgauge/balsamgauge/internal/core/effect"
+	"github.com/balsamgauge/balsamgauge/internal/core/queue"
+	"github.com/balsamgauge/balsamgauge/internal/core/retry"
+	"github.com/balsamgauge/balsamgauge/internal/core/task"
+	"github.com/balsamgauge/balsamgauge/internal/core/work"
+	"github.com/balsamgauge/balsamgauge/pkg/outcome"
+	"github.com/balsamgauge/balsamgauge/pkg/table"
+)
+
+// Spans for which a VM that could not be connected to gets no new work.
+const (
+	suspectFirst   = 500 * time.Millisecond
+	suspectLongest = 30 * time.Second
+)
+
+func (stp *step) pool(name string) poolState {
+	own, ok := stp.st.pools.Get(name)
+	if !ok {
+		own = poolState{queue: queue.New(), budget: retry.NewBudget()}
+	}
+	return own
+}
+
+func (stp *step) putPool(name string, own poolState) {
+	stp.st.pools = stp.st.pools.Set(name, own)
+}
+
+func (stp *step) markDirty(pool string) {
+	own := stp.pool(pool)
+	if !own.dirty {
+		own.dirty = true
+		stp.putPool(pool, own)
+	}
+}
+
+func (stp *step) putWork(wrk work.Work) {
+	stp.st.works = stp.st.works.Set(wrk.ID, wrk)
+}
+
+// enqueue lets work wait for a grant.
+func (stp *step) enqueue(wrk work.Work) {
+	wrk.Phase = work.PhaseWaiting
+	stp.putWork(wrk)
+	own := stp.pool(wrk.Pool)
+	own.queue = own.queue.With(wrk)
+	own.dirty = true
+	stp.putPool(wrk.Pool, own)
+	stp.st.expiry = stp.st.expiry.Set(timer{wrk.Deadline, wrk.ID}, struct{}{})
+}
+
+// dequeue takes work out of all that it waits in.
+func (stp *step) dequeue(wrk work.Work) {
+	own := stp.pool(wrk.Pool)
+	own.queue = own.queue.Without(wrk)
+	own.dirty = true
+	stp.putPool(wrk.Pool, own)
+	stp.st.expiry = stp.st.expiry.Delete(timer{wrk.Deadline, wrk.ID})
+	stp.st.delayed = stp.st.delayed.Delete(timer{wrk.NotBefore, wrk.ID})
+}
+
+// forget drops work that has ended.
+func (stp *step) forget(wrk work.Work) {
+	stp.dequeue(wrk)
+	stp.st.works = stp.st.works.Delete(wrk.ID)
+	if request, ok := stp.st.requestOf.Get(wrk.ID); ok {
+		stp.st.requests = stp.st.requests.Delete(request)
+		stp.st.asks.reservationOf = stp.st.asks.reservationOf.Delete(request)
+		stp.st.requestOf = stp.st.requestOf.Delete(wrk.ID)
+	}
+	if wrk.TaskID != "" {
+		stp.st.tasks = stp.st.tasks.Delete(wrk.TaskID)
+	}
+}
+
+func (stp *step) setRequest(id work.ID, request uint64) {
+	stp.st.requestOf = stp.st.requestOf.Set(id, request)
+}
+
+func (stp *step) requestOf(id work.ID) uint64 {
+	request, _ := stp.st.requestOf.Get(id)
+	return request
+}
+
+// occupy takes a permit and a slot for work that starts.
+func (stp *step) occupy(wrk work.Work) {
+	stp.addRunning(wrk, 1)
+}
+
+// release gives back the permit and the slot of work that ended.
+func (stp *step) release(wrk work.Work) {
+	stp.addRunning(wrk, -1)
+}
+
+func (stp *step) addRunning(wrk work.Work, delta int) {
+	count, _ := stp.st.running.Get(wrk.Team)
+	stp.st.running = stp.st.running.Set(wrk.Team, count+delta)
+	slk := slotKey{wrk.Pool, wrk.VM, wrk.Team, wrk.Urgency == table.UrgencyUrgent}
+	held, _ := stp.st.held.Get(slk)
+	if held+delta == 0 {
+		stp.st.held = stp.st.held.Delete(slk)
+	} else {
+		stp.st.held = stp.st.held.Set(slk, held+delta)
+	}
+	stp.markDirty(wrk.Pool)
+}
+
+// tickWork wakes delayed retries and refuses what can't start in time.
+func (stp *step) tickWork() {
+	for {
+		tmr, ok := first(stp.st.delayed, stp.now)
+		if !ok {
+			break
+		}
+		stp.st.delayed = stp.st.delayed.Delete(tmr)
+		if wrk, ok := stp.st.works.Get(tmr.id); ok && wrk.Phase == work.PhaseWaiting {
+			stp.enqueue(wrk)
+		}
+	}
+	for {
+		tmr, ok := first(stp.st.expiry, stp.now)
+		if !ok {
+			break
+		}
+		stp.st.expiry = stp.st.expiry.Delete(tmr)
+		if wrk, ok := stp.st.works.Get(tmr.id); ok && wrk.Phase == work.PhaseWaiting {
+			stp.expire(wrk)
+		}
+	}
+}
+
+func first(timers timerMap, now time.Time) (tmr timer, ok bool) {
+	itr := timers.Iterator()
+	if itr.Done() {
+		return timer{}, false
+	}
+	tmr, _, _ = itr.Next()
+	return tmr, !tmr.at.After(now)
+}
+
+// expire refuses waiting work whose deadline has passed.
+func (stp *step) expire(wrk work.Work) {
+	cod, msg := outcome.CodeDeadlinePassed, "The deadline passed before the work could start."
+	if stp.st.Rights(wrk.Team) <= stp.st.Running(wrk.Team) {
+		cod, msg = outcome.CodeOverLimit, "The team's upper limit was reached until the deadline passed."
+	}
+	if wrk.Kind == table.KindTask {
+		stp.endTask(wrk, task.StateParked, nil, msg)
+		return
+	}
+	stp.refuseNotRun(stp.requestOf(wrk.ID), cod, msg)
+	stp.forget(wrk)
+}
+
+// suspect keeps new work from a VM that could not be connected to. The span
+// doubles each time, up to suspectLongest.
+func (stp *step) suspect(vmID string) {
+	sus, _ := stp.st.suspects.Get(vmID)
+	sus.span = min(suspectLongest, max(suspectFirst, 2*sus.span))
+	sus.until = stp.now.Add(stp.jitter(sus.span))
+	stp.st.suspects = stp.st.suspects.Set(vmID, sus)
+	stp.record("vm", "vm_suspected", vmID, sus.span.String())
+}
+
+func (stp *step) clearSuspicion(vmID string) {
+	if _, ok := stp.st.suspects.Get(vmID); ok {
+		stp.st.suspects = stp.st.suspects.Delete(vmID)
+	}
+}
+
+// seeLeaving notes that a VM is shutting down, and tells the peers at once.
+func (stp *step) seeLeaving(vmID string) {
+	if stp.st.fleet.IsLeaving(vmID) {
+		return
+	}
+	stp.st.fleet = stp.st.fleet.WithLeaving(vmID, stp.now)
+	stp.record("vm", "vm_leaving", vmID, "seen by this entry")
+	stp.sendHeartbeats()
+	stp.markDirty(stp.st.config.PoolOf(vmID))
+}
+
+func (stp *step) updateReady() {
+	ready := !stp.st.view.Leaving() && stp.st.config.Revision > 0 && stp.st.view.IsFresh(stp.now, stp.st.config)
+	if ready != stp.st.ready {
+		stp.st.ready = ready
+		stp.emit(effect.SetReady{Ready: ready})
+	}
+}
--- /dev/null
+++ b/internal/core/member/view.go
@@ -0,0 +1,216 @@
+package member
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"github.com/balsamgauge/balsamgauge/pkg/table"
+)
+
+// Timing of the freshness rule and of failure detection.
+const (
+	// FreshFor is how long contact with the store or hearing a majority lets
+	// an entry start work.
+	FreshFor = 2 * time.Second
+	// SilentAfter is how long after its last heartbeat a member no longer
+	// counts as live.
+	SilentAfter = 1 * time.Second
+	// HeartbeatEvery is the time between heartbeats to each peer.
+	HeartbeatEvery = 250 * time.Millisecond
+)
+
+// Peer is what an entry knows of another one.
+type Peer struct {
+	ID string
+	AZ string
+	// HeardAt is when the last message came; it only moves forward.
+	HeardAt time.Time
+	// ProvenAt is when the entry sent the latest heartbeat that the peer has
+	// answered. What the peer reported is at least as new as that, however
+	// long its answer was on the way.
+	ProvenAt time.Time
+	// Revision is the highest configuration revision that the peer reported.
+	Revision int64
+	// Leaving says that the peer is shutting down gracefully.
+	Leaving bool
+	// Connected says that a link to the peer is up.
+	Connected bool
+}
+
+// View is one entry's knowledge of the others. It is immutable.
+type View struct {
+	self string
+	// peers is sorted by ID and does not hold the entry itself.
+	peers []Peer
+	// storeAt is when the store last answered a read of the configuration's
+	// head.
+	storeAt time.Time
+	leaving bool
+}
+
+// NewView returns the view of an entry that has heard nobody.
+func NewView(self string) View {
+	return View{self: self}
+}
+
+// Self returns the entry's own ID.
+func (vie View) Self() string { return vie.self }
+
+// Leaving reports whether the entry itself is shutting down.
+func (vie View) Leaving() bool { return vie.leaving }
+
+// StoreAt returns when the store last answered.
+func (vie View) StoreAt() time.Time { return vie.storeAt }
+
+// Peers returns the known peers, sorted by ID. The caller must not change the
+// slice.
+func (vie View) Peers() []Peer { return vie.peers }
+
+// Peer returns what is known of a member.
+func (vie View) Peer(id string) (per Peer, ok bool) {
+	at, found := vie.find(id)
+	if !found {
+		return Peer{}, false
+	}
+	return vie.peers[at], true
+}
+
+// WithPeer returns the view with a peer's record replaced.
+func (vie View) WithPeer(per Peer) View {
+	at, found := vie.find(per.ID)
+	vie.peers = slices.Clone(vie.peers)
+	if found {
+		vie.peers[at] = per
+	} else {
+		vie.peers = slices.Insert(vie.peers, at, per)
+	}
+	return vie
+}
+
+// WithoutPeer returns the view without a member.
+func (vie View) WithoutPeer(id string) View {
+	at, found := vie.find(id)
+	if found {
+		vie.peers = slices.Delete(slices.Clone(vie.peers), at, at+1)
+	}
+	return vie
+}
+
+// WithStoreContact returns the view after the store answered a read that was
+// sent at a given time.
+func (vie View) WithStoreContact(sentAt time.Time) View {
+	if sentAt.After(vie.storeAt) {
+		vie.storeAt = sentAt
+	}
+	return vie
+}
+
+// WithLeaving returns the view of an entry that is shutting down.
+func (vie View) WithLeaving() View {
+	vie.leaving = true
+	return vie
+}
+
+// Live returns the IDs of the members that count as live, the entry itself
+// among them, sorted. Members that are leaving are left out.
+func (vie View) Live(now time.Time) []string {
+	ids := make([]string, 0, len(vie.peers)+1)
+	for _, per := range vie.peers {
+		if !per.Leaving && isWithin(per.HeardAt, now, SilentAfter) {
+			ids = append(ids, per.ID)
+		}
+	}
+	if !vie.leaving {
+		ids = append(ids, vie.self)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// HearsMajority reports whether the entry heard more than half of the voters
+// within FreshFor, counting itself when it votes.
+func (vie View) HearsMajority(now time.Time, cfg *table.Config) bool {
+	heard := 0
+	for _, vtr := range cfg.Voters {
+		if vtr.ID == vie.self {
+			heard++
+			continue
+		}
+		if per, ok := vie.Peer(vtr.ID); ok && isWithin(per.ProvenAt, now, FreshFor) {
+			heard++
+		}
+	}
+	return len(cfg.Voters) > 0 && heard >= cfg.Majority()
+}
+
+// IsFresh reports whether the entry may start work: it had contact with the
+// store, or heard a majority of the voters, within FreshFor.
+func (vie View) IsFresh(now time.Time, cfg *table.Config) bool {
+	if isWithin(vie.storeAt, now, FreshFor) {
+		return true
+	}
+	return vie.HearsMajority(now, cfg)
+}
+
+// Acknowledged reports whether a majority of the voters reported at least the
+// given revision, counting the entry itself when it votes.
+func (vie View) Acknowledged(cfg *table.Config, revision int64) bool {
+	acks := 0
+	for _, vtr := range cfg.Voters {
+		if vtr.ID == vie.self {
+			acks++
+			continue
+		}
+		if per, ok := vie.Peer(vtr.ID); ok && per.Revision >= revision {
+			acks++
+		}
+	}
+	return acks >= cfg.Majority()
+}
+
+func isWithin(at, now time.Time, span time.Duration) bool {
+	return !at.IsZero() && now.Sub(at) <= span
+}
+
+func (vie View) find(id string) (at int, found bool) {
+	return slices.BinarySearchFunc(vie.peers, id, func(per Peer, id string) int {
+		return cmp.Compare(per.ID, id)
+	})
+}
+
+// Leader returns which of the members leads a subject, such as a pool, by
+// rendezvous hashing: the one whose hash with the subject is highest. It
+// returns "" when there are no members.
+func Leader(members []string, subject string) string {
+	best, bestScore := "", uint64(0)
+	for _, id := range members {
+		score := Score(id, subject)
+		if best == "" || score > bestScore || (score == bestScore && id < best) {
+			best, bestScore = id, score
+		}
+	}
+	return best
+}
+
+// Score returns how strongly a member is drawn to a subject. It is the same at
+// every entry.
+func Score(id, subject string) uint64 {
+	sum := fnv.New64a()
+	_, _ = sum.Write([]byte(subject))
+	_, _ = sum.Write([]byte{0})
+	_, _ = sum.Write([]byte(id))
+	return mix(sum.Sum64())
+}
+
+// mix spreads the bits of an FNV hash, whose high bits depend too little on
+// the last bytes. The constants are those of the SplitMix64 finalizer.
+func mix(val uint64) uint64 {
+	val ^= val >> 30
+	val *= 0xbf58476d1ce4e5b9
+	val ^= val >> 27
+	val *= 0x94d049bb133111eb
+	val ^= val >> 31
+	return val
+}
--- /dev/null
+++ b/internal/core/share/share.go
@@ -0,0 +1,92 @@
+// Package share divides the slots of a full pool between teams in weighted
+// max-min proportion.
+//
+// Pick is the incremental rule that the dispatcher uses: each free slot goes
+// to the team that runs the least for its weight. WaterFill is the naive
+// division of a fixed number of slots, against which the rule is tested.
+package share
+
+import "cmp"
+
+// Team is one team's stand at the moment that a slot is free.
+type Team struct {
+	Name string
+	// Weight is at least 1.
+	Weight int
+	// Running counts the slots that the team holds.
+	Running int
+	// Waiting counts the work that could start at once.
+	Waiting int
+}
+
+// Pick returns the index of the team to give a free slot to, or -1 when no
+// team has work waiting. Equal teams go by name.
+func Pick(teams []Team) int {
+	best := -1
+	for i, tea := range teams {
+		if tea.Waiting <= 0 {
+			continue
+		}
+		if best < 0 || less(tea, teams[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+// less compares what each team would hold for its weight with one slot more,
+// by cross-multiplication to stay exact.
+func less(a, b Team) bool {
+	left := (a.Running + 1) * b.Weight
+	right := (b.Running + 1) * a.Weight
+	return cmp.Or(cmp.Compare(left, right), cmp.Compare(a.Name, b.Name)) < 0
+}
+
+// A Demand is what one team asks for.
+type Demand struct {
+	Name   string
+	Weight int
+	Wanted int
+}
+
+// WaterFill divides slots by weighted max-min: nobody gets more than it wants,
+// and what one leaves goes to the others by weight. The result is fractional,
+// in the order of the demands.
+func WaterFill(slots int, demands []Demand) []float64 {
+	got := make([]float64, len(demands))
+	left := float64(slots)
+	open := make([]bool, len(demands))
+	for i, dem := range demands {
+		open[i] = dem.Wanted > 0
+	}
+	for {
+		weights := 0
+		for i, dem := range demands {
+			if open[i] {
+				weights += dem.Weight
+			}
+		}
+		if weights == 0 {
+			return got
+		}
+		level := left / float64(weights)
+		capped := false
+		for i, dem := range demands {
+			if open[i] && float64(dem.Wanted) <= level*float64(dem.Weight) {
+				got[i] = float64(dem.Wanted)
+				left -= got[i]
+				open[i] = false
+				capped = true
+			}
+		}
+		if capped {
+			continue
+		}
+		for i, dem := range demands {
+			if open[i] {
+				got[i] = level * float64(dem.Weight)
+			}
+		}
+		return got
+	}
+}
--- /dev/null
+++ b/internal/demo/scenario.go
@@ -0,0 +1,320 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/balsamgauge/balsamgauge/internal/adminclient"
+	"github.com/balsamgauge/balsamgauge/internal/standin/executor"
+)
+
+// inForceWithin is how soon after its acceptance a change must be in force
+// everywhere.
+const inForceWithin = 3 * time.Second
+
+// Options change what the demonstration does.
+type Options struct {
+	// DoubleRuns lets the executors run everything twice, to show that the
+	// checks notice.
+	DoubleRuns bool
+	// Brief plays the first scene only.
+	Brief bool
+	// Progress is told of each step; it may be nil.
+	Progress func(Step)
+}
+
+// moments are the times of the operators' events, for the checks.
+type moments struct {
+	withdrawnAt  time.Time
+	withdrawnKey string
+	azOut        string
+	azOutAt      time.Time
+	azInAt       time.Time
+	drained      string
+	drainedAt    time.Time
+	// overCapacity says that teams asked for more than their limit.
+	overCapacity bool
+	// propagations holds, for each accepted change, how long the slowest entry
+	// took to run by it, and regressions counts the revisions that went down.
+	propagations []time.Duration
+	regressions  int
+	samples      int
+	doubledVMs   int
+}
+
+// demonstration is one run of the scenario.
+type demonstration struct {
+	cluster *cluster
+	callers *callers
+	began   time.Time
+	steps   []Step
+	report  func(Step)
+	brief   bool
+	mom     moments
+	watch   *revisionWatch
+	keys    map[string]string
+}
+
+// Run runs the demonstration and returns its report.
+func Run(ctx context.Context, opt Options) (rep Report, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("demonstration: %w", err)
+		}
+	}()
+	cls, err := startCluster(opt.DoubleRuns)
+	if err != nil {
+		return Report{}, err
+	}
+	defer cls.stop()
+	dem := &demonstration{
+		cluster: cls, callers: newCallers(cls), began: time.Now(),
+		report: opt.Progress, brief: opt.Brief, keys: map[string]string{},
+	}
+	if err := dem.prepare(ctx); err != nil {
+		return Report{}, err
+	}
+	if err := dem.play(ctx); err != nil {
+		return Report{}, err
+	}
+	return dem.evaluate(), nil
+}
+
+func (dem *demonstration) step(format string, args ...any) {
+	stp := Step{AtSeconds: seconds(time.Since(dem.began)), Name: fmt.Sprintf(format, args...)}
+	dem.steps = append(dem.steps, stp)
+	if dem.report != nil {
+		dem.report(stp)
+	}
+}
+
+// admin returns the admin client of some live entry.
+func (dem *demonstration) admin() *adminclient.Client {
+	return dem.cluster.live()[0].admin
+}
+
+// prepare waits for the entries, applies the tables and grants the keys.
+func (dem *demonstration) prepare(ctx context.Context) error {
+	if err := dem.cluster.await(ctx, "every entry votes", dem.cluster.isVoting); err != nil {
+		return err
+	}
+	dem.step("%d entries vote", entries)
+	dem.watch = watchRevisions(dem.cluster)
+	if _, err := dem.admin().Apply(ctx, dem.cluster.tables, 0); err != nil {
+		return err
+	}
+	for _, team := range []string{"dispatch", "farms"} {
+		rsp, err := dem.admin().Grant(ctx, team+"-app", team)
+		if err != nil {
+			return err
+		}
+		dem.keys[team] = rsp.Key
+	}
+	rsp, err := dem.admin().Grant(ctx, "farms-lost", "farms")
+	if err != nil {
+		return err
+	}
+	dem.keys["lost"] = rsp.Key
+	if err := dem.cluster.await(ctx, "every VM is in its pool", dem.cluster.hasVMs); err != nil {
+		return err
+	}
+	dem.step("tables applied, keys granted, %d VMs in their pools", len(dem.cluster.azOf))
+	return nil
+}
+
+// play goes through the operators' events under load.
+func (dem *demonstration) play(ctx context.Context) error {
+	load, stopLoad := context.WithCancel(ctx)
+	defer stopLoad()
+	var grp sync.WaitGroup
+	dem.startLoad(load, &grp)
+	scenes := []func(context.Context) error{
+		dem.withdrawKey, dem.takeAZOut, dem.drainExecutor, dem.overload,
+		dem.loseStore, dem.replaceEntry, dem.killEntry,
+	}
+	if dem.brief {
+		scenes = scenes[:1]
+	}
+	for _, scene := range scenes {
+		if err := scene(ctx); err != nil {
+			stopLoad()
+			grp.Wait()
+			return err
+		}
+	}
+	stopLoad()
+	grp.Wait()
+	settle, cancel := context.WithTimeout(ctx, 20*time.Second)
+	defer cancel()
+	dem.callers.settleTasks(settle)
+	dem.watch.stop()
+	dem.step("load ended, tasks settled")
+	return nil
+}
+
+func (dem *demonstration) startLoad(ctx context.Context, grp *sync.WaitGroup) {
+	kinds := []call{
+		{team: "dispatch", key: dem.keys["dispatch"], method: http.MethodGet, path: "/plan/barge", repeatable: true},
+		{team: "dispatch", key: dem.keys["dispatch"], method: http.MethodPost, path: "/order/feed"},
+		{team: "farms", key: dem.keys["farms"], method: http.MethodGet, path: "/plan/pen", repeatable: true},
+		{team: "farms", key: dem.keys["farms"], method: http.MethodPost, path: "/order/feed"},
+		{team: "farms", key: dem.keys["lost"], method: http.MethodPost, path: "/order/lost"},
+		{team: "visitors", method: http.MethodGet, path: "/tide/today", repeatable: true},
+	}
+	for _, kind := range kinds {
+		for range 2 {
+			dem.callers.keepCalling(ctx, grp, kind, 20*time.Millisecond, 10*time.Millisecond)
+		}
+	}
+	forbidden := []call{
+		{team: "dispatch", key: "bgk_wrong", method: http.MethodPost, path: "/order/forged", forbidden: true},
+		{team: "dispatch", method: http.MethodPost, path: "/order/anonymous", forbidden: true},
+	}
+	for _, kind := range forbidden {
+		dem.callers.keepCalling(ctx, grp, kind, 0, 100*time.Millisecond)
+	}
+	dem.submitTasks(ctx, grp)
+}
+
+func (dem *demonstration) submitTasks(ctx context.Context, grp *sync.WaitGroup) {
+	grp.Add(1)
+	go func() {
+		defer grp.Done()
+		for ctx.Err() == nil {
+			dem.callers.submit(dem.keys["dispatch"], "delivery_note", "50ms", false)
+			dem.callers.submit(dem.keys["farms"], "silo_reconcile", "100ms", true)
+			select {
+			case <-ctx.Done():
+			case <-time.After(200 * time.Millisecond):
+			}
+		}
+	}()
+}
+
+func pause(ctx context.Context, span time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(span):
+		return nil
+	}
+}
+
+func (dem *demonstration) withdrawKey(ctx context.Context) error {
+	if err := pause(ctx, time.Second); err != nil {
+		return err
+	}
+	rsp, err := dem.admin().Withdraw(ctx, "farms-lost")
+	if err != nil {
+		return err
+	}
+	dem.mom.withdrawnAt, dem.mom.withdrawnKey = time.Now(), dem.keys["lost"]
+	dem.watch.accepted(rsp.Revision, dem.mom.withdrawnAt)
+	dem.step("key farms-lost withdrawn at revision %d", rsp.Revision)
+	return pause(ctx, 4*time.Second)
+}
+
+func (dem *demonstration) takeAZOut(ctx context.Context) error {
+	dem.mom.azOut = azs[1]
+	rsp, err := dem.admin().SetAZ(ctx, dem.mom.azOut, true)
+	if err != nil {
+		return err
+	}
+	dem.mom.azOutAt = time.Now()
+	dem.watch.accepted(rsp.Revision, dem.mom.azOutAt)
+	dem.step("availability zone %s taken out", dem.mom.azOut)
+	if err := pause(ctx, 5*time.Second); err != nil {
+		return err
+	}
+	dem.mom.azInAt = time.Now()
+	rsp, err = dem.admin().SetAZ(ctx, dem.mom.azOut, false)
+	if err != nil {
+		return err
+	}
+	dem.watch.accepted(rsp.Revision, time.Now())
+	dem.step("availability zone %s back in", dem.mom.azOut)
+	return pause(ctx, time.Second)
+}
+
+func (dem *demonstration) drainExecutor(ctx context.Context) error {
+	dem.mom.drained = "executor-" + azs[2] + "-1"
+	dem.mom.drainedAt = time.Now()
+	dem.cluster.executors[dem.mom.drained].Drain()
+	dem.step("%s begins its graceful shutdown", dem.mom.drained)
+	return pause(ctx, 4*time.Second)
+}
+
+// overload asks for more than the teams' limits for a while.
+func (dem *demonstration) overload(ctx context.Context) error {
+	dem.step("both teams ask for more than their limits")
+	busy, stop := context.WithTimeout(ctx, 2*time.Second)
+	defer stop()
+	var grp sync.WaitGroup
+	for range 40 {
+		dem.callers.keepCalling(busy, &grp, call{
+			team: "dispatch", key: dem.keys["dispatch"], method: http.MethodPost, path: "/order/rush",
+		}, 50*time.Millisecond, 0)
+		dem.callers.keepCalling(busy, &grp, call{
+			team: "farms", key: dem.keys["farms"], method: http.MethodGet, path: "/plan/rush", repeatable: true,
+		}, 50*time.Millisecond, 0)
+	}
+	<-busy.Done()
+	grp.Wait()
+	dem.mom.overCapacity = true
+	return ctx.Err()
+}
+
+func (dem *demonstration) loseStore(ctx context.Context) error {
+	dem.cluster.store.SetDown(true)
+	dem.step("the store goes down")
+	if err := pause(ctx, 4*time.Second); err != nil {
+		return err
+	}
+	dem.cluster.store.SetDown(false)
+	dem.step("the store is back")
+	return pause(ctx, 2*time.Second)
+}
+
+// replaceEntry shuts an entry down gracefully under load and starts another.
+func (dem *demonstration) replaceEntry(ctx context.Context) error {
+	old := dem.cluster.live()[0]
+	dem.cluster.setLeaving(old)
+	old.runner.Shutdown()
+	dem.step("entry %s begins its graceful shutdown", old.runner.ID())
+	select {
+	case <-old.done:
+	case <-time.After(15 * time.Second):
+		return fmt.Errorf("entry %s did not shut down", old.runner.ID())
+	}
+	dem.step("entry %s has shut down", old.runner.ID())
+	prc, err := dem.cluster.startEntry(0)
+	if err != nil {
+		return err
+	}
+	if err := dem.cluster.await(ctx, "the new entry votes", dem.cluster.isVoting); err != nil {
+		return err
+	}
+	dem.step("entry %s has taken its place", prc.runner.ID())
+	return pause(ctx, time.Second)
+}
+
+// killEntry ends an entry as a lost VM would.
+func (dem *demonstration) killEntry(ctx context.Context) error {
+	lost := dem.cluster.live()[0]
+	lost.runner.Kill()
+	<-lost.done
+	dem.step("entry %s is lost", lost.runner.ID())
+	return pause(ctx, 8*time.Second)
+}
+
+// runsOf groups the runs of the executors by request.
+func (dem *demonstration) runsOf() map[string][]executor.Run {
+	runs := map[string][]executor.Run{}
+	for _, run := range dem.cluster.runs.Runs() {
+		runs[run.RunID] = append(runs[run.RunID], run)
+	}
+	return runs
+}
--- /dev/null
+++ b/internal/peerlink/frame.go
@@ -0,0 +1,101 @@
+package peerlink
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/balsamgauge/balsamgauge/internal/timeline"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Sizes of a frame, in bytes.
+const (
+	headerBytes = 12
+	stampBytes  = 8
+	// MaxPayload bounds a payload. A configuration of the size that the store
+	// can hold fits.
+	MaxPayload = 1 << 20
+	// maxHello bounds the greeting.
+	maxHello = 4 << 10
+)
+
+// Version is the version of the protocol. Entries of different versions do not
+// talk.
+const Version = 1
+
+// Hello is the first payload in each direction of a connection.
+type Hello struct {
+	Version int    `json:"version"`
+	Region  string `json:"region"`
+	ID      string `json:"id"`
+	AZ      string `json:"az"`
+	// Address is where the sender accepts connections.
+	Address string `json:"address"`
+}
+
+func writeFrame(out io.Writer, stm timeline.Stamp, payload []byte) error {
+	if len(payload) > MaxPayload {
+		return fmt.Errorf("payload of %d bytes is larger than %d", len(payload), MaxPayload)
+	}
+	frame := make([]byte, headerBytes, headerBytes+len(payload))
+	binary.BigEndian.PutUint32(frame, uint32(stampBytes+len(payload)))
+	binary.BigEndian.PutUint64(frame[4:], uint64(stm))
+	_, err := out.Write(append(frame, payload...))
+	return err
+}
+
+// readFrame reads a frame whose payload is at most limit bytes. It allocates
+// no more than has arrived.
+func readFrame(inp io.Reader, limit int) (stm timeline.Stamp, payload []byte, err error) {
+	var header [headerBytes]byte
+	if _, err := io.ReadFull(inp, header[:]); err != nil {
+		return 0, nil, err
+	}
+	size := int64(binary.BigEndian.Uint32(header[:]))
+	if size < stampBytes || size > int64(limit+stampBytes) {
+		return 0, nil, fmt.Errorf("frame of %d bytes", size)
+	}
+	stm = timeline.Stamp(binary.BigEndian.Uint64(header[4:]))
+	if size == stampBytes {
+		return stm, nil, nil
+	}
+	var buf bytes.Buffer
+	if _, err := io.CopyN(&buf, inp, size-stampBytes); err != nil {
+		return 0, nil, err
+	}
+	return stm, buf.Bytes(), nil
+}
+
+func writeHello(out io.Writer, stm timeline.Stamp, hel Hello) error {
+	var buf bytes.Buffer
+	enc := msgpack.NewEncoder(&buf)
+	enc.SetCustomStructTag("json")
+	if err := enc.Encode(hel); err != nil {
+		return err
+	}
+	return writeFrame(out, stm, buf.Bytes())
+}
+
+func readHello(inp io.Reader, region string) (stm timeline.Stamp, hel Hello, err error) {
+	stm, payload, err := readFrame(inp, maxHello)
+	if err != nil {
+		return 0, Hello{}, err
+	}
+	dec := msgpack.NewDecoder(bytes.NewReader(payload))
+	dec.SetCustomStructTag("json")
+	if err := dec.Decode(&hel); err != nil {
+		return 0, Hello{}, err
+	}
+	switch {
+	case hel.Version != Version:
+		return 0, Hello{}, fmt.Errorf("peer speaks version %d, not %d", hel.Version, Version)
+	case hel.Region != region:
+		return 0, Hello{}, fmt.Errorf("peer is of region %q, not %q", hel.Region, region)
+	case hel.ID == "" || hel.Address == "":
+		return 0, Hello{}, errors.New("peer has no ID or no address")
+	}
+	return stm, hel, nil
+}
--- /dev/null
+++ b/internal/runner/callers.go
@@ -0,0 +1,217 @@
+package runner
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/balsamgauge/balsamgauge/internal/core/event"
+	"github.com/balsamgauge/balsamgauge/internal/core/key"
+	"github.com/balsamgauge/balsamgauge/internal/exchange"
+	"github.com/balsamgauge/balsamgauge/pkg/outcome"
+	"github.com/balsamgauge/balsamgauge/pkg/table"
+)
+
+// timeoutHeader lets a caller shorten the route's deadline, as in "1.5s".
+const timeoutHeader = "Balsamgauge-Timeout"
+
+// ReadyPath is what the balancer asks on the callers' listener.
+const ReadyPath = "/-/ready"
+
+// Task is how a task is told to its submitter.
+type Task struct {
+	Outcome outcome.Outcome `json:"outcome"`
+	ID      string          `json:"id"`
+	Queue   string          `json:"queue,omitempty"`
+	State   string          `json:"state,omitempty"`
+	Attempt int             `json:"attempt,omitempty"`
+	Result  []byte          `json:"result,omitempty"`
+	Reason  string          `json:"reason,omitempty"`
+}
+
+func (rnr *Runner) callersHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+ReadyPath, rnr.serveReady)
+	mux.HandleFunc("POST /v1/queues/{queue}/tasks", rnr.serveSubmit)
+	mux.HandleFunc("GET /v1/tasks/{task}", rnr.serveTask)
+	mux.HandleFunc("DELETE /v1/tasks/{task}", rnr.serveTaskCancel)
+	mux.HandleFunc("/", rnr.serveRequest)
+	return mux
+}
+
+func (rnr *Runner) serveReady(wrt http.ResponseWriter, _ *http.Request) {
+	if !rnr.ready.Load() {
+		wrt.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// keyHash returns the hash of the key that came with a request, or "".
+func keyHash(req *http.Request) string {
+	secret, ok := strings.CutPrefix(req.Header.Get("Authorization"), "Bearer ")
+	if !ok || secret == "" {
+		return ""
+	}
+	return key.Hash(secret)
+}
+
+// errBodyCut means that the caller's body did not arrive whole.
+var errBodyCut = errors.New("the body did not arrive whole")
+
+func readBody(wrt http.ResponseWriter, req *http.Request, limit int64) (body []byte, err error) {
+	body, err = io.ReadAll(http.MaxBytesReader(wrt, req.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if err != nil && !errors.As(err, &tooLarge) {
+		return nil, errBodyCut
+	}
+	return body, err
+}
+
+func refuseBody(wrt http.ResponseWriter, err error) {
+	ref := outcome.Refusal{Outcome: outcome.NotRun, Code: outcome.CodeBodyTooLarge, Message: "The body is larger than the route allows."}
+	if errors.Is(err, errBodyCut) {
+		ref = outcome.Refusal{Outcome: outcome.NotRun, Code: outcome.CodeInvalid, Message: "The body did not arrive whole."}
+	}
+	writeRefusal(wrt, ref)
+}
+
+func (rnr *Runner) serveRequest(wrt http.ResponseWriter, req *http.Request) {
+	timeout, err := parseTimeout(req.Header.Get(timeoutHeader))
+	if err != nil {
+		writeRefusal(wrt, outcome.Refusal{Outcome: outcome.NotRun, Code: outcome.CodeInvalid, Message: err.Error()})
+		return
+	}
+	body, err := readBody(wrt, req, rnr.bodyLimit(req.URL.Path))
+	if err != nil {
+		refuseBody(wrt, err)
+		return
+	}
+	exc := rnr.exchanges.Open(exchange.Request{
+		Method: req.Method, Target: req.URL.RequestURI(), Header: req.Header, Body: body,
+	})
+	rnr.Post(event.RequestArrived{
+		Request: exc.ID, Path: req.URL.Path, KeyHash: keyHash(req),
+		Idempotent:     isIdempotent(req.Method),
+		IdempotencyKey: req.Header.Get("Idempotency-Key"),
+		BodyBytes:      int64(len(body)), Timeout: timeout,
+	})
+	rnr.await(wrt, req, exc)
+}
+
+// bodyLimit is one byte more than the route allows, so that the core sees that
+// a body is too large and nobody holds more of it than that.
+func (rnr *Runner) bodyLimit(path string) int64 {
+	if rou, ok := rnr.config.Load().RouteFor(path); ok {
+		return rou.MaxBodyBytes + 1
+	}
+	return table.DefaultMaxBody
+}
+
+// await writes the reply of an exchange. A caller that goes away before it
+// cancels the request.
+func (rnr *Runner) await(wrt http.ResponseWriter, req *http.Request, exc *exchange.Exchange) {
+	select {
+	case rep := <-exc.Reply():
+		writeReply(wrt, rep)
+	case <-req.Context().Done():
+		rnr.Post(event.RequestCancelled{Request: exc.ID})
+		rnr.exchanges.Drop(exc.ID)
+	case <-rnr.calls.Done():
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (rnr *Runner) serveSubmit(wrt http.ResponseWriter, req *http.Request) {
+	payload, err := readBody(wrt, req, table.MaxTaskPayload+1)
+	if err != nil {
+		refuseBody(wrt, err)
+		return
+	}
+	exc := rnr.exchanges.Open(exchange.Request{})
+	rnr.Post(event.TaskSubmitted{
+		Request: exc.ID, Queue: req.PathValue("queue"), KeyHash: keyHash(req), Payload: payload,
+	})
+	// A submission is not cancelled when its caller goes away: its record may
+	// be on the way to the store.
+	rnr.await(wrt, req, exc)
+}
+
+func (rnr *Runner) serveTask(wrt http.ResponseWriter, req *http.Request) {
+	exc := rnr.exchanges.Open(exchange.Request{})
+	rnr.Post(event.TaskAsked{Request: exc.ID, TaskID: req.PathValue("task"), KeyHash: keyHash(req)})
+	rnr.await(wrt, req, exc)
+}
+
+func (rnr *Runner) serveTaskCancel(wrt http.ResponseWriter, req *http.Request) {
+	exc := rnr.exchanges.Open(exchange.Request{})
+	rnr.Post(event.TaskCancelled{Request: exc.ID, TaskID: req.PathValue("task"), KeyHash: keyHash(req)})
+	rnr.await(wrt, req, exc)
+}
+
+func writeReply(wrt http.ResponseWriter, rep exchange.Reply) {
+	switch rep := rep.(type) {
+	case exchange.Answer:
+		writeAnswer(wrt, rep)
+	case exchange.Refusal:
+		writeRefusal(wrt, rep.Refusal)
+	case exchange.Accepted:
+		writeOutcome(wrt, http.StatusAccepted, outcome.Accepted, Task{Outcome: outcome.Accepted, ID: rep.TaskID})
+	case exchange.Told:
+		sts := rep.Status
+		writeOutcome(wrt, http.StatusOK, outcome.Answered, Task{
+			Outcome: outcome.Answered, ID: sts.ID, Queue: sts.Queue, State: string(sts.State),
+			Attempt: sts.Attempt, Result: sts.Result, Reason: sts.Reason,
+		})
+	}
+}
+
+func writeAnswer(wrt http.ResponseWriter, ans exchange.Answer) {
+	for name, values := range ans.Header {
+		switch name {
+		case "Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "Trailer":
+		default:
+			wrt.Header()[name] = values
+		}
+	}
+	wrt.Header().Set(outcome.Header, string(outcome.Answered))
+	wrt.WriteHeader(ans.Status)
+	_, _ = wrt.Write(ans.Body)
+}
+
+func writeRefusal(wrt http.ResponseWriter, ref outcome.Refusal) {
+	writeOutcome(wrt, ref.Code.Status(), ref.Outcome, ref)
+}
+
+func writeOutcome(wrt http.ResponseWriter, status int, out outcome.Outcome, body any) {
+	wrt.Header().Set(outcome.Header, string(out))
+	writeJSON(wrt, status, body)
+}
+
+func writeJSON(wrt http.ResponseWriter, status int, body any) {
+	wrt.Header().Set("Content-Type", "application/json")
+	wrt.WriteHeader(status)
+	_ = json.NewEncoder(wrt).Encode(body)
+}
+
+// isIdempotent tells by the method, as RFC 9110, section 9.2.2, defines it.
+func isIdempotent(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodPut, http.MethodDelete, http.MethodOptions, http.MethodTrace:
+		return true
+	default:
+		return false
+	}
+}
+
+func parseTimeout(text string) (time.Duration, error) {
+	if text == "" {
+		return 0, nil
+	}
+	span, err := time.ParseDuration(text)
+	if err != nil || span <= 0 {
+		return 0, errors.New(timeoutHeader + " must be a positive span such as 1.5s")
+	}
+	return span, nil
+}
--- /dev/null
+++ b/internal/timeline/clock.go
@@ -0,0 +1,49 @@
+package timeline
+
+import (
+	"sync"
+	"time"
+)
+
+// Stamp is a time of a hybrid logical clock: milliseconds since 1970 in the
+// upper 48 bits, and a counter in the lower 16.
+type Stamp uint64
+
+// counterBits is the width of a stamp's counter.
+const counterBits = 16
+
+// maxAhead bounds how far a peer's stamp may be ahead of the wall clock. One
+// that is further ahead is not followed, so that a wrong clock does not spread.
+const maxAhead = time.Minute
+
+// Time returns the wall-clock part of a stamp.
+func (stm Stamp) Time() time.Time {
+	return time.UnixMilli(int64(stm >> counterBits))
+}
+
+// Clock gives stamps that only go up. It is safe for concurrent use.
+type Clock struct {
+	mu   sync.Mutex
+	last Stamp
+}
+
+// Now returns a stamp for something that happens at a given time.
+func (clk *Clock) Now(now time.Time) Stamp {
+	clk.mu.Lock()
+	defer clk.mu.Unlock()
+	clk.last = max(clk.last+1, wall(now))
+	return clk.last
+}
+
+// Heard moves the clock past a stamp that came with a message.
+func (clk *Clock) Heard(now time.Time, stm Stamp) {
+	clk.mu.Lock()
+	defer clk.mu.Unlock()
+	if stm <= wall(now.Add(maxAhead)) {
+		clk.last = max(clk.last, stm)
+	}
+}
+
+func wall(now time.Time) Stamp {
+	return Stamp(now.UnixMilli()) << counterBits
+}
