--- a/internal/core/dispatch/decide.go
+++ b/internal/core/dispatch/decide.go
@@ -25,17 +25,21 @@
 	Config *table.Config
 }
 
+// A Recall asks a member for slots back.
+type Recall struct {
+	Member string
+	Slots  []message.RecallSlot
+}
+
 // Decide gives the free slots to waiting work. Urgent work of a team within
 // its share goes first; beyond that, slots go by weighted max-min between
 // teams, and within a team by urgency, then by age. A part of the slots is
-// kept for urgent work.
-func (dsp Dispatcher) Decide(rul Rule) (next Dispatcher, dcs []Decision) {
-	if dsp.reports.Len() == 0 {
-		return dsp, nil
-	}
+// kept for urgent work. When no slot is left for a team below its share, slots
+// of teams above theirs are recalled.
+func (dsp Dispatcher) Decide(now time.Time, rul Rule) (next Dispatcher, dcs []Decision, rcs []Recall) {
 	rnd := newRound(dsp, rul)
 	if len(rnd.lanes) == 0 {
-		return dsp, nil
+		return dsp, nil, nil
 	}
 	for {
 		dec, ok := rnd.grantOne()
@@ -49,7 +53,8 @@
 		dsp.reports = dsp.reports.Set(dec.Member, rep)
 		dcs = append(dcs, dec)
 	}
-	return dsp, dcs
+	dsp, rcs = dsp.recall(now, rnd)
+	return dsp, dcs, rcs
 }
 
 // round is the working state of one Decide.
--- a/internal/core/dispatch/dispatcher.go
+++ b/internal/core/dispatch/dispatcher.go
@@ -26,6 +26,10 @@
 	running []message.Running
 	// suspects lists VMs that the member could not connect to.
 	suspects []string
+	// recalled holds the slots that the member was asked to give back, until a
+	// time.
+	recalled      []message.RecallSlot
+	recalledUntil time.Time
 	// seq is the number of the last grant to the member.
 	seq uint64
 	// outstanding holds the grants that the member has not acknowledged, in
@@ -44,6 +48,7 @@
 	rep.heard = true
 	rep.at = now
 	rep.lanes = dem.Lanes
+	rep.recalled = unanswered(rep, dem.Running)
 	rep.running = dem.Running
 	rep.suspects = dem.Suspects
 	rep.outstanding = slices.DeleteFunc(slices.Clone(rep.outstanding), func(grt message.Grant) bool {
--- a/internal/core/effect/effect.go
+++ b/internal/core/effect/effect.go
@@ -136,6 +136,10 @@
 // SetReady tells the balancer whether to send callers here.
 type SetReady struct{ Ready bool }
 
+// StopAccepting takes no more callers and lets those that are here have their
+// answers. AcceptingStopped must follow.
+type StopAccepting struct{}
+
 // Exit ends the process: nothing is left to do.
 type Exit struct{}
 
@@ -166,5 +170,6 @@
 func (Connect) isEffect()        {}
 func (Adopt) isEffect()          {}
 func (SetReady) isEffect()       {}
+func (StopAccepting) isEffect()  {}
 func (Exit) isEffect()           {}
 func (Record) isEffect()         {}
--- a/internal/core/entry/demand.go
+++ b/internal/core/entry/demand.go
@@ -143,11 +143,14 @@
 	if dsp.IsGathering(stp.now, live) {
 		return
 	}
-	dsp, dcs := dsp.Decide(rul)
-	if len(dcs) == 0 {
+	dsp, dcs, rcs := dsp.Decide(stp.now, rul)
+	if len(dcs) == 0 && len(rcs) == 0 {
 		return
 	}
 	stp.st.leads = stp.st.leads.Set(pool, dsp)
+	for _, rcl := range rcs {
+		stp.send(rcl.Member, message.Recall{Pool: pool, Slots: rcl.Slots})
+	}
 	for _, id := range dsp.Members() {
 		var grants []message.Grant
 		for _, dec := range dcs {
--- a/internal/core/entry/edits.go
+++ b/internal/core/entry/edits.go
@@ -174,7 +174,7 @@
 			return
 		}
 	}
-	vtr := table.Voter{ID: stp.st.set.ID, Address: stp.st.set.Address, AZ: stp.st.set.AZ}
+	vtr := table.Voter{ID: stp.st.set.ID, Address: stp.st.set.Address, AZ: stp.st.set.AZ, VM: stp.st.set.VM}
 	stp.submitEdit(pendingEdit{change: table.VoterJoined{Voter: vtr}})
 }
 
--- a/internal/core/entry/grant.go
+++ b/internal/core/entry/grant.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"time"
+
 	"github.com/balsamgauge/balsamgauge/internal/core/effect"
 	"github.com/balsamgauge/balsamgauge/internal/core/message"
 	"github.com/balsamgauge/balsamgauge/internal/core/vm"
@@ -22,29 +24,72 @@
 	own.dirty = true
 	stp.putPool(grs.Pool, own)
 	for _, grt := range grs.Grants {
-		stp.useGrant(grs.Pool, grt)
+		stp.useSlot(grs.Pool, grt.VM, laneOf(grt), stp.now)
 	}
 }
 
 // candidatesPerGrant bounds how much waiting work is looked at for one slot.
 const candidatesPerGrant = 16
 
-// useGrant starts the oldest work of the lane that may run on the VM.
-func (stp *step) useGrant(pool string, grt message.Grant) {
-	target, ok := stp.mayUse(pool, grt.VM)
+// Timing of slots that are used again without a new grant.
+const (
+	// reuseFor is how long after a grant its slot may be used for the next
+	// work of the same lane. It bounds how long one entry can keep a slot from
+	// the older work of another.
+	reuseFor = time.Second
+	// recallFor is how long a recall holds. The dispatcher repeats it if the
+	// slots are still wanted back.
+	recallFor = 200 * time.Millisecond
+)
+
+// recallHeard notes the slots that a dispatcher wants back.
+func (stp *step) recallHeard(msg message.Recall) {
+	for _, rcl := range msg.Slots {
+		key := slotKey{pool: msg.Pool, team: rcl.Team, urgent: rcl.Urgent}
+		stp.st.recalls = stp.st.recalls.Set(key, recall{count: rcl.Count, until: stp.now.Add(recallFor)})
+	}
+}
+
+// isRecalled reports whether the slot that work has just left is wanted back,
+// and counts it.
+func (stp *step) isRecalled(left work.Work) bool {
+	key := slotKey{pool: left.Pool, team: left.Team, urgent: left.Urgency == table.UrgencyUrgent}
+	rcl, ok := stp.st.recalls.Get(key)
+	if !ok {
+		return false
+	}
+	rcl.count--
+	if rcl.count <= 0 || stp.now.After(rcl.until) {
+		stp.st.recalls = stp.st.recalls.Delete(key)
+	} else {
+		stp.st.recalls = stp.st.recalls.Set(key, rcl)
+	}
+	return !stp.now.After(rcl.until)
+}
+
+// reuseSlot starts the next work of a lane on the slot that work of the lane
+// has just left. It saves the time and the messages of a report and a grant.
+func (stp *step) reuseSlot(left work.Work) {
+	if stp.now.Sub(left.GrantedAt) < reuseFor && !stp.isRecalled(left) {
+		stp.useSlot(left.Pool, left.VM, left.Lane(), left.GrantedAt)
+	}
+}
+
+// useSlot starts the oldest work of a lane that may run on a VM.
+func (stp *step) useSlot(pool, vmID string, lan work.Lane, grantedAt time.Time) {
+	target, ok := stp.mayUse(pool, vmID)
 	if !ok {
 		return
 	}
 	own := stp.pool(pool)
-	for _, id := range own.queue.Oldest(laneOf(grt), candidatesPerGrant) {
+	for _, id := range own.queue.Oldest(lan, candidatesPerGrant) {
 		wrk, ok := stp.st.works.Get(id)
-		if !ok || wrk.HasTried(grt.VM) || !stp.stillAuthorized(wrk) {
+		if !ok || wrk.HasTried(vmID) || !stp.stillAuthorized(wrk) {
 			continue
 		}
-		if stp.st.Running(wrk.Team) >= stp.st.Rights(wrk.Team) {
-			return
+		if stp.st.Running(wrk.Team) < stp.st.Rights(wrk.Team) {
+			stp.startWork(wrk, target, grantedAt)
 		}
-		stp.startWork(wrk, target)
 		return
 	}
 }
@@ -93,7 +138,7 @@
 	stp.forget(wrk)
 }
 
-func (stp *step) startWork(wrk work.Work, target vm.VM) {
+func (stp *step) startWork(wrk work.Work, target vm.VM, grantedAt time.Time) {
 	stp.dequeue(wrk)
 	if wrk.Attempt == 0 {
 		own := stp.pool(wrk.Pool)
@@ -104,7 +149,7 @@
 		stp.recordTaskStart(wrk, target)
 		return
 	}
-	wrk = wrk.WithStart(target.ID, work.PhaseRunning)
+	wrk = wrk.WithStart(target.ID, grantedAt, work.PhaseRunning)
 	stp.putWork(wrk)
 	stp.occupy(wrk)
 	stp.emit(effect.StartAttempt{
--- a/internal/core/entry/membership.go
+++ b/internal/core/entry/membership.go
@@ -1,12 +1,14 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
 	"github.com/balsamgauge/balsamgauge/internal/core/effect"
 	"github.com/balsamgauge/balsamgauge/internal/core/event"
 	"github.com/balsamgauge/balsamgauge/internal/core/member"
 	"github.com/balsamgauge/balsamgauge/internal/core/message"
+	"github.com/balsamgauge/balsamgauge/internal/core/vm"
 )
 
 // forgetPeerAfter is how long a peer that does not vote is remembered in
@@ -78,6 +80,7 @@
 		stp.record("member", "peer_leaving", from, "")
 		stp.redirectReports()
 	}
+	stp.membersGone(hbt.Gone, "told by "+from)
 	stp.offerEdits(from, hbt.Revision)
 	if hbt.Revision > stp.st.config.Revision {
 		stp.send(from, message.SnapshotAsk{Have: stp.st.config.Revision})
@@ -121,6 +124,11 @@
 		Leaving:     stp.st.view.Leaving(),
 		SeenLeaving: stp.st.fleet.SeenLeaving(),
 	}
+	for _, vtr := range stp.st.config.Voters {
+		if stp.st.view.IsGone(vtr.ID) {
+			hbt.Gone = append(hbt.Gone, vtr.ID)
+		}
+	}
 	for _, tea := range stp.st.config.Tables.Teams {
 		if spare := stp.spareOf(tea.Name); spare > 0 {
 			hbt.Spare = append(hbt.Spare, message.Spare{Team: tea.Name, Permits: spare})
@@ -138,6 +146,7 @@
 }
 
 func (stp *step) fleetListed(evt event.FleetListed) {
+	stp.noteGoneVMs(evt)
 	stp.st.fleet = stp.st.fleet.WithList(evt.VMs, stp.now)
 	for _, asg := range stp.st.config.VMs {
 		if _, ok := stp.st.fleet.VM(asg.VM); !ok {
@@ -147,6 +156,29 @@
 	stp.dropReports()
 }
 
+// noteGoneVMs takes the voters for gone whose own VM the platform listed before
+// and lists no more. A VM that was never listed proves nothing: the list lags.
+func (stp *step) noteGoneVMs(evt event.FleetListed) {
+	var gone []string
+	for _, vtr := range stp.st.config.Voters {
+		_, was := stp.st.fleet.VM(vtr.VM)
+		listed := slices.ContainsFunc(evt.VMs, func(one vm.VM) bool { return one.ID == vtr.VM })
+		if was && !listed && vtr.ID != stp.st.set.ID {
+			gone = append(gone, vtr.ID)
+		}
+	}
+	stp.membersGone(gone, "the platform took its VM away")
+}
+
+func (stp *step) membersGone(ids []string, reason string) {
+	for _, id := range ids {
+		if id != stp.st.set.ID && !stp.st.view.IsGone(id) {
+			stp.st.view = stp.st.view.WithGone([]string{id})
+			stp.record("member", "member_gone", id, reason)
+		}
+	}
+}
+
 // connect tells the driver which voters to keep links to.
 func (stp *step) connect() {
 	stp.emit(effect.Connect{Voters: stp.st.config.Voters})
--- a/internal/core/entry/permits.go
+++ b/internal/core/entry/permits.go
@@ -8,7 +8,7 @@
 )
 
 // askEvery is the time between two rounds of asking peers for permits.
-const askEvery = 20 * time.Millisecond
+const askEvery = 5 * time.Millisecond
 
 // tickPermits asks peers for the permits that waiting work lacks.
 func (stp *step) tickPermits() {
--- a/internal/core/entry/reduce.go
+++ b/internal/core/entry/reduce.go
@@ -48,10 +48,14 @@
 		stp.fleetListed(evt)
 	case event.OperatorAsked:
 		stp.operatorAsked(evt)
+	case event.MembersGone:
+		stp.membersGone(evt.IDs, "an operator vouches for it")
 	case event.StatusAsked:
 		stp.emit(effect.AnswerStatus{Request: evt.Request, Status: stp.status()})
 	case event.ShutdownAsked:
 		stp.beginShutdown()
+	case event.AcceptingStopped:
+		stp.st.draining.stopped = true
 	default:
 		stp.handleWork(evt)
 	}
@@ -147,6 +151,8 @@
 		stp.demandHeard(from, msg)
 	case message.Grants:
 		stp.grantsHeard(from, msg)
+	case message.Recall:
+		stp.recallHeard(msg)
 	case message.PermitAsk:
 		stp.permitsAsked(from, msg)
 	case message.PermitTransfer:
--- a/internal/core/entry/removal.go
+++ b/internal/core/entry/removal.go
@@ -30,7 +30,7 @@
 	// members is empty while no removal is under way.
 	members []string
 	since   time.Time
-	replies []frozenReply
+	replies []table.Settlement
 }
 
 type absence struct {
@@ -38,12 +38,6 @@
 	since time.Time
 }
 
-type frozenReply struct {
-	from  string
-	net   []table.Allotment
-	debts []table.Allotment
-}
-
 // noteAbsent notes the voters that are silent and have no lease. It follows
 // each reading of the members' leases.
 func (stp *step) noteAbsent() {
@@ -112,20 +106,20 @@
 		return
 	}
 	stp.st.ledger = stp.st.ledger.WithFrozen(msg.Members)
-	stp.send(from, message.Frozen{
-		Members: msg.Members,
-		Net:     stp.st.ledger.Net(msg.Members),
-		Debts:   stp.debts(),
-	})
+	stp.send(from, message.Frozen{Members: msg.Members, Settlement: table.Settlement{
+		Member: stp.st.set.ID,
+		Net:    stp.st.ledger.Net(msg.Members),
+		Debts:  stp.debts(),
+	}})
 }
 
 // debts lists how much more of each team's work the entry runs than its
 // permits allow, because it adopted running tasks.
-func (stp *step) debts() []table.Allotment {
-	var debts []table.Allotment
+func (stp *step) debts() []table.TeamPermits {
+	var debts []table.TeamPermits
 	for _, tea := range stp.st.config.Tables.Teams {
 		if owed := stp.st.Running(tea.Name) - stp.st.Rights(tea.Name); owed > 0 {
-			debts = append(debts, table.Allotment{Team: tea.Name, Member: stp.st.set.ID, Permits: owed})
+			debts = append(debts, table.TeamPermits{Team: tea.Name, Permits: owed})
 		}
 	}
 	return debts
@@ -133,11 +127,12 @@
 
 func (stp *step) frozenHeard(from string, msg message.Frozen) {
 	rem := &stp.st.removal
-	if !slices.Equal(rem.members, msg.Members) || len(rem.members) == 0 {
+	stale := !slices.Equal(rem.members, msg.Members) || len(rem.members) == 0
+	if stale || msg.Settlement.Member != from {
 		return
 	}
-	rem.replies = slices.DeleteFunc(slices.Clone(rem.replies), func(rpl frozenReply) bool { return rpl.from == from })
-	rem.replies = append(rem.replies, frozenReply{from: from, net: msg.Net, debts: msg.Debts})
+	rem.replies = slices.DeleteFunc(slices.Clone(rem.replies), func(stl table.Settlement) bool { return stl.Member == from })
+	rem.replies = append(rem.replies, msg.Settlement)
 	stp.finishRemoval()
 }
 
@@ -145,23 +140,14 @@
 // its transfers, so that the sums can no longer change.
 func (stp *step) finishRemoval() {
 	rem := &stp.st.removal
-	var net, debts []table.Allotment
 	for _, id := range stp.st.config.VoterIDs() {
-		if slices.Contains(rem.members, id) {
-			continue
-		}
-		at := slices.IndexFunc(rem.replies, func(rpl frozenReply) bool { return rpl.from == id })
-		if at < 0 {
+		replied := func(stl table.Settlement) bool { return stl.Member == id }
+		if !slices.Contains(rem.members, id) && !slices.ContainsFunc(rem.replies, replied) {
 			return
 		}
-		net = append(net, rem.replies[at].net...)
-		debts = append(debts, rem.replies[at].debts...)
 	}
-	slices.SortFunc(debts, func(a, b table.Allotment) int {
-		return cmp.Or(cmp.Compare(a.Team, b.Team), cmp.Compare(a.Member, b.Member))
-	})
-	settled := stp.st.config.Settle(rem.members, net, debts)
-	stp.submitEdit(pendingEdit{change: table.VotersRemoved{IDs: rem.members, Settled: settled}})
+	slices.SortFunc(rem.replies, func(a, b table.Settlement) int { return cmp.Compare(a.Member, b.Member) })
+	stp.submitEdit(pendingEdit{change: table.VotersRemoved{IDs: rem.members, Settlements: rem.replies}})
 	rem.members = nil
 	rem.absent = nil
 }
--- a/internal/core/entry/request.go
+++ b/internal/core/entry/request.go
@@ -122,6 +122,7 @@
 		stp.clearSuspicion(wrk.VM)
 		stp.emit(effect.RelayAnswer{Request: stp.requestOf(wrk.ID), Work: wrk.ID, Attempt: wrk.Attempt})
 		stp.forget(wrk)
+		stp.reuseSlot(wrk)
 	case wrk.Cancelled:
 		stp.forget(wrk)
 	case evt.Result == event.AttemptNotRun:
--- a/internal/core/entry/shutdown.go
+++ b/internal/core/entry/shutdown.go
@@ -15,14 +15,23 @@
 	leaveAfter = 500 * time.Millisecond
 	// handOverTimeout bounds the hand-over of permits and of the vote.
 	handOverTimeout = 5 * time.Second
+	// leaveRetryEvery is the wait before the entry tries again to take itself
+	// off the voters.
+	leaveRetryEvery = time.Second
 )
 
 // drainState is how far a graceful shutdown has come.
 type drainState struct {
-	began        time.Time
+	began time.Time
+	// stopping says that the driver was told to take no more callers, and
+	// stopped that none are left.
+	stopping     bool
+	stopped      bool
 	leaseRevoked bool
 	handedOverAt time.Time
-	exited       bool
+	// triedAt is when the entry last tried to take itself off the voters.
+	triedAt time.Time
+	exited  bool
 }
 
 func (stp *step) beginShutdown() {
@@ -44,12 +53,19 @@
 	if !stp.st.view.Leaving() || drn.exited || stp.now.Sub(drn.began) < leaveAfter {
 		return
 	}
+	if !drn.stopping {
+		drn.stopping = true
+		stp.emit(effect.StopAccepting{})
+	}
 	if drn.handedOverAt.IsZero() {
-		if stp.isQuiet() {
+		if drn.stopped && stp.isQuiet() {
 			stp.handOver()
 		}
 		return
 	}
+	if stp.now.Sub(drn.triedAt) > leaveRetryEvery {
+		stp.leaveVoters()
+	}
 	_, votes := stp.st.config.Voter(stp.st.set.ID)
 	if !votes || stp.now.Sub(drn.handedOverAt) > handOverTimeout {
 		drn.exited = true
@@ -79,7 +95,14 @@
 		drn.leaseRevoked = true
 		stp.callStore(leaseRefreshed{}, store.LeaseRevoke{Lease: stp.st.store.lease})
 	}
-	if len(stp.runningTasks()) == 0 {
+	stp.leaveVoters()
+}
+
+// leaveVoters takes the entry off the voters, unless running tasks still use
+// its permits.
+func (stp *step) leaveVoters() {
+	stp.st.draining.triedAt = stp.now
+	if len(stp.runningTasks()) == 0 && len(stp.st.edits.pending) == 0 {
 		stp.beginRemoval([]string{stp.st.set.ID})
 	}
 }
--- a/internal/core/entry/state.go
+++ b/internal/core/entry/state.go
@@ -24,6 +24,8 @@
 	// Address is where peers reach the entry.
 	Address string
 	AZ      string
+	// VM is the platform's name of the entry's VM, or empty.
+	VM string
 	// Seed feeds the random generator.
 	Seed uint64
 	// StoreWritesPerSecond is what all entries together may spend on writing
@@ -75,6 +77,8 @@
 	held *immutable.SortedMap[slotKey, int]
 	// expiry orders the waiting work by deadline.
 	expiry *immutable.SortedMap[timer, struct{}]
+	// recalls holds the slots that dispatchers want back.
+	recalls *immutable.SortedMap[slotKey, recall]
 	// delayed orders the work that waits to be retried by time.
 	delayed *immutable.SortedMap[timer, struct{}]
 
@@ -132,6 +136,13 @@
 	}
 }
 
+// recall is how many slots of a team are to be given back, until a time. Its
+// key names no VM.
+type recall struct {
+	count int
+	until time.Time
+}
+
 type timer struct {
 	at time.Time
 	id work.ID
@@ -178,6 +189,7 @@
 		running:   immutable.NewMap[string, int](nil),
 		held:      immutable.NewSortedMap[slotKey, int](slotKeyComparer{}),
 		expiry:    immutable.NewSortedMap[timer, struct{}](timerComparer{}),
+		recalls:   immutable.NewSortedMap[slotKey, recall](slotKeyComparer{}),
 		delayed:   immutable.NewSortedMap[timer, struct{}](timerComparer{}),
 		pools:     immutable.NewSortedMap[string, poolState](nil),
 		leads:     immutable.NewSortedMap[string, dispatch.Dispatcher](nil),
--- a/internal/core/entry/tasks.go
+++ b/internal/core/entry/tasks.go
@@ -321,7 +321,7 @@
 	if !ok {
 		return
 	}
-	wrk = wrk.WithStart(target.ID, work.PhaseRecording)
+	wrk = wrk.WithStart(target.ID, stp.now, work.PhaseRecording)
 	stp.putWork(wrk)
 	stp.occupy(wrk)
 	rec.State, rec.Attempt, rec.VM, rec.Tried = task.StateRunning, wrk.Attempt, wrk.VM, wrk.Tried
--- a/internal/core/event/event.go
+++ b/internal/core/event/event.go
@@ -170,12 +170,22 @@
 	Base int64
 }
 
+// MembersGone is an operator's word that members run no more.
+type MembersGone struct{ IDs []string }
+
+func (MembersGone) isEvent() {}
+
 // StatusAsked is an operator's question for the entry's status.
 type StatusAsked struct{ Request uint64 }
 
 // ShutdownAsked begins the entry's graceful shutdown.
 type ShutdownAsked struct{}
 
+// AcceptingStopped follows effect.StopAccepting: every caller has its answer,
+// and none can come any more.
+type AcceptingStopped struct{}
+
+func (AcceptingStopped) isEvent() {}
 func (Started) isEvent()          {}
 func (Tick) isEvent()             {}
 func (RequestArrived) isEvent()   {}
--- a/internal/core/member/view.go
+++ b/internal/core/member/view.go
@@ -48,6 +48,9 @@
 	// head.
 	storeAt time.Time
 	leaving bool
+	// gone is sorted. These members certainly run no more: the platform took
+	// their VM away, or an operator vouches for it.
+	gone []string
 }
 
 // NewView returns the view of an entry that has heard nobody.
@@ -107,6 +110,22 @@
 	return vie
 }
 
+// WithGone returns the view after learning that members certainly run no more.
+// They can be heard by nobody, so no majority needs them: all that still run
+// and start work hear a majority of the same smaller set.
+func (vie View) WithGone(ids []string) View {
+	gone := append(slices.Clone(vie.gone), ids...)
+	slices.Sort(gone)
+	vie.gone = slices.Compact(gone)
+	return vie
+}
+
+// IsGone reports whether a member certainly runs no more.
+func (vie View) IsGone(id string) bool {
+	_, found := slices.BinarySearch(vie.gone, id)
+	return found
+}
+
 // WithLeaving returns the view of an entry that is shutting down.
 func (vie View) WithLeaving() View {
 	vie.leaving = true
@@ -130,19 +149,26 @@
 }
 
 // HearsMajority reports whether the entry heard more than half of the voters
-// within FreshFor, counting itself when it votes.
+// that are not gone within FreshFor, counting itself when it votes.
 func (vie View) HearsMajority(now time.Time, cfg *table.Config) bool {
-	heard := 0
+	return vie.isMajority(cfg, func(per Peer) bool { return isWithin(per.ProvenAt, now, FreshFor) })
+}
+
+// isMajority reports whether a condition holds of more than half of the voters
+// that are not gone. It holds of the entry itself.
+func (vie View) isMajority(cfg *table.Config, holds func(per Peer) bool) bool {
+	voters, count := 0, 0
 	for _, vtr := range cfg.Voters {
-		if vtr.ID == vie.self {
-			heard++
+		if vie.IsGone(vtr.ID) {
 			continue
 		}
-		if per, ok := vie.Peer(vtr.ID); ok && isWithin(per.ProvenAt, now, FreshFor) {
-			heard++
+		voters++
+		per, known := vie.Peer(vtr.ID)
+		if vtr.ID == vie.self || (known && holds(per)) {
+			count++
 		}
 	}
-	return len(cfg.Voters) > 0 && heard >= cfg.Majority()
+	return 2*count > voters
 }
 
 // IsFresh reports whether the entry may start work: it had contact with the
@@ -154,20 +180,10 @@
 	return vie.HearsMajority(now, cfg)
 }
 
-// Acknowledged reports whether a majority of the voters reported at least the
-// given revision, counting the entry itself when it votes.
+// Acknowledged reports whether a majority of the voters that are not gone
+// reported at least the given revision, counting the entry itself when it votes.
 func (vie View) Acknowledged(cfg *table.Config, revision int64) bool {
-	acks := 0
-	for _, vtr := range cfg.Voters {
-		if vtr.ID == vie.self {
-			acks++
-			continue
-		}
-		if per, ok := vie.Peer(vtr.ID); ok && per.Revision >= revision {
-			acks++
-		}
-	}
-	return acks >= cfg.Majority()
+	return vie.isMajority(cfg, func(per Peer) bool { return per.Revision >= revision })
 }
 
 func isWithin(at, now time.Time, span time.Duration) bool {
--- a/internal/core/message/message.go
+++ b/internal/core/message/message.go
@@ -36,6 +36,8 @@
 	Spare []Spare `json:"spare,omitempty"`
 	// SeenLeaving lists VMs that the sender saw leaving.
 	SeenLeaving []string `json:"seen_leaving,omitempty"`
+	// Gone lists voters that the sender knows to run no more.
+	Gone []string `json:"gone,omitempty"`
 }
 
 // Spare is how many of a team's permits a member could give away.
@@ -103,6 +105,20 @@
 	Urgency table.Urgency `json:"u"`
 }
 
+// Recall asks an entry not to use slots for the next work of a team, but to
+// give them back as they become free.
+type Recall struct {
+	Pool  string       `json:"pool"`
+	Slots []RecallSlot `json:"slots"`
+}
+
+// RecallSlot is how many slots of a team are wanted back.
+type RecallSlot struct {
+	Team   string `json:"t"`
+	Urgent bool   `json:"u,omitempty"`
+	Count  int    `json:"c"`
+}
+
 // PermitAsk asks for permits of a team.
 type PermitAsk struct {
 	Team    string `json:"team"`
@@ -125,11 +141,8 @@
 
 // Frozen answers Freeze with the net transfers, which are final.
 type Frozen struct {
-	Members []string          `json:"members"`
-	Net     []table.Allotment `json:"net,omitempty"`
-	// Debts is how much more of a team's work the sender runs than its own
-	// permits allow, because it adopted running tasks.
-	Debts []table.Allotment `json:"debts,omitempty"`
+	Members    []string         `json:"members"`
+	Settlement table.Settlement `json:"settlement"`
 }
 
 // TaskAsk asks whether a member holds a task.
@@ -181,6 +194,7 @@
 func (Reserve) isMessage()        {}
 func (Reserved) isMessage()       {}
 func (Release) isMessage()        {}
+func (Recall) isMessage()         {}
 
 // kind is the number that stands for a message's type on the wire. Numbers are
 // never used again for another type.
@@ -202,6 +216,7 @@
 	kindReserve
 	kindReserved
 	kindRelease
+	kindRecall
 )
 
 func kindOf(msg Message) kind {
@@ -236,6 +251,8 @@
 		return kindReserved
 	case Release:
 		return kindRelease
+	case Recall:
+		return kindRecall
 	default:
 		return 0
 	}
@@ -298,6 +315,7 @@
 	kindReserve:        decodeAs[Reserve],
 	kindReserved:       decodeAs[Reserved],
 	kindRelease:        decodeAs[Release],
+	kindRecall:         decodeAs[Recall],
 }
 
 func decodeAs[M Message](body []byte) (msg Message, err error) {
--- a/internal/core/permit/ledger.go
+++ b/internal/core/permit/ledger.go
@@ -117,8 +117,8 @@
 
 // Net returns, for each team, what the entry received from the given members
 // less what it sent to them. It is final once they are frozen.
-func (led Ledger) Net(members []string) []table.Allotment {
-	var nets []table.Allotment
+func (led Ledger) Net(members []string) []table.TeamPermits {
+	var nets []table.TeamPermits
 	itr := led.accounts.Iterator()
 	for !itr.Done() {
 		team, acc, _ := itr.Next()
@@ -129,10 +129,10 @@
 			}
 		}
 		if net != 0 {
-			nets = append(nets, table.Allotment{Team: team, Member: led.self, Permits: int(net)})
+			nets = append(nets, table.TeamPermits{Team: team, Permits: int(net)})
 		}
 	}
-	slices.SortFunc(nets, func(a, b table.Allotment) int { return cmp.Compare(a.Team, b.Team) })
+	slices.SortFunc(nets, func(a, b table.TeamPermits) int { return cmp.Compare(a.Team, b.Team) })
 	return nets
 }
 
@@ -157,6 +157,12 @@
 	return totals
 }
 
+// Sent returns the cumulative permits of a team sent to a member.
+func (led Ledger) Sent(team, to string) int64 { return led.counter(team, to).sent }
+
+// Received returns the cumulative permits of a team received from a member.
+func (led Ledger) Received(team, from string) int64 { return led.counter(team, from).received }
+
 func (led Ledger) counter(team, member string) counter {
 	acc, _ := led.accounts.Get(team)
 	at, found := acc.find(member)
--- a/internal/core/work/work.go
+++ b/internal/core/work/work.go
@@ -50,6 +50,9 @@
 	Attempt int
 	// VM is where the last attempt runs or ran; empty before the first.
 	VM string
+	// GrantedAt is when the dispatcher granted the slot that the last attempt
+	// uses. Work that takes over a slot takes over its time.
+	GrantedAt time.Time
 	// Tried lists the VMs of the earlier attempts; no attempt repeats one.
 	Tried []string
 	// NotBefore delays a retry.
@@ -78,9 +81,10 @@
 }
 
 // WithStart returns the work as it starts on a VM.
-func (wrk Work) WithStart(vm string, pha Phase) Work {
+func (wrk Work) WithStart(vm string, grantedAt time.Time, pha Phase) Work {
 	wrk.Attempt++
 	wrk.VM = vm
+	wrk.GrantedAt = grantedAt
 	wrk.Phase = pha
 	return wrk
 }
--- a/internal/runner/effects.go
+++ b/internal/runner/effects.go
@@ -41,8 +41,10 @@
 		rnr.config.Store(eff.Config)
 	case effect.SetReady:
 		rnr.setReady(eff.Ready)
+	case effect.StopAccepting:
+		go rnr.stopAccepting()
 	case effect.Exit:
-		go rnr.stopServing()
+		rnr.exit()
 	case effect.Record:
 		rnr.recordEvent(eff)
 	default:
@@ -138,15 +140,16 @@
 	}
 }
 
-// stopServing ends the callers' connections once their requests are answered,
-// and then the process.
-func (rnr *Runner) stopServing() {
+// stopAccepting ends the callers' connections once their requests are answered.
+// A connection that has sent nothing yet gets five seconds, by net/http's rule.
+func (rnr *Runner) stopAccepting() {
+	rnr.callers.SetKeepAlivesEnabled(false)
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	if err := rnr.callers.Shutdown(ctx); err != nil {
 		rnr.part("entry").WithError(err).Warn("Some callers were cut off.")
 	}
-	rnr.exit()
+	rnr.Post(event.AcceptingStopped{})
 }
 
 func (rnr *Runner) recordEvent(eff effect.Record) {
--- a/pkg/table/allotment.go
+++ b/pkg/table/allotment.go
@@ -45,41 +45,40 @@
 	return parts
 }
 
-// Settle returns the allotments after some voters left. net gives, for each
-// team and remaining voter, the permits that it received from the departed
-// less those that it sent to them. What the departed held goes first to the
-// remaining voters that run more than their permits allow, as debts says, and
-// the rest is spread evenly.
-func (cfg *Config) Settle(departed []string, net, debts []Allotment) []Allotment {
-	nets, owed := byTeamMember(net), byTeamMember(debts)
-	remaining := slices.DeleteFunc(cfg.VoterIDs(), func(id string) bool { return slices.Contains(departed, id) })
-	next := make([]Allotment, 0, len(cfg.Tables.Teams)*len(remaining))
+// settle returns the allotments of the remaining voters after some left. What
+// the departed held goes first to those that run more than their permits allow,
+// and the rest is spread evenly.
+func settle(cfg *Config, settlements []Settlement) []Allotment {
+	nets, debts := map[teamMember]int{}, map[teamMember]int{}
+	for _, stl := range settlements {
+		addPermits(nets, stl.Member, stl.Net)
+		addPermits(debts, stl.Member, stl.Debts)
+	}
+	next := make([]Allotment, 0, len(cfg.Tables.Teams)*len(cfg.Voters))
 	for _, tea := range cfg.Tables.Teams {
-		permits := make([]int, len(remaining))
+		permits := make([]int, len(cfg.Voters))
 		left := tea.Limit
-		for i, id := range remaining {
-			permits[i] = cfg.Allotment(tea.Name, id) + nets[teamMember{tea.Name, id}]
+		for i, vtr := range cfg.Voters {
+			permits[i] = cfg.Allotment(tea.Name, vtr.ID) + nets[teamMember{tea.Name, vtr.ID}]
 			left -= permits[i]
 		}
-		for i, id := range remaining {
-			paid := max(0, min(left, owed[teamMember{tea.Name, id}]))
+		for i, vtr := range cfg.Voters {
+			paid := max(0, min(left, debts[teamMember{tea.Name, vtr.ID}]))
 			permits[i] += paid
 			left -= paid
 		}
-		for i, part := range spread(left, len(remaining)) {
-			next = append(next, Allotment{Team: tea.Name, Member: remaining[i], Permits: permits[i] + part})
+		for i, part := range spread(left, len(cfg.Voters)) {
+			next = append(next, Allotment{Team: tea.Name, Member: cfg.Voters[i].ID, Permits: permits[i] + part})
 		}
 	}
 	sortAllotments(next)
 	return next
 }
 
-func byTeamMember(alms []Allotment) map[teamMember]int {
-	sums := make(map[teamMember]int, len(alms))
-	for _, alm := range alms {
-		sums[teamMember{alm.Team, alm.Member}] += alm.Permits
+func addPermits(sums map[teamMember]int, member string, parts []TeamPermits) {
+	for _, part := range parts {
+		sums[teamMember{part.Team, member}] += part.Permits
 	}
-	return sums
 }
 
 func sortAllotments(alms []Allotment) {
--- a/pkg/table/change.go
+++ b/pkg/table/change.go
@@ -46,12 +46,30 @@
 	Voter Voter `json:"voter"`
 }
 
-// VotersRemoved removes voters that certainly stopped. Settled replaces every
-// allotment: it folds the transfers between the departed and the remaining
-// members into the remaining members' allotments.
+// VotersRemoved removes voters that certainly stopped. The transfers between
+// them and the remaining members are folded into the allotments of the latter,
+// each of whom must have settled.
 type VotersRemoved struct {
-	IDs     []string    `json:"ids"`
-	Settled []Allotment `json:"settled"`
+	IDs         []string     `json:"ids"`
+	Settlements []Settlement `json:"settlements"`
+}
+
+// Settlement is what a remaining member says of its transfers with members that
+// are to be removed. It is final: the member has ended those transfers.
+type Settlement struct {
+	Member string `json:"member"`
+	// Net is what the member received from the departed less what it sent to
+	// them, by team.
+	Net []TeamPermits `json:"net,omitempty"`
+	// Debts is how much more of a team's work the member runs than its permits
+	// allow, because it adopted running tasks.
+	Debts []TeamPermits `json:"debts,omitempty"`
+}
+
+// TeamPermits is a number of a team's permits.
+type TeamPermits struct {
+	Team    string `json:"team"`
+	Permits int    `json:"permits"`
 }
 
 func (TablesReplaced) isChange() {}
@@ -260,8 +278,13 @@
 	if len(cfg.Voters) != before-len(chg.IDs) {
 		return errors.New("a member to be removed does not vote")
 	}
-	cfg.Allotments = slices.Clone(chg.Settled)
-	sortAllotments(cfg.Allotments)
+	for _, vtr := range cfg.Voters {
+		settled := func(stl Settlement) bool { return stl.Member == vtr.ID }
+		if !slices.ContainsFunc(chg.Settlements, settled) {
+			return fmt.Errorf("member %q has not settled with the departed", vtr.ID)
+		}
+	}
+	cfg.Allotments = settle(cfg, chg.Settlements)
 	return nil
 }
 
--- a/pkg/table/config.go
+++ b/pkg/table/config.go
@@ -55,6 +55,8 @@
 	ID      string `json:"id"`
 	Address string `json:"address"`
 	AZ      string `json:"az"`
+	// VM is the platform's name of the voter's own VM, or empty.
+	VM string `json:"vm,omitempty"`
 }
 
 // Allotment is the number of a team's permits that a member begins with,
@@ -213,11 +215,6 @@
 	return vtr, ok
 }
 
-// Majority is the number of voters that is more than half of them.
-func (cfg *Config) Majority() int {
-	return len(cfg.Voters)/2 + 1
-}
-
 // Allotment returns the permits of a team that a member begins with.
 func (cfg *Config) Allotment(team, member string) int {
 	return cfg.ind.allotments[teamMember{team, member}]
