dispatch: shares by recall, urgent work in time

Change: recalls cover all waiting work, add up, and are counted off by reports; a slot passes to the most urgent lane of its team; an entry asks for at most 8 free permits and gives half of its own to one that has none; a dispatcher begins when its entry comes to lead; silence is noticed after 600 ms instead of 1 s; a first try that reached no VM does not cost the retry budget while another VM is left.

Ruled out: the order of lanes at the dispatcher, which was right.

--- a/internal/core/dispatch/dispatcher.go
+++ b/internal/core/dispatch/dispatcher.go
@@ -78,6 +78,19 @@
 	return dsp
 }
 
+// WithoutReportsBefore returns the dispatcher without the reports that came
+// before a time.
+func (dsp Dispatcher) WithoutReportsBefore(oldest time.Time) Dispatcher {
+	itr := dsp.reports.Iterator()
+	for !itr.Done() {
+		id, rep, _ := itr.Next()
+		if rep.at.Before(oldest) {
+			dsp.reports = dsp.reports.Delete(id)
+		}
+	}
+	return dsp
+}
+
 // Members returns the members that reported, sorted.
 func (dsp Dispatcher) Members() []string {
 	var ids []string
--- a/internal/core/dispatch/recall.go
+++ b/internal/core/dispatch/recall.go
@@ -6,6 +6,7 @@
 
 	"github.com/balsamgauge/balsamgauge/internal/core/message"
 	"github.com/balsamgauge/balsamgauge/internal/core/share"
+	"github.com/balsamgauge/balsamgauge/pkg/table"
 )
 
 // Bounds of recalls.
@@ -32,6 +33,7 @@
 			}
 		}
 	}
+	rnd.recallForUrgent(holds)
 	for range maxRecalls {
 		to, from := rnd.mostUnfair()
 		if to < 0 {
@@ -50,6 +52,25 @@
 	return dsp.withRecalls(now, holds)
 }
 
+// recallForUrgent asks each team for slots of its own less urgent work when its
+// urgent work waits.
+func (rnd *round) recallForUrgent(holds []hold) {
+	for _, lan := range rnd.lanes {
+		if lan.urgency != table.UrgencyUrgent {
+			continue
+		}
+		for i := range holds {
+			taken := min(lan.waiting, holds[i].count)
+			if holds[i].team != lan.team || holds[i].urgent || taken <= 0 {
+				continue
+			}
+			holds[i].count -= taken
+			holds[i].recalled += taken
+			lan.waiting -= taken
+		}
+	}
+}
+
 // underRecall lists the slots that members were asked for and still hold.
 func (dsp Dispatcher) underRecall(now time.Time) []message.RecallSlot {
 	var slots []message.RecallSlot
@@ -122,6 +143,19 @@
 	return held
 }
 
+// merge returns the old recalls with the new ones in place of those for the
+// same work.
+func merge(old, next []message.RecallSlot) []message.RecallSlot {
+	merged := slices.Clone(next)
+	for _, slt := range old {
+		same := func(other message.RecallSlot) bool { return other.Team == slt.Team && other.Urgent == slt.Urgent }
+		if !slices.ContainsFunc(next, same) {
+			merged = append(merged, slt)
+		}
+	}
+	return merged
+}
+
 func asked(slots []message.RecallSlot, member string, hld hold) int {
 	for _, slt := range slots {
 		if hld.member == member && slt.Team == hld.team && slt.Urgent == hld.urgent {
@@ -134,7 +168,7 @@
 // mostUnfair returns the team that a slot should go to next and the one that
 // should give it, or -1 when moving a slot would not bring them nearer.
 func (rnd *round) mostUnfair() (to, from int) {
-	to = share.Pick(rnd.startable())
+	to = share.Pick(rnd.withWaiting(func(laneState) bool { return true }))
 	if to < 0 {
 		return -1, -1
 	}
@@ -164,13 +198,17 @@
 		var slots []message.RecallSlot
 		for _, hld := range holds {
 			if hld.member == id && hld.recalled > 0 {
-				slots = append(slots, message.RecallSlot{Team: hld.team, Urgent: hld.urgent, Count: hld.recalled})
+				count := hld.recalled
+				if now.Before(rep.recalledUntil) {
+					count += asked(rep.recalled, id, hld)
+				}
+				slots = append(slots, message.RecallSlot{Team: hld.team, Urgent: hld.urgent, Count: count})
 			}
 		}
-		if len(slots) == 0 || now.Before(rep.recalledUntil) {
+		if len(slots) == 0 {
 			continue
 		}
-		rep.recalled = slots
+		rep.recalled = merge(rep.recalled, slots)
 		rep.recalledUntil = now.Add(recallEvery)
 		dsp.reports = dsp.reports.Set(id, rep)
 		rcs = append(rcs, Recall{Member: id, Slots: slots})
--- a/internal/core/entry/demand.go
+++ b/internal/core/entry/demand.go
@@ -19,6 +19,9 @@
 	// refreshEvery is how often a pool with work is reported on without a
 	// change.
 	refreshEvery = time.Second
+	// dropReportAfter is how long a dispatcher keeps a report that is not
+	// refreshed.
+	dropReportAfter = 2500 * time.Millisecond
 )
 
 type timerMap = *immutable.SortedMap[timer, struct{}]
@@ -35,12 +38,17 @@
 		name, own, _ := itr.Next()
 		since := stp.now.Sub(own.reportedAt)
 		due := own.dirty && since >= reportEvery
-		if due || since >= refreshEvery {
+		if due || (since >= refreshEvery && stp.isBusy(name, own)) {
 			stp.reportDemand(name, own)
 		}
 	}
 }
 
+// isBusy reports whether the entry has work waiting or running in a pool.
+func (stp *step) isBusy(name string, own poolState) bool {
+	return own.queue.Len() > 0 || len(stp.runningOn(name)) > 0
+}
+
 func (stp *step) reportDemand(name string, own poolState) {
 	leader := stp.dispatcherOf(name)
 	if leader == "" {
@@ -114,24 +122,27 @@
 	return suspects
 }
 
-// demandHeard takes a report and grants what it can. A report that reaches an
-// entry which does not lead the pool, in its own view, is dropped: the reporter
-// repeats it to whoever leads.
+// demandHeard takes a report and grants what it can, even when another entry
+// leads the pool in this entry's view: the reporter may be cut off from that
+// one. It obeys one dispatcher at a time.
 func (stp *step) demandHeard(from string, dem message.Demand) {
-	if stp.dispatcherOf(dem.Pool) != stp.st.set.ID {
-		stp.st.leads = stp.st.leads.Delete(dem.Pool)
-		return
-	}
-	dsp, ok := stp.st.leads.Get(dem.Pool)
-	if !ok {
-		dsp = dispatch.New(stp.now)
-		stp.record("dispatch", "dispatcher_began", dem.Pool, "")
-	}
+	dsp := stp.lead(dem.Pool)
 	dsp = dsp.WithDemand(stp.now, from, dem)
 	stp.st.leads = stp.st.leads.Set(dem.Pool, dsp)
 	stp.grant(dem.Pool)
 }
 
+// lead returns the dispatcher of a pool, and begins it if need be.
+func (stp *step) lead(pool string) dispatch.Dispatcher {
+	dsp, ok := stp.st.leads.Get(pool)
+	if !ok {
+		dsp = dispatch.New(stp.now)
+		stp.st.leads = stp.st.leads.Set(pool, dsp)
+		stp.record("dispatch", "dispatcher_began", pool, "")
+	}
+	return dsp
+}
+
 // grant lets the pool's dispatcher decide and sends what it grants.
 func (stp *step) grant(pool string) {
 	dsp, ok := stp.st.leads.Get(pool)
@@ -176,21 +187,22 @@
 	}, true
 }
 
-// dropReports forgets the reports of members that are no longer live, and lets
-// the pools that this entry leads be granted anew.
+// dropReports forgets the reports of members that are silent or report to
+// another dispatcher, and lets what is left be granted anew.
 func (stp *step) dropReports() {
 	itr := stp.st.leads.Iterator()
 	for !itr.Done() {
 		pool, dsp, _ := itr.Next()
-		if stp.dispatcherOf(pool) != stp.st.set.ID {
-			stp.st.leads = stp.st.leads.Delete(pool)
-			continue
-		}
+		dsp = dsp.WithoutReportsBefore(stp.now.Add(-dropReportAfter))
 		for _, id := range dsp.Members() {
 			if id != stp.st.set.ID && !stp.isReporting(id) {
 				dsp = dsp.WithoutMember(id)
 			}
 		}
+		if len(dsp.Members()) == 0 && stp.dispatcherOf(pool) != stp.st.set.ID {
+			stp.st.leads = stp.st.leads.Delete(pool)
+			continue
+		}
 		stp.st.leads = stp.st.leads.Set(pool, dsp)
 		stp.grant(pool)
 	}
@@ -203,12 +215,18 @@
 	return ok && stp.now.Sub(per.HeardAt) <= member.SilentAfter
 }
 
-// redirectReports marks the pools whose dispatcher changed.
+// redirectReports marks the pools whose dispatcher changed. A dispatcher begins
+// when its entry comes to lead the pool, not with the first report, so that its
+// time of gathering reports is over when work comes after a quiet while.
 func (stp *step) redirectReports() {
 	itr := stp.st.pools.Iterator()
 	for !itr.Done() {
 		name, own, _ := itr.Next()
-		if own.dispatcher != stp.dispatcherOf(name) {
+		leader := stp.dispatcherOf(name)
+		if leader == stp.st.set.ID {
+			stp.lead(name)
+		}
+		if own.dispatcher != leader {
 			stp.markDirty(name)
 		}
 	}
@@ -222,25 +240,6 @@
 	}
 }
 
-// hasWaiting reports whether work of a team waits, since when the oldest does,
-// and how much there is.
-func (stp *step) waitingOf(team string) (count int, oldest time.Time) {
-	itr := stp.st.pools.Iterator()
-	for !itr.Done() {
-		_, own, _ := itr.Next()
-		for _, cnt := range own.queue.Counts() {
-			if cnt.Lane.Team != team {
-				continue
-			}
-			count += cnt.Waiting
-			if oldest.IsZero() || cnt.Oldest.Before(oldest) {
-				oldest = cnt.Oldest
-			}
-		}
-	}
-	return count, oldest
-}
-
 func laneOf(grt message.Grant) work.Lane {
 	return work.Lane{Team: grt.Team, Urgency: table.Urgency(grt.Urgency)}
 }
--- a/internal/core/entry/edits.go
+++ b/internal/core/entry/edits.go
@@ -397,6 +397,9 @@
 		stp.record("entry", "removed", stp.st.set.ID, "the other members removed this entry")
 		stp.emit(effect.Exit{})
 	}
+	for _, poo := range cfg.Tables.Pools {
+		stp.putPool(poo.Name, stp.pool(poo.Name))
+	}
 	stp.markAllDirty()
 	stp.dropReports()
 }
--- a/internal/core/entry/grant.go
+++ b/internal/core/entry/grant.go
@@ -13,13 +13,14 @@
 
 // grantsHeard starts work on the granted slots. A slot that can't be used is
 // given back by the next report, which acknowledges the grant without the work
-// running.
+// running. Grants of a dispatcher that the entry no longer reports to are void.
 func (stp *step) grantsHeard(from string, grs message.Grants) {
 	own := stp.pool(grs.Pool)
+	if own.dispatcher != from {
+		return
+	}
 	for _, grt := range grs.Grants {
-		if own.dispatcher == from {
-			own.acknowledged = max(own.acknowledged, grt.Seq)
-		}
+		own.acknowledged = max(own.acknowledged, grt.Seq)
 	}
 	own.dirty = true
 	stp.putPool(grs.Pool, own)
@@ -67,12 +68,26 @@
 	return !stp.now.After(rcl.until)
 }
 
-// reuseSlot starts the next work of a lane on the slot that work of the lane
-// has just left. It saves the time and the messages of a report and a grant.
+// reuseSlot starts the next work of a team on the slot that its work has just
+// left. It saves the time and the messages of a report and a grant.
 func (stp *step) reuseSlot(left work.Work) {
 	if stp.now.Sub(left.GrantedAt) < reuseFor && !stp.isRecalled(left) {
-		stp.useSlot(left.Pool, left.VM, left.Lane(), left.GrantedAt)
+		stp.useSlot(left.Pool, left.VM, stp.nextLane(left), left.GrantedAt)
+	}
+}
+
+// nextLane returns the team's most urgent lane with work waiting. A slot of
+// urgent work goes to urgent work only: it may be of the reserve.
+func (stp *step) nextLane(left work.Work) work.Lane {
+	if left.Urgency == table.UrgencyUrgent {
+		return left.Lane()
+	}
+	for _, cnt := range stp.pool(left.Pool).queue.Counts() {
+		if cnt.Lane.Team == left.Team {
+			return cnt.Lane
+		}
 	}
+	return left.Lane()
 }
 
 // useSlot starts the oldest work of a lane that may run on a VM.
--- a/internal/core/entry/measure_test.go
+++ b/internal/core/entry/measure_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
+	"github.com/balsamgauge/balsamgauge/internal/core/share"
 	"github.com/balsamgauge/balsamgauge/pkg/table"
 	"gotest.tools/v3/assert"
 )
@@ -58,6 +60,7 @@
 // TestLimitIsUsable measures how much of a team's limit nine entries can use
 // between them. One central counter would use all of it.
 func TestLimitIsUsable(t *testing.T) {
+	t.Parallel()
 	drv := deploy(t, 1, deployed)
 	drv.span = func(string) time.Duration { return 50 * time.Millisecond }
 	stop := false
@@ -69,3 +72,76 @@
 	assert.Assert(t, usable >= 0.95, "%.4f", usable)
 	assert.Assert(t, drv.peak["t3"] <= 60)
 }
+
+// sharesOf returns each team's part of the slots of one service when the given
+// teams ask for more than there is, by the naive division.
+func sharesOf(shp shape, asking map[string]bool) map[string]float64 {
+	var demands []share.Demand
+	for _, tea := range shp.teams {
+		wanted := 0
+		if asking[tea.Name] {
+			wanted = tea.Limit
+		}
+		demands = append(demands, share.Demand{Name: tea.Name, Weight: tea.Share, Wanted: wanted})
+	}
+	shares := map[string]float64{}
+	for i, got := range share.WaterFill(shp.executors*8, demands) {
+		shares[demands[i].Name] = got
+	}
+	return shares
+}
+
+// worstDeviation returns the largest deviation of a team from its share, as a
+// part of the share.
+func worstDeviation(t *testing.T, means, shares map[string]float64) float64 {
+	t.Helper()
+	worst := 0.0
+	for team, want := range shares {
+		if want == 0 {
+			continue
+		}
+		deviation := math.Abs(means[team]-want) / want
+		t.Logf("%s: share %.1f, had %.2f, deviation %.4f", team, want, means[team], deviation)
+		worst = max(worst, deviation)
+	}
+	return worst
+}
+
+func backlogAll(drv *driver, shp shape, stop *bool) map[string]bool {
+	asking := map[string]bool{}
+	for _, tea := range shp.teams {
+		asking[tea.Name] = true
+		keepBacklog(drv, tea.Name, 0, 90, stop)
+	}
+	return asking
+}
+
+func TestSharesWhenAllAreBacklogged(t *testing.T) {
+	t.Parallel()
+	drv := deploy(t, 2, deployed)
+	drv.span = func(string) time.Duration { return 50 * time.Millisecond }
+	stop := false
+	asking := backlogAll(drv, deployed, &stop)
+	drv.run(2 * time.Second)
+	worst := worstDeviation(t, meanRunning(drv, 10*time.Second), sharesOf(deployed, asking))
+	assert.Assert(t, worst <= 0.02, "worst deviation %.4f", worst)
+}
+
+func TestSharesInTheSecondAfterASpikeTurns(t *testing.T) {
+	t.Parallel()
+	drv := deploy(t, 3, deployed)
+	drv.span = func(string) time.Duration { return 50 * time.Millisecond }
+	stop := false
+	asking := map[string]bool{}
+	for _, tea := range deployed.teams {
+		if tea.Name != "t2" {
+			asking[tea.Name] = true
+			keepBacklog(drv, tea.Name, 0, 90, &stop)
+		}
+	}
+	drv.run(3 * time.Second)
+	asking["t2"] = true
+	keepBacklog(drv, "t2", 0, 90, &stop)
+	worst := worstDeviation(t, meanRunning(drv, time.Second), sharesOf(deployed, asking))
+	assert.Assert(t, worst <= 0.05, "worst deviation %.4f", worst)
+}
--- a/internal/core/entry/membership.go
+++ b/internal/core/entry/membership.go
@@ -15,6 +15,9 @@
 // silence.
 const forgetPeerAfter = time.Minute
 
+// liveCheckEvery is the time between two looks at who is live.
+const liveCheckEvery = 50 * time.Millisecond
+
 func (stp *step) peerUp(evt event.PeerUp) {
 	per, _ := stp.st.view.Peer(evt.Member)
 	per.ID, per.AZ, per.Connected, per.HeardAt = evt.Member, evt.AZ, true, stp.now
@@ -33,6 +36,7 @@
 	}
 	per.Connected = false
 	stp.st.view = stp.st.view.WithPeer(per)
+	stp.redirectReports()
 	stp.record("member", "peer_down", evt.Member, "")
 	itr := stp.st.leads.Iterator()
 	for !itr.Done() {
@@ -89,6 +93,11 @@
 }
 
 func (stp *step) tickMembers() {
+	if stp.now.Sub(stp.st.liveCheckAt) >= liveCheckEvery {
+		stp.st.liveCheckAt = stp.now
+		stp.redirectReports()
+		stp.dropReports()
+	}
 	if stp.now.Sub(stp.st.heartbeatAt) < member.HeartbeatEvery {
 		return
 	}
@@ -100,8 +109,6 @@
 			stp.st.echoes = stp.st.echoes.Delete(per.ID)
 		}
 	}
-	stp.redirectReports()
-	stp.dropReports()
 }
 
 func (stp *step) sendHeartbeats() {
--- a/internal/core/entry/permits.go
+++ b/internal/core/entry/permits.go
@@ -5,10 +5,47 @@
 
 	"github.com/balsamgauge/balsamgauge/internal/core/member"
 	"github.com/balsamgauge/balsamgauge/internal/core/message"
+	"github.com/balsamgauge/balsamgauge/pkg/table"
 )
 
-// askEvery is the time between two rounds of asking peers for permits.
-const askEvery = 5 * time.Millisecond
+// Bounds of asking for permits.
+const (
+	// askEvery is the time between two rounds of asking peers for permits.
+	askEvery = 5 * time.Millisecond
+	// headroom is how many permits an entry with a backlog keeps free for the
+	// next grants. Asking for the whole backlog would take permits to where
+	// the slots are not.
+	headroom = 8
+)
+
+// teamState is how a team stands at this entry.
+type teamState struct {
+	waiting int
+	oldest  time.Time
+	// urgent says that urgent work waits.
+	urgent bool
+	// free is the number of permits that are not in use; negative in debt.
+	free int
+}
+
+func (stp *step) teamState(team string) teamState {
+	tst := teamState{free: stp.st.Rights(team) - stp.st.Running(team)}
+	itr := stp.st.pools.Iterator()
+	for !itr.Done() {
+		_, own, _ := itr.Next()
+		for _, cnt := range own.queue.Counts() {
+			if cnt.Lane.Team != team {
+				continue
+			}
+			tst.waiting += cnt.Waiting
+			tst.urgent = tst.urgent || cnt.Lane.Urgency == table.UrgencyUrgent
+			if tst.oldest.IsZero() || cnt.Oldest.Before(tst.oldest) {
+				tst.oldest = cnt.Oldest
+			}
+		}
+	}
+	return tst
+}
 
 // tickPermits asks peers for the permits that waiting work lacks.
 func (stp *step) tickPermits() {
@@ -17,36 +54,37 @@
 	}
 	stp.st.askedAt = stp.now
 	for _, tea := range stp.st.config.Tables.Teams {
-		waiting, oldest := stp.waitingOf(tea.Name)
-		lacking := waiting + stp.st.Running(tea.Name) - stp.st.Rights(tea.Name)
+		tst := stp.teamState(tea.Name)
+		lacking := min(tst.waiting, headroom) - tst.free
 		if lacking > 0 {
-			stp.askForPermits(tea.Name, lacking, stp.now.Sub(oldest))
+			stp.askForPermits(tea.Name, lacking, tst)
 		}
 	}
 }
 
 // askForPermits asks the peers that said that they have some to spare, or one
 // peer at random when none did.
-func (stp *step) askForPermits(team string, lacking int, age time.Duration) {
+func (stp *step) askForPermits(team string, lacking int, tst teamState) {
+	ask := message.PermitAsk{
+		Team: team, Urgent: tst.urgent, Free: max(0, tst.free),
+		AgeMillis: stp.now.Sub(tst.oldest).Milliseconds(),
+	}
 	for lacking > 0 {
 		peer, spare := stp.richestPeer(team)
 		if spare <= 0 {
 			break
 		}
-		asked := min(lacking, spare)
-		stp.setSpare(team, peer, spare-asked)
-		stp.send(peer, message.PermitAsk{Team: team, Permits: asked, AgeMillis: age.Milliseconds()})
-		lacking -= asked
-	}
-	if lacking <= 0 {
-		return
+		ask.Permits = min(lacking, spare)
+		stp.setSpare(team, peer, spare-ask.Permits)
+		stp.send(peer, ask)
+		lacking -= ask.Permits
 	}
 	peers := stp.livePeers()
-	if len(peers) == 0 {
+	if lacking <= 0 || len(peers) == 0 {
 		return
 	}
-	peer := peers[stp.random(len(peers))]
-	stp.send(peer, message.PermitAsk{Team: team, Permits: lacking, AgeMillis: age.Milliseconds()})
+	ask.Permits = lacking
+	stp.send(peers[stp.random(len(peers))], ask)
 }
 
 // livePeers returns the voting members other than this entry that are heard.
@@ -80,25 +118,18 @@
 	stp.st.spares = stp.st.spares.Set(key, spare)
 }
 
-// spareOf returns how many permits of a team the entry can give away.
+// spareOf returns how many permits of a team the entry has no work for.
 func (stp *step) spareOf(team string) int {
-	waiting, _ := stp.waitingOf(team)
-	return max(0, stp.st.Rights(team)-stp.st.Running(team)-waiting)
+	tst := stp.teamState(team)
+	return max(0, tst.free-tst.waiting)
 }
 
-// permitsAsked gives what can be spared. When the asker's work has waited
-// longer than the entry's own, permits that are free at this moment go to it,
-// so that no entry keeps a team's permits to itself.
+// permitsAsked gives what the asker should have.
 func (stp *step) permitsAsked(from string, ask message.PermitAsk) {
 	if _, votes := stp.st.config.Voter(from); !votes {
 		return
 	}
-	given := min(ask.Permits, stp.spareOf(ask.Team))
-	_, oldest := stp.waitingOf(ask.Team)
-	askerSince := stp.now.Add(-time.Duration(ask.AgeMillis) * time.Millisecond)
-	if given == 0 && !oldest.IsZero() && askerSince.Before(oldest) {
-		given = min(1, max(0, stp.st.Rights(ask.Team)-stp.st.Running(ask.Team)))
-	}
+	given := min(ask.Permits, stp.giveable(ask))
 	if given > 0 {
 		stp.st.ledger, _ = stp.st.ledger.WithSent(ask.Team, from, given)
 		stp.markAllDirty()
@@ -109,6 +140,33 @@
 	})
 }
 
+// giveable returns how many permits an asker may have: all that the entry has no
+// work for; half of those that its own work waits to use, if the asker has none
+// at all; and the last one if the asker's work is more urgent or older. So no
+// entry keeps a team's permits to itself.
+func (stp *step) giveable(ask message.PermitAsk) int {
+	tst := stp.teamState(ask.Team)
+	spare := max(0, tst.free-tst.waiting)
+	if spare > 0 || tst.free <= 0 || ask.Free > 0 {
+		return spare
+	}
+	if tst.free > 1 {
+		return tst.free / 2
+	}
+	askerSince := stp.now.Add(-time.Duration(ask.AgeMillis) * time.Millisecond)
+	if ask.Urgent != tst.urgent {
+		return boolToInt(ask.Urgent)
+	}
+	return boolToInt(askerSince.Before(tst.oldest))
+}
+
+func boolToInt(holds bool) int {
+	if holds {
+		return 1
+	}
+	return 0
+}
+
 func (stp *step) permitsHeard(from string, msg message.PermitTransfer) {
 	if _, votes := stp.st.config.Voter(from); votes {
 		for _, ttl := range msg.Totals {
--- a/internal/core/entry/request.go
+++ b/internal/core/entry/request.go
@@ -133,13 +133,14 @@
 	}
 }
 
-// retryOr tries work again if that can do no harm, there is time, and the
-// pool's retry budget allows it. Otherwise it tells the caller the outcome.
+// retryOr tries work again if that can do no harm, there is time, and either the
+// pool's retry budget allows it or no VM has been bothered yet. Otherwise it tells the caller the outcome.
 func (stp *step) retryOr(wrk work.Work, out outcome.Outcome, cod outcome.Code, reason string) {
 	backoff := stp.jitter(min(retryMax, retryBase<<min(wrk.Attempt, 6)))
 	at := stp.now.Add(backoff)
 	harmless := out == outcome.NotRun || wrk.Repeatable
-	if !harmless || !at.Before(wrk.Deadline) || !stp.spendRetry(wrk.Pool) {
+	free := out == outcome.NotRun && stp.hasUntriedVM(wrk)
+	if !harmless || !at.Before(wrk.Deadline) || (!free && !stp.spendRetry(wrk.Pool)) {
 		stp.refuse(stp.requestOf(wrk.ID), outcome.Refusal{Outcome: out, Code: cod, Message: reason})
 		stp.forget(wrk)
 		return
@@ -151,6 +152,20 @@
 	stp.st.expiry = stp.st.expiry.Set(timer{wrk.Deadline, wrk.ID}, struct{}{})
 }
 
+// hasUntriedVM reports whether the pool has a VM that is not suspect and that
+// the work has not been tried on. Work that reached no VM may go there without
+// the retry budget: it has cost no VM anything. In an outage of the whole pool
+// every VM is soon suspect, and the budget binds.
+func (stp *step) hasUntriedVM(wrk work.Work) bool {
+	for _, one := range stp.st.fleet.Usable(stp.st.config, wrk.Pool) {
+		sus, suspected := stp.st.suspects.Get(one.ID)
+		if one.ID != wrk.VM && !wrk.HasTried(one.ID) && (!suspected || stp.now.After(sus.until)) {
+			return true
+		}
+	}
+	return false
+}
+
 func (stp *step) spendRetry(pool string) bool {
 	own := stp.pool(pool)
 	budget, ok := own.budget.WithRetry()
--- a/internal/core/entry/state.go
+++ b/internal/core/entry/state.go
@@ -55,6 +55,8 @@
 	echoes *immutable.Map[string, int64]
 	// heartbeatAt is when the last heartbeats were sent.
 	heartbeatAt time.Time
+	// liveCheckAt is when the entry last looked at who is live.
+	liveCheckAt time.Time
 	removal     removalState
 
 	ledger permit.Ledger
--- a/internal/core/member/view.go
+++ b/internal/core/member/view.go
@@ -14,11 +14,12 @@
 	// FreshFor is how long contact with the store or hearing a majority lets
 	// an entry start work.
 	FreshFor = 2 * time.Second
-	// SilentAfter is how long after its last heartbeat a member no longer
-	// counts as live.
-	SilentAfter = 1 * time.Second
+	// SilentAfter is how long after its last message a member no longer counts
+	// as live. Urgent work that waits for a lost dispatcher must still start
+	// within 1.2 s.
+	SilentAfter = 600 * time.Millisecond
 	// HeartbeatEvery is the time between heartbeats to each peer.
-	HeartbeatEvery = 250 * time.Millisecond
+	HeartbeatEvery = 200 * time.Millisecond
 )
 
 // Peer is what an entry knows of another one.
@@ -132,12 +133,12 @@
 	return vie
 }
 
-// Live returns the IDs of the members that count as live, the entry itself
-// among them, sorted. Members that are leaving are left out.
+// Live returns the IDs of the members that are heard and can be sent to, the
+// entry itself among them, sorted. Members that are leaving are left out.
 func (vie View) Live(now time.Time) []string {
 	ids := make([]string, 0, len(vie.peers)+1)
 	for _, per := range vie.peers {
-		if !per.Leaving && isWithin(per.HeardAt, now, SilentAfter) {
+		if !per.Leaving && per.Connected && isWithin(per.HeardAt, now, SilentAfter) {
 			ids = append(ids, per.ID)
 		}
 	}
--- a/internal/core/message/message.go
+++ b/internal/core/message/message.go
@@ -123,8 +123,12 @@
 type PermitAsk struct {
 	Team    string `json:"team"`
 	Permits int    `json:"permits"`
-	// AgeMillis is how long the oldest work of the team has waited.
+	// AgeMillis is how long the oldest work of the team has waited, and Urgent
+	// whether urgent work of it waits.
 	AgeMillis int64 `json:"age"`
+	Urgent    bool  `json:"urgent,omitempty"`
+	// Free is how many permits the asker holds without using them.
+	Free int `json:"free,omitempty"`
 }
 
 // PermitTransfer tells a member the cumulative permits sent to it.
