cmd/balsamgauge: three entries as three processes

Cause: the users ask for separate processes; until now only the demonstration ran, in one.

Found on the way: an edit right after a join was refused because the new voter had not been heard yet, it waits up to 3 s for a majority now; `deadline = 5` was read as 5 ns, it is refused now; a closed connection gave its place back before the executor had closed its end, so 8 of 7 were counted there, it keeps its place now until then or for 100 ms.

--- a/internal/cli/local.go
+++ b/internal/cli/local.go
@@ -9,6 +9,7 @@
 	"github.com/balsamgauge/balsamgauge/internal/demo"
 	"github.com/balsamgauge/balsamgauge/internal/runner"
 	"github.com/balsamgauge/balsamgauge/internal/settings"
+	"github.com/balsamgauge/balsamgauge/internal/standin/fleet"
 	"github.com/balsamgauge/balsamgauge/pkg/table"
 	"github.com/sirupsen/logrus"
 )
@@ -31,6 +32,43 @@
 	}
 }
 
+// addStandin adds the command that runs the stand-ins, for trying out entries
+// as processes of their own.
+func (cmd *command) addStandin(app *kingpin.Application, actions map[string]action) {
+	clause := app.Command("standin", "Run stand-ins for the store, the platform and every VM of a table of pools, on loopback, until interrupted.")
+	pools := clause.Flag("pools", "Table of pools.").Default("pools.toml").String()
+	storeAddress := clause.Flag("store", "Address of the store.").Default("127.0.0.1:2379").String()
+	listAddress := clause.Flag("vm-list", "Address of the list of VMs.").Default("127.0.0.1:2381").String()
+	lag := clause.Flag("lag", "How late the list tells of a change.").Default("2s").Duration()
+	actions[clause.FullCommand()] = func(ctx context.Context) error {
+		text, err := os.ReadFile(*pools)
+		if err != nil {
+			return &usageError{err}
+		}
+		tbs, err := table.ParsePools(*pools, text)
+		if err != nil {
+			return err
+		}
+		return cmd.standin(ctx, fleet.Options{
+			StoreAddress: *storeAddress, ListAddress: *listAddress, ListLag: *lag, Pools: tbs.Pools,
+		})
+	}
+}
+
+func (cmd *command) standin(ctx context.Context, opt fleet.Options) error {
+	fle, err := fleet.Start(opt)
+	if err != nil {
+		return err
+	}
+	defer fle.Stop()
+	_, err = fmt.Fprintf(cmd.out, "%d VMs, store at %s, list of VMs at %s/vms\n", len(fle.AZs), fle.StoreURL, fle.ListURL)
+	if err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return nil
+}
+
 func tableFlags(clause *kingpin.CmdClause) (routes, pools *string) {
 	routes = clause.Flag("routes", "Table of routes.").Default("routes.toml").String()
 	pools = clause.Flag("pools", "Table of pools.").Default("pools.toml").String()
--- a/internal/core/entry/edits.go
+++ b/internal/core/entry/edits.go
@@ -19,6 +19,9 @@
 const (
 	// editTimeout bounds an edit from its start to its answer.
 	editTimeout = 8 * time.Second
+	// majorityTimeout is how long an edit waits for a majority to be heard. A
+	// voter that has just joined is heard after a heartbeat.
+	majorityTimeout = 3 * time.Second
 	// editRetryEvery is the wait before the store is tried again.
 	editRetryEvery = 100 * time.Millisecond
 	// joinEvery is the time between two tries to become a voter.
@@ -108,6 +111,9 @@
 		return
 	}
 	if err := stp.mayEdit(pnd); err != nil {
+		if stp.now.Sub(pnd.began) < majorityTimeout {
+			return
+		}
 		stp.failEdit(outcome.CodeNoFreshConfig, err.Error())
 		return
 	}
--- a/internal/demo/checks.go
+++ b/internal/demo/checks.go
@@ -71,6 +71,9 @@
 
 func (dem *demonstration) checkWithdrawnKey() Invariant {
 	inv := Invariant{Name: "withdrawn_key_stops"}
+	if dem.mom.withdrawnAt.IsZero() {
+		return inv
+	}
 	runs := dem.runsOf()
 	limit := dem.mom.withdrawnAt.Add(inForceWithin)
 	for _, cll := range dem.callers.calls {
@@ -84,8 +87,11 @@
 
 func (dem *demonstration) checkTeamLimit() Invariant {
 	inv := Invariant{Name: "team_within_upper_limit"}
+	if !dem.mom.overCapacity {
+		return inv
+	}
 	for _, tea := range dem.cluster.tables.Teams {
-		peak := dem.cluster.runs.Peak(tea.Name)
+		peak := dem.cluster.Runs.Peak(tea.Name)
 		if peak > 0 {
 			inv.check(peak <= tea.Limit, "team %s had %d running with a limit of %d", tea.Name, peak, tea.Limit)
 		}
@@ -96,14 +102,14 @@
 func (dem *demonstration) checkAZOut() Invariant {
 	inv := Invariant{Name: "no_start_in_az_out"}
 	from := dem.mom.azOutAt.Add(inForceWithin)
-	for _, run := range dem.cluster.runs.Runs() {
+	for _, run := range dem.cluster.Runs.Runs() {
 		if run.Began.After(from) && run.Began.Before(dem.mom.azInAt) {
-			inv.check(dem.cluster.azOf[run.VM] != dem.mom.azOut, "%s began on %s", run.RunID, run.VM)
+			inv.check(dem.cluster.AZs[run.VM] != dem.mom.azOut, "%s began on %s", run.RunID, run.VM)
 		}
 	}
-	for _, run := range dem.cluster.taskRuns.Runs() {
+	for _, run := range dem.cluster.TaskRuns.Runs() {
 		if run.Began.After(from) && run.Began.Before(dem.mom.azInAt) {
-			inv.check(dem.cluster.azOf[run.VM] != dem.mom.azOut, "task %s began on %s", run.TaskID, run.VM)
+			inv.check(dem.cluster.AZs[run.VM] != dem.mom.azOut, "task %s began on %s", run.TaskID, run.VM)
 		}
 	}
 	return inv
@@ -139,7 +145,7 @@
 		}
 	}
 	starts := map[string]int{}
-	for _, run := range dem.cluster.taskRuns.Runs() {
+	for _, run := range dem.cluster.TaskRuns.Runs() {
 		starts[run.TaskID]++
 	}
 	for _, sub := range dem.callers.submissions {
@@ -152,8 +158,11 @@
 
 func (dem *demonstration) checkDrained() Invariant {
 	inv := Invariant{Name: "draining_upstream_gets_no_new_work"}
+	if dem.mom.drainedAt.IsZero() {
+		return inv
+	}
 	limit := dem.mom.drainedAt.Add(inForceWithin)
-	for _, run := range dem.cluster.runs.Runs() {
+	for _, run := range dem.cluster.Runs.Runs() {
 		if run.Began.After(limit) {
 			inv.check(run.VM != dem.mom.drained, "%s began on %s", run.RunID, run.VM)
 		}
--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -5,21 +5,15 @@
 	_ "embed"
 	"fmt"
 	"io"
-	"net"
-	"net/http"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/balsamgauge/balsamgauge/internal/adminclient"
 	"github.com/balsamgauge/balsamgauge/internal/core/key"
-	"github.com/balsamgauge/balsamgauge/internal/core/vm"
 	"github.com/balsamgauge/balsamgauge/internal/runner"
 	"github.com/balsamgauge/balsamgauge/internal/settings"
-	"github.com/balsamgauge/balsamgauge/internal/standin/executor"
-	"github.com/balsamgauge/balsamgauge/internal/standin/kvstore"
-	"github.com/balsamgauge/balsamgauge/internal/standin/taskworker"
-	"github.com/balsamgauge/balsamgauge/internal/standin/vmlist"
+	"github.com/balsamgauge/balsamgauge/internal/standin/fleet"
 	"github.com/balsamgauge/balsamgauge/pkg/table"
 	"github.com/sirupsen/logrus"
 )
@@ -32,30 +26,23 @@
 
 // Sizes of the demonstration.
 const (
-	entries        = 3
-	executorsPerAZ = 2
-	slots          = 8
+	entries = 3
 	// listLag is how late the platform tells of a change.
 	listLag = 2 * time.Second
 	// readyTimeout bounds the start.
 	readyTimeout = 15 * time.Second
+	// anyPort lets the system choose a port.
+	anyPort = "127.0.0.1:0"
 )
 
 var azs = []string{"mu-east-1", "mu-east-2", "mu-east-3", "mu-east-4"}
 
 // cluster is all that runs: the stand-ins and the entries.
 type cluster struct {
-	store      *kvstore.Store
-	vms        *vmlist.List
-	runs       *executor.Recorder
-	taskRuns   *taskworker.Recorder
-	executors  map[string]*executor.Executor
-	workers    map[string]*taskworker.Worker
-	azOf       map[string]string
+	*fleet.Fleet
 	tables     table.Tables
 	credential string
 	settings   []settings.Settings
-	servers    []*http.Server
 	logger     *logrus.Logger
 
 	mu      sync.Mutex
@@ -72,12 +59,7 @@
 }
 
 func startCluster(doubleRuns bool) (cls *cluster, err error) {
-	cls = &cluster{
-		store: kvstore.New(), vms: vmlist.New(listLag),
-		runs: executor.NewRecorder(), taskRuns: &taskworker.Recorder{},
-		executors: map[string]*executor.Executor{}, workers: map[string]*taskworker.Worker{},
-		azOf: map[string]string{}, logger: logrus.New(),
-	}
+	cls = &cluster{logger: logrus.New()}
 	cls.logger.SetOutput(io.Discard)
 	if cls.tables, err = table.Parse("routes.toml", routesTOML, "pools.toml", poolsTOML); err != nil {
 		return nil, err
@@ -85,65 +67,22 @@
 	if cls.credential, err = key.New(); err != nil {
 		return nil, err
 	}
-	if err := cls.startVMs(doubleRuns); err != nil {
+	cls.Fleet, err = fleet.Start(fleet.Options{
+		StoreAddress: anyPort, ListAddress: anyPort, ListLag: listLag,
+		Pools: cls.tables.Pools, DoubleRuns: doubleRuns,
+	})
+	if err != nil {
 		return nil, err
 	}
 	return cls, cls.startEntries()
 }
 
-func (cls *cluster) startVMs(doubleRuns bool) error {
-	for _, az := range azs {
-		for i := range executorsPerAZ {
-			id := fmt.Sprintf("executor-%s-%d", az, i+1)
-			exe, err := executor.Start(id, slots, cls.runs)
-			if err != nil {
-				return err
-			}
-			exe.SetDoubling(doubleRuns)
-			cls.executors[id] = exe
-			cls.listVM(id, az, exe.Address(), table.ServiceExecutor)
-		}
-		id := "worker-" + az
-		wkr, err := taskworker.Start(id, cls.taskRuns)
-		if err != nil {
-			return err
-		}
-		cls.workers[id] = wkr
-		cls.listVM(id, az, wkr.Address(), table.ServiceWorker)
-	}
-	return nil
-}
-
-func (cls *cluster) listVM(id, az, address string, svc table.Service) {
-	cls.azOf[id] = az
-	cls.vms.Put(vm.VM{ID: id, AZ: az, Rack: az + "-rack", Address: address, Service: svc, Slots: slots})
-}
-
-func (cls *cluster) serve(handler http.Handler) (address string, err error) {
-	lsn, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	srv := &http.Server{Handler: handler}
-	cls.servers = append(cls.servers, srv)
-	go func() { _ = srv.Serve(lsn) }()
-	return "http://" + lsn.Addr().String(), nil
-}
-
 func (cls *cluster) startEntries() error {
-	store, err := cls.serve(cls.store.Handler())
-	if err != nil {
-		return err
-	}
-	list, err := cls.serve(cls.vms.Handler())
-	if err != nil {
-		return err
-	}
 	for i := range entries {
 		cls.settings = append(cls.settings, settings.Settings{
 			Name: fmt.Sprintf("e%d", i+1), Region: "mu-east", AZ: azs[i%len(azs)],
-			Callers: "127.0.0.1:0", PeerListener: "127.0.0.1:0", Admin: "127.0.0.1:0",
-			Store: store, StorePrefix: "/balsamgauge/", VMList: list + "/vms",
+			Callers: anyPort, PeerListener: anyPort, Admin: anyPort,
+			Store: cls.StoreURL, StorePrefix: "/balsamgauge/", VMList: cls.ListURL + "/vms",
 			OperatorKeyHash: key.Hash(cls.credential),
 			MaxEntries:      entries, ConnectionsPerExecutor: 64,
 			StoreWritesPerSecond: 100, TimelineEvents: 20_000, LogLevel: "info",
@@ -242,7 +181,7 @@
 // hasVMs reports whether every VM of the tables is in its pool at an entry.
 func (cls *cluster) hasVMs(prc *process) bool {
 	cfg, err := prc.admin.Config(context.Background())
-	return err == nil && len(cfg.VMs) == len(cls.azOf)
+	return err == nil && len(cfg.VMs) == len(cls.AZs)
 }
 
 func (cls *cluster) stop() {
@@ -253,13 +192,5 @@
 		prc.runner.Kill()
 		<-prc.done
 	}
-	for _, srv := range cls.servers {
-		_ = srv.Close()
-	}
-	for _, exe := range cls.executors {
-		exe.Kill()
-	}
-	for _, wkr := range cls.workers {
-		wkr.Kill()
-	}
+	cls.Fleet.Stop()
 }
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -59,16 +59,13 @@
 	return false
 }
 
-// WriteText writes the report for a person.
+// WriteText writes the report for a person, who has seen the steps go by.
 func (rep Report) WriteText(out io.Writer) (err error) {
-	var lines []string
-	for _, stp := range rep.Steps {
-		lines = append(lines, fmt.Sprintf("%6.1fs  %s", stp.AtSeconds, stp.Name))
-	}
-	lines = append(lines, "",
+	lines := []string{
 		fmt.Sprintf("requests %d: answered %d, not run %d, unknown %d, cut %d", rep.Requests, rep.Answered, rep.NotRun, rep.Unknown, rep.Cut),
 		fmt.Sprintf("tasks accepted %d, done %d", rep.Tasks, rep.TasksDone), "",
-		fmt.Sprintf("%-34s %8s %8s", "invariant", "checked", "broken"))
+		fmt.Sprintf("%-34s %8s %8s", "invariant", "checked", "broken"),
+	}
 	for _, inv := range rep.Invariants {
 		line := fmt.Sprintf("%-34s %8d %8d", inv.Name, inv.Checked, inv.Broken)
 		if inv.Example != "" {
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,42 @@
+package settings_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/balsamgauge/balsamgauge/internal/settings"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+)
+
+// TestParse checks one settings file for each case in testdata.
+func TestParse(t *testing.T) {
+	paths, err := filepath.Glob("testdata/*.toml")
+	assert.NilError(t, err)
+	for _, path := range paths {
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			data, err := os.ReadFile(path)
+			assert.NilError(t, err)
+			_, err = settings.Parse("entry.toml", data)
+			text := "fine\n"
+			if err != nil {
+				text = err.Error() + "\n"
+			}
+			golden.Assert(t, text, strings.TrimSuffix(filepath.Base(path), ".toml")+".golden")
+		})
+	}
+}
+
+// TestExamplesAreFine checks the settings files of both deployments.
+func TestExamplesAreFine(t *testing.T) {
+	paths, err := filepath.Glob("../../examples/*/e*.toml")
+	assert.NilError(t, err)
+	assert.Equal(t, len(paths), 17)
+	for _, path := range paths {
+		set, err := settings.Load(path)
+		assert.NilError(t, err)
+		assert.Assert(t, set.ConnectionsPerVM()*set.MaxEntries <= set.ConnectionsPerExecutor)
+	}
+}
--- a/internal/standin/executor/executor.go
+++ b/internal/standin/executor/executor.go
@@ -115,11 +115,12 @@
 	// conns counts the open connections, peak the most at once.
 	conns int
 	peak  int
+	idle  map[net.Conn]bool
 }
 
 // Start starts an executor on a loopback address.
 func Start(vmID string, slots int, rec *Recorder) (exe *Executor, err error) {
-	exe = &Executor{vm: vmID, slots: make(chan struct{}, slots), recorder: rec}
+	exe = &Executor{vm: vmID, slots: make(chan struct{}, slots), recorder: rec, idle: map[net.Conn]bool{}}
 	exe.listener, err = net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("start executor %s: %w", vmID, err)
@@ -160,7 +161,10 @@
 func (exe *Executor) Stop(ctx context.Context) error { return exe.server.Shutdown(ctx) }
 
 // Kill ends the executor at once.
-func (exe *Executor) Kill() { _ = exe.server.Close() }
+func (exe *Executor) Kill() {
+	_ = exe.listener.Close()
+	_ = exe.server.Close()
+}
 
 // PeakConns returns the most connections that were open at once.
 func (exe *Executor) PeakConns() int {
@@ -169,15 +173,27 @@
 	return exe.peak
 }
 
-func (exe *Executor) countConn(_ net.Conn, sta http.ConnState) {
+// CloseIdle closes the connections that are idle.
+func (exe *Executor) CloseIdle() {
+	exe.mu.Lock()
+	defer exe.mu.Unlock()
+	for conn := range exe.idle {
+		_ = conn.Close()
+	}
+}
+
+func (exe *Executor) countConn(conn net.Conn, sta http.ConnState) {
 	exe.mu.Lock()
 	defer exe.mu.Unlock()
+	delete(exe.idle, conn)
 	switch sta {
 	case http.StateNew:
 		exe.conns++
 		exe.peak = max(exe.peak, exe.conns)
 	case http.StateClosed, http.StateHijacked:
 		exe.conns--
+	case http.StateIdle:
+		exe.idle[conn] = true
 	}
 }
 
--- a/internal/standin/taskworker/taskworker.go
+++ b/internal/standin/taskworker/taskworker.go
@@ -104,7 +104,10 @@
 }
 
 // Kill ends the worker at once, with all its tasks.
-func (wkr *Worker) Kill() { _ = wkr.server.Close() }
+func (wkr *Worker) Kill() {
+	_ = wkr.listener.Close()
+	_ = wkr.server.Close()
+}
 
 func handle[Q, S any](call func(now time.Time, req Q) (S, int)) http.HandlerFunc {
 	return func(wrt http.ResponseWriter, hrq *http.Request) {
--- a/internal/upstream/limit.go
+++ b/internal/upstream/limit.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
+	"time"
 )
 
 // connLimit bounds the open connections to one VM.
@@ -42,9 +44,24 @@
 	once  sync.Once
 }
 
-// Close closes the connection.
+// lingerFor bounds how long a closed connection keeps its place while the VM has
+// not closed its end.
+const lingerFor = 100 * time.Millisecond
+
+// Close closes the connection. Its place is free only when the VM has closed
+// its end too: until then the VM counts the connection.
 func (con *limitedConn) Close() error {
-	err := con.Conn.Close()
-	con.once.Do(func() { <-con.limit.slots })
-	return err
+	con.once.Do(func() { go con.linger() })
+	return nil
+}
+
+func (con *limitedConn) linger() {
+	defer func() { <-con.limit.slots }()
+	defer func() { _ = con.Conn.Close() }()
+	if half, ok := con.Conn.(*net.TCPConn); ok && half.CloseWrite() != nil {
+		return
+	}
+	if con.SetReadDeadline(time.Now().Add(lingerFor)) == nil {
+		_, _ = io.Copy(io.Discard, con.Conn)
+	}
 }
--- a/pkg/table/tables.go
+++ b/pkg/table/tables.go
@@ -20,8 +20,11 @@
 // DefaultMaxBody is the bound of a route that names none, in bytes.
 const DefaultMaxBody = 64 << 10
 
-// maxDeadline is the longest that any work may wait and run.
-const maxDeadline = 24 * time.Hour
+// minDeadline and maxDeadline bound how long any work may wait and run.
+const (
+	minDeadline = time.Millisecond
+	maxDeadline = 24 * time.Hour
+)
 
 // Tables is what operators keep in version control.
 type Tables struct {
@@ -62,6 +65,11 @@
 	return tbs, dgs.AsError()
 }
 
+// ParsePools reads and checks a table of pools alone.
+func ParsePools(name string, pools []byte) (tbs Tables, err error) {
+	return Parse("routes", nil, name, pools)
+}
+
 // Format writes both tables as TOML.
 func (tbs Tables) Format() (routes, pools []byte, err error) {
 	defer func() {
@@ -192,8 +200,8 @@
 	default:
 		chk.routes.Addf(at+".urgency", "route %q: urgency must be %q, %q or %q", rou.Name, UrgencyUrgent, UrgencyNormal, UrgencyLong)
 	}
-	if rou.Deadline <= 0 || time.Duration(rou.Deadline) > maxDeadline {
-		chk.routes.Addf(at+".deadline", "route %q: deadline must be positive and at most %s", rou.Name, maxDeadline)
+	if time.Duration(rou.Deadline) < minDeadline || time.Duration(rou.Deadline) > maxDeadline {
+		chk.routes.Addf(at+".deadline", "route %q: deadline must be a span such as \"1.5s\", from %s to %s", rou.Name, minDeadline, maxDeadline)
 	}
 	if rou.MaxBodyBytes < 0 || rou.MaxBodyBytes > MaxBodyLimit {
 		chk.routes.Addf(at+".max_body_bytes", "route %q: max_body_bytes must be from 1 to %d", rou.Name, MaxBodyLimit)
