entry: cost at rest no longer grows with teams and pools

Found by varying one size at a time: every heartbeat listed the spare permits of every team and repeated every cumulative transfer; the permit tick went over all teams and pools every 5 ms; who leads each pool was hashed anew every 50 ms, and every pool that the entry leads was granted over a scan of all VMs.

Change: heartbeats tell only the spares that changed by more than a factor of two; transfers are repeated every 5 s; sets of pools and teams with waiting work and a set of pools to report on are kept; leaders are hashed when the live members change; the configuration knows the VMs of each pool.

--- a/internal/core/dispatch/dispatcher.go
+++ b/internal/core/dispatch/dispatcher.go
@@ -91,6 +91,9 @@
 	return dsp
 }
 
+// IsIdle reports whether no member's report is kept.
+func (dsp Dispatcher) IsIdle() bool { return dsp.reports.Len() == 0 }
+
 // Members returns the members that reported, sorted.
 func (dsp Dispatcher) Members() []string {
 	var ids []string
--- a/internal/core/entry/demand.go
+++ b/internal/core/entry/demand.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
 	"github.com/balsamgauge/balsamgauge/internal/core/dispatch"
@@ -19,6 +20,8 @@
 	// refreshEvery is how often a pool with work is reported on without a
 	// change.
 	refreshEvery = time.Second
+	// refreshCheckEvery is the time between two looks for old reports.
+	refreshCheckEvery = 250 * time.Millisecond
 	// dropReportAfter is how long a dispatcher keeps a report that is not
 	// refreshed.
 	dropReportAfter = 2500 * time.Millisecond
@@ -26,20 +29,32 @@
 
 type timerMap = *immutable.SortedMap[timer, struct{}]
 
-// dispatcherOf returns the live member that dispatches a pool.
-func (stp *step) dispatcherOf(pool string) string {
-	return member.Leader(stp.st.view.Live(stp.now), "pool/"+pool)
-}
+// poolSubject is what the leader of a pool is chosen by.
+func poolSubject(pool string) string { return "pool/" + pool }
 
 // reportDemands tells the dispatchers what changed.
 func (stp *step) reportDemands() {
+	itr := stp.st.dirty.Iterator()
+	for !itr.Done() {
+		name, _, _ := itr.Next()
+		own := stp.pool(name)
+		if stp.now.Sub(own.reportedAt) >= reportEvery {
+			stp.reportDemand(name, own)
+		}
+	}
+	if stp.now.Sub(stp.st.refreshedAt) >= refreshCheckEvery {
+		stp.st.refreshedAt = stp.now
+		stp.refreshReports()
+	}
+}
+
+// refreshReports repeats the old reports of pools with work.
+func (stp *step) refreshReports() {
 	itr := stp.st.pools.Iterator()
 	for !itr.Done() {
 		name, own, _ := itr.Next()
-		since := stp.now.Sub(own.reportedAt)
-		due := own.dirty && since >= reportEvery
-		if due || (since >= refreshEvery && stp.isBusy(name, own)) {
-			stp.reportDemand(name, own)
+		if stp.now.Sub(own.reportedAt) >= refreshEvery && stp.isBusy(name, own) {
+			stp.markDirty(name)
 		}
 	}
 }
@@ -50,7 +65,7 @@
 }
 
 func (stp *step) reportDemand(name string, own poolState) {
-	leader := stp.dispatcherOf(name)
+	leader := own.leader
 	if leader == "" {
 		return
 	}
@@ -58,7 +73,7 @@
 		own.dispatcher = leader
 		own.acknowledged = 0
 	}
-	own.dirty = false
+	stp.st.dirty = stp.st.dirty.Delete(name)
 	own.reportedAt = stp.now
 	stp.putPool(name, own)
 	stp.send(leader, message.Demand{
@@ -193,16 +208,18 @@
 	itr := stp.st.leads.Iterator()
 	for !itr.Done() {
 		pool, dsp, _ := itr.Next()
+		if dsp.IsIdle() {
+			if stp.pool(pool).leader != stp.st.set.ID {
+				stp.st.leads = stp.st.leads.Delete(pool)
+			}
+			continue
+		}
 		dsp = dsp.WithoutReportsBefore(stp.now.Add(-dropReportAfter))
 		for _, id := range dsp.Members() {
 			if id != stp.st.set.ID && !stp.isReporting(id) {
 				dsp = dsp.WithoutMember(id)
 			}
 		}
-		if len(dsp.Members()) == 0 && stp.dispatcherOf(pool) != stp.st.set.ID {
-			stp.st.leads = stp.st.leads.Delete(pool)
-			continue
-		}
 		stp.st.leads = stp.st.leads.Set(pool, dsp)
 		stp.grant(pool)
 	}
@@ -215,23 +232,42 @@
 	return ok && stp.now.Sub(per.HeardAt) <= member.SilentAfter
 }
 
-// redirectReports marks the pools whose dispatcher changed. A dispatcher begins
+// redirectReports looks at who is live. When that changed, it finds the leader
+// of each pool anew and marks those whose leader changed. A dispatcher begins
 // when its entry comes to lead the pool, not with the first report, so that its
 // time of gathering reports is over when work comes after a quiet while.
 func (stp *step) redirectReports() {
+	live := stp.st.view.Live(stp.now)
+	if slices.Equal(live, stp.st.live) {
+		return
+	}
+	stp.st.live = live
 	itr := stp.st.pools.Iterator()
 	for !itr.Done() {
 		name, own, _ := itr.Next()
-		leader := stp.dispatcherOf(name)
+		leader := member.Leader(live, poolSubject(name))
+		if leader == own.leader {
+			continue
+		}
+		own.leader = leader
+		stp.putPool(name, own)
+		stp.markDirty(name)
 		if leader == stp.st.set.ID {
 			stp.lead(name)
 		}
-		if own.dispatcher != leader {
-			stp.markDirty(name)
-		}
 	}
 }
 
+// markBusyDirty marks the pools with work waiting.
+func (stp *step) markBusyDirty() {
+	itr := stp.st.busy.Iterator()
+	for !itr.Done() {
+		name, _, _ := itr.Next()
+		stp.markDirty(name)
+	}
+}
+
+// markAllDirty marks every pool.
 func (stp *step) markAllDirty() {
 	itr := stp.st.pools.Iterator()
 	for !itr.Done() {
--- a/internal/core/entry/driver_test.go
+++ b/internal/core/entry/driver_test.go
@@ -41,6 +41,10 @@
 	told     map[string]told
 	messages int
 	bytes    int
+	// events and reducing are what the reducers were fed, and took in real
+	// time.
+	events   int
+	reducing time.Duration
 	onStart  func(start)
 	// trace is told every record of the time line; nil means nobody.
 	trace io.Writer
@@ -176,7 +180,10 @@
 		nod.backlog = append(nod.backlog, evt)
 		return
 	}
+	began := time.Now()
 	next, effs := Reduce(drv.now, nod.state, evt)
+	drv.reducing += time.Since(began)
+	drv.events++
 	nod.state = next
 	for _, eff := range effs {
 		drv.carryOut(nod, eff)
--- a/internal/core/entry/edits.go
+++ b/internal/core/entry/edits.go
@@ -404,7 +404,11 @@
 		stp.emit(effect.Exit{})
 	}
 	for _, poo := range cfg.Tables.Pools {
-		stp.putPool(poo.Name, stp.pool(poo.Name))
+		own := stp.pool(poo.Name)
+		stp.putPool(poo.Name, own)
+		if own.leader == stp.st.set.ID {
+			stp.lead(poo.Name)
+		}
 	}
 	stp.markAllDirty()
 	stp.dropReports()
@@ -456,7 +460,7 @@
 		stp.adopt(next, &edi)
 	}
 	if stp.st.config.Revision > before {
-		stp.sendHeartbeat(from)
+		stp.sendHeartbeat(from, nil)
 	}
 }
 
--- a/internal/core/entry/grant.go
+++ b/internal/core/entry/grant.go
@@ -22,8 +22,8 @@
 	for _, grt := range grs.Grants {
 		own.acknowledged = max(own.acknowledged, grt.Seq)
 	}
-	own.dirty = true
 	stp.putPool(grs.Pool, own)
+	stp.markDirty(grs.Pool)
 	for _, grt := range grs.Grants {
 		stp.useSlot(grs.Pool, grt.VM, laneOf(grt), stp.now)
 	}
--- a/internal/core/entry/membership.go
+++ b/internal/core/entry/membership.go
@@ -15,6 +15,11 @@
 // silence.
 const forgetPeerAfter = time.Minute
 
+// repeatTotalsEvery is the time between two repetitions of the cumulative
+// permits. A lost transfer is made up for with a new link; this is for one that
+// was lost without anybody's noticing.
+const repeatTotalsEvery = 5 * time.Second
+
 // liveCheckEvery is the time between two looks at who is live.
 const liveCheckEvery = 50 * time.Millisecond
 
@@ -23,7 +28,7 @@
 	per.ID, per.AZ, per.Connected, per.HeardAt = evt.Member, evt.AZ, true, stp.now
 	stp.st.view = stp.st.view.WithPeer(per)
 	stp.record("member", "peer_up", evt.Member, evt.AZ)
-	stp.sendHeartbeat(evt.Member)
+	stp.sendHeartbeat(evt.Member, stp.toldSpares())
 	stp.sendTotals(evt.Member)
 	stp.redirectReports()
 	stp.markAllDirty()
@@ -113,15 +118,25 @@
 
 func (stp *step) sendHeartbeats() {
 	stp.st.heartbeatAt = stp.now
+	repeat := stp.now.Sub(stp.st.totalsAt) >= repeatTotalsEvery
+	if repeat {
+		stp.st.totalsAt = stp.now
+	}
+	spares := stp.changedSpares()
 	for _, per := range stp.st.view.Peers() {
-		if per.Connected {
-			stp.sendHeartbeat(per.ID)
+		if !per.Connected {
+			continue
+		}
+		stp.sendHeartbeat(per.ID, spares)
+		if repeat {
 			stp.sendTotals(per.ID)
 		}
 	}
 }
 
-func (stp *step) sendHeartbeat(to string) {
+// sendHeartbeat tells one peer that the entry lives, and what changed of its
+// spare permits. What was lost on the way is told again when the link is new.
+func (stp *step) sendHeartbeat(to string, spares []message.Spare) {
 	echo, _ := stp.st.echoes.Get(to)
 	hbt := message.Heartbeat{
 		Revision:    stp.st.config.Revision,
@@ -130,17 +145,13 @@
 		Echo:        echo,
 		Leaving:     stp.st.view.Leaving(),
 		SeenLeaving: stp.st.fleet.SeenLeaving(),
+		Spare:       spares,
 	}
 	for _, vtr := range stp.st.config.Voters {
 		if stp.st.view.IsGone(vtr.ID) {
 			hbt.Gone = append(hbt.Gone, vtr.ID)
 		}
 	}
-	for _, tea := range stp.st.config.Tables.Teams {
-		if spare := stp.spareOf(tea.Name); spare > 0 {
-			hbt.Spare = append(hbt.Spare, message.Spare{Team: tea.Name, Permits: spare})
-		}
-	}
 	stp.send(to, hbt)
 }
 
--- a/internal/core/entry/permits.go
+++ b/internal/core/entry/permits.go
@@ -30,10 +30,13 @@
 
 func (stp *step) teamState(team string) teamState {
 	tst := teamState{free: stp.st.Rights(team) - stp.st.Running(team)}
-	itr := stp.st.pools.Iterator()
+	if _, waits := stp.st.waiting.Get(team); !waits {
+		return tst
+	}
+	itr := stp.st.busy.Iterator()
 	for !itr.Done() {
-		_, own, _ := itr.Next()
-		for _, cnt := range own.queue.Counts() {
+		pool, _, _ := itr.Next()
+		for _, cnt := range stp.pool(pool).queue.Counts() {
 			if cnt.Lane.Team != team {
 				continue
 			}
@@ -53,11 +56,13 @@
 		return
 	}
 	stp.st.askedAt = stp.now
-	for _, tea := range stp.st.config.Tables.Teams {
-		tst := stp.teamState(tea.Name)
+	itr := stp.st.waiting.Iterator()
+	for !itr.Done() {
+		team, _, _ := itr.Next()
+		tst := stp.teamState(team)
 		lacking := min(tst.waiting, headroom) - tst.free
 		if lacking > 0 {
-			stp.askForPermits(tea.Name, lacking, tst)
+			stp.askForPermits(team, lacking, tst)
 		}
 	}
 }
@@ -132,7 +137,7 @@
 	given := min(ask.Permits, stp.giveable(ask))
 	if given > 0 {
 		stp.st.ledger, _ = stp.st.ledger.WithSent(ask.Team, from, given)
-		stp.markAllDirty()
+		stp.markBusyDirty()
 	}
 	stp.send(from, message.PermitTransfer{
 		Totals: stp.st.ledger.SentTo(from),
@@ -172,11 +177,42 @@
 		for _, ttl := range msg.Totals {
 			stp.st.ledger = stp.st.ledger.WithReceived(ttl.Team, from, ttl.Count)
 		}
-		stp.markAllDirty()
+		stp.markBusyDirty()
 	}
 	stp.hearSpares(from, msg.Spare)
 }
 
+// changedSpares lists the teams whose spare permits have changed so much since
+// the peers were last told that it matters to whom they turn.
+func (stp *step) changedSpares() []message.Spare {
+	var changed []message.Spare
+	for _, tea := range stp.st.config.Tables.Teams {
+		spare := stp.spareOf(tea.Name)
+		told, _ := stp.st.toldSpares.Get(tea.Name)
+		if !isNear(spare, told) {
+			changed = append(changed, message.Spare{Team: tea.Name, Permits: spare})
+			stp.st.toldSpares = stp.st.toldSpares.Set(tea.Name, spare)
+		}
+	}
+	return changed
+}
+
+// isNear reports whether two counts are both zero or within a factor of two.
+func isNear(a, b int) bool {
+	return (a == 0) == (b == 0) && a <= 2*b && b <= 2*a
+}
+
+// toldSpares lists all that the peers were told.
+func (stp *step) toldSpares() []message.Spare {
+	var told []message.Spare
+	itr := stp.st.toldSpares.Iterator()
+	for !itr.Done() {
+		team, spare, _ := itr.Next()
+		told = append(told, message.Spare{Team: team, Permits: spare})
+	}
+	return told
+}
+
 func (stp *step) hearSpares(from string, spares []message.Spare) {
 	for _, spa := range spares {
 		stp.setSpare(spa.Team, from, spa.Permits)
--- a/internal/core/entry/state.go
+++ b/internal/core/entry/state.go
@@ -60,8 +60,14 @@
 	removal     removalState
 
 	ledger permit.Ledger
+	// toldSpares is what the peers were last told of the entry's own.
+	toldSpares *immutable.SortedMap[string, int]
+	// totalsAt is when all cumulative permits were last repeated.
+	totalsAt time.Time
 	// spares is what peers said they could give, less what was asked for.
 	spares *immutable.SortedMap[spareKey, int]
+	// refreshedAt is when the reports were last looked at for their age.
+	refreshedAt time.Time
 	// askedAt is when permits were last asked for.
 	askedAt time.Time
 
@@ -86,6 +92,14 @@
 
 	// pools holds the entry's own part in each pool of the configuration.
 	pools *immutable.SortedMap[string, poolState]
+	// dirty holds the pools of whose changes the dispatcher has not heard.
+	dirty *immutable.SortedMap[string, struct{}]
+	// busy holds the pools with work waiting, and waiting how much of each
+	// team's work waits; neither holds an empty one.
+	busy    *immutable.SortedMap[string, struct{}]
+	waiting *immutable.SortedMap[string, int]
+	// live is who was live at the last look, sorted.
+	live []string
 	// leads holds the dispatchers of the pools that this entry leads.
 	leads *immutable.SortedMap[string, dispatch.Dispatcher]
 	// suspects maps a VM that could not be connected to, to its suspicion.
@@ -102,10 +116,10 @@
 
 // poolState is the entry's own part in a pool.
 type poolState struct {
-	queue queue.Queue
-	// dirty says that the dispatcher has not heard of a change.
-	dirty      bool
+	queue      queue.Queue
 	reportedAt time.Time
+	// leader is the live member that leads the pool, or "".
+	leader string
 	// dispatcher is the member that the last report went to.
 	dispatcher string
 	// acknowledged is the number of the last grant of that dispatcher.
@@ -176,31 +190,35 @@
 // New returns the state of an entry before its first event.
 func New(set Settings) State {
 	return State{
-		set:       set,
-		rnd:       *rand.NewPCG(set.Seed, 0),
-		config:    table.Empty(),
-		view:      member.NewView(set.ID),
-		fleet:     vm.NewFleet(),
-		ledger:    permit.NewLedger(set.ID),
-		echoes:    immutable.NewMap[string, int64](nil),
-		spares:    immutable.NewSortedMap[spareKey, int](spareKeyComparer{}),
-		works:     immutable.NewMap[work.ID, work.Work](nil),
-		requests:  immutable.NewMap[uint64, work.ID](nil),
-		requestOf: immutable.NewMap[work.ID, uint64](nil),
-		tasks:     immutable.NewMap[string, work.ID](nil),
-		running:   immutable.NewMap[string, int](nil),
-		held:      immutable.NewSortedMap[slotKey, int](slotKeyComparer{}),
-		expiry:    immutable.NewSortedMap[timer, struct{}](timerComparer{}),
-		recalls:   immutable.NewSortedMap[slotKey, recall](slotKeyComparer{}),
-		delayed:   immutable.NewSortedMap[timer, struct{}](timerComparer{}),
-		pools:     immutable.NewSortedMap[string, poolState](nil),
-		leads:     immutable.NewSortedMap[string, dispatch.Dispatcher](nil),
-		suspects:  immutable.NewSortedMap[string, suspicion](nil),
-		log:       task.NewLog(),
-		asks:      newAskState(),
-		logs:      newLogState(),
-		reserved:  immutable.NewMap[string, reservation](nil),
-		store:     newStoreState(),
+		set:        set,
+		rnd:        *rand.NewPCG(set.Seed, 0),
+		config:     table.Empty(),
+		view:       member.NewView(set.ID),
+		fleet:      vm.NewFleet(),
+		ledger:     permit.NewLedger(set.ID),
+		echoes:     immutable.NewMap[string, int64](nil),
+		toldSpares: immutable.NewSortedMap[string, int](nil),
+		spares:     immutable.NewSortedMap[spareKey, int](spareKeyComparer{}),
+		works:      immutable.NewMap[work.ID, work.Work](nil),
+		requests:   immutable.NewMap[uint64, work.ID](nil),
+		requestOf:  immutable.NewMap[work.ID, uint64](nil),
+		tasks:      immutable.NewMap[string, work.ID](nil),
+		running:    immutable.NewMap[string, int](nil),
+		held:       immutable.NewSortedMap[slotKey, int](slotKeyComparer{}),
+		expiry:     immutable.NewSortedMap[timer, struct{}](timerComparer{}),
+		recalls:    immutable.NewSortedMap[slotKey, recall](slotKeyComparer{}),
+		delayed:    immutable.NewSortedMap[timer, struct{}](timerComparer{}),
+		pools:      immutable.NewSortedMap[string, poolState](nil),
+		dirty:      immutable.NewSortedMap[string, struct{}](nil),
+		busy:       immutable.NewSortedMap[string, struct{}](nil),
+		waiting:    immutable.NewSortedMap[string, int](nil),
+		leads:      immutable.NewSortedMap[string, dispatch.Dispatcher](nil),
+		suspects:   immutable.NewSortedMap[string, suspicion](nil),
+		log:        task.NewLog(),
+		asks:       newAskState(),
+		logs:       newLogState(),
+		reserved:   immutable.NewMap[string, reservation](nil),
+		store:      newStoreState(),
 	}
 }
 
--- a/internal/core/entry/status.go
+++ b/internal/core/entry/status.go
@@ -42,12 +42,8 @@
 
 func (stp *step) poolStatus(name string) effect.PoolStatus {
 	own := stp.pool(name)
-	pst := effect.PoolStatus{Pool: name, Dispatcher: stp.dispatcherOf(name), Waiting: own.queue.Len()}
-	for _, asg := range stp.st.config.VMs {
-		if asg.Pool == name {
-			pst.VMs++
-		}
-	}
+	pst := effect.PoolStatus{Pool: name, Dispatcher: own.leader, Waiting: own.queue.Len()}
+	pst.VMs = len(stp.st.config.VMsOf(name))
 	for _, one := range stp.st.fleet.Usable(stp.st.config, name) {
 		pst.UsableVMs++
 		pst.Slots += one.Slots
--- a/internal/core/entry/waiting.go
+++ b/internal/core/entry/waiting.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/balsamgauge/balsamgauge/internal/core/effect"
+	"github.com/balsamgauge/balsamgauge/internal/core/member"
 	"github.com/balsamgauge/balsamgauge/internal/core/queue"
 	"github.com/balsamgauge/balsamgauge/internal/core/retry"
 	"github.com/balsamgauge/balsamgauge/internal/core/task"
@@ -22,6 +23,7 @@
 	own, ok := stp.st.pools.Get(name)
 	if !ok {
 		own = poolState{queue: queue.New(), budget: retry.NewBudget()}
+		own.leader = member.Leader(stp.st.live, poolSubject(name))
 	}
 	return own
 }
@@ -31,10 +33,23 @@
 }
 
 func (stp *step) markDirty(pool string) {
-	own := stp.pool(pool)
-	if !own.dirty {
-		own.dirty = true
-		stp.putPool(pool, own)
+	if _, dirty := stp.st.dirty.Get(pool); !dirty {
+		stp.st.dirty = stp.st.dirty.Set(pool, struct{}{})
+	}
+}
+
+// countWaiting keeps the counts of waiting work by pool and team.
+func (stp *step) countWaiting(wrk work.Work, delta int, left int) {
+	count, _ := stp.st.waiting.Get(wrk.Team)
+	if count+delta == 0 {
+		stp.st.waiting = stp.st.waiting.Delete(wrk.Team)
+	} else {
+		stp.st.waiting = stp.st.waiting.Set(wrk.Team, count+delta)
+	}
+	if left == 0 {
+		stp.st.busy = stp.st.busy.Delete(wrk.Pool)
+	} else {
+		stp.st.busy = stp.st.busy.Set(wrk.Pool, struct{}{})
 	}
 }
 
@@ -48,17 +63,22 @@
 	stp.putWork(wrk)
 	own := stp.pool(wrk.Pool)
 	own.queue = own.queue.With(wrk)
-	own.dirty = true
 	stp.putPool(wrk.Pool, own)
+	stp.markDirty(wrk.Pool)
+	stp.countWaiting(wrk, 1, own.queue.Len())
 	stp.st.expiry = stp.st.expiry.Set(timer{wrk.Deadline, wrk.ID}, struct{}{})
 }
 
 // dequeue takes work out of all that it waits in.
 func (stp *step) dequeue(wrk work.Work) {
 	own := stp.pool(wrk.Pool)
+	before := own.queue.Len()
 	own.queue = own.queue.Without(wrk)
-	own.dirty = true
-	stp.putPool(wrk.Pool, own)
+	if own.queue.Len() < before {
+		stp.putPool(wrk.Pool, own)
+		stp.markDirty(wrk.Pool)
+		stp.countWaiting(wrk, -1, own.queue.Len())
+	}
 	stp.st.expiry = stp.st.expiry.Delete(timer{wrk.Deadline, wrk.ID})
 	stp.st.delayed = stp.st.delayed.Delete(timer{wrk.NotBefore, wrk.ID})
 }
--- a/internal/core/vm/vm.go
+++ b/internal/core/vm/vm.go
@@ -106,11 +106,8 @@
 // that are not leaving and whose availability zone is in.
 func (fle Fleet) Usable(cfg *table.Config, pool string) []VM {
 	var usable []VM
-	for _, asg := range cfg.VMs {
-		if asg.Pool != pool {
-			continue
-		}
-		one, ok := fle.vms.Get(asg.VM)
+	for _, id := range cfg.VMsOf(pool) {
+		one, ok := fle.vms.Get(id)
 		if ok && !fle.IsLeaving(one.ID) && !cfg.IsOut(one.AZ) {
 			usable = append(usable, one)
 		}
--- a/pkg/table/config.go
+++ b/pkg/table/config.go
@@ -78,6 +78,7 @@
 	pools      map[string]Pool
 	keys       map[string]Key
 	vms        map[string]string
+	poolVMs    map[string][]string
 	azsOut     map[string]bool
 	voters     map[string]Voter
 	allotments map[teamMember]int
@@ -127,6 +128,7 @@
 		pools:      make(map[string]Pool, len(cfg.Tables.Pools)),
 		keys:       make(map[string]Key, len(cfg.Keys)),
 		vms:        make(map[string]string, len(cfg.VMs)),
+		poolVMs:    make(map[string][]string, len(cfg.Tables.Pools)),
 		azsOut:     make(map[string]bool, len(cfg.Tables.AZsOut)),
 		voters:     make(map[string]Voter, len(cfg.Voters)),
 		allotments: make(map[teamMember]int, len(cfg.Allotments)),
@@ -151,6 +153,7 @@
 	}
 	for _, asg := range cfg.VMs {
 		ind.vms[asg.VM] = asg.Pool
+		ind.poolVMs[asg.Pool] = append(ind.poolVMs[asg.Pool], asg.VM)
 	}
 	for _, az := range cfg.Tables.AZsOut {
 		ind.azsOut[az] = true
@@ -204,6 +207,12 @@
 	return cfg.ind.vms[vm]
 }
 
+// VMsOf returns the VMs of a pool, sorted. The caller must not change the
+// slice.
+func (cfg *Config) VMsOf(pool string) []string {
+	return cfg.ind.poolVMs[pool]
+}
+
 // IsOut reports whether operators took an availability zone out.
 func (cfg *Config) IsOut(az string) bool {
 	return cfg.ind.azsOut[az]
