--- a/internal/core/dispatch/decide.go
+++ b/internal/core/dispatch/decide.go
@@ -48,6 +48,7 @@
 		}
 		rep, _ := dsp.reports.Get(dec.Member)
 		rep.seq++
+		rep.grantedAt = now
 		dec.Grant.Seq = rep.seq
 		rep.outstanding = append(slices.Clip(rep.outstanding), dec.Grant)
 		dsp.reports = dsp.reports.Set(dec.Member, rep)
@@ -78,6 +79,9 @@
 	urgency table.Urgency
 	waiting int
 	oldest  time.Time
+	retry   bool
+	// avoid lists the VMs that the work was tried on.
+	avoid []string
 }
 
 type slotState struct {
@@ -161,7 +165,7 @@
 	for _, lan := range rep.lanes {
 		waiting := lan.Waiting
 		for _, grt := range rep.outstanding {
-			if grt.Team == lan.Team && grt.Urgency == lan.Urgency {
+			if grt.Team == lan.Team && grt.Urgency == lan.Urgency && grt.Retry == lan.Retry {
 				waiting--
 			}
 		}
@@ -170,6 +174,7 @@
 		}
 		rnd.lanes = append(rnd.lanes, laneState{
 			member: member, team: lan.Team, urgency: lan.Urgency, waiting: waiting,
+			retry: lan.Retry, avoid: lan.Avoid,
 			oldest: rep.at.Add(-time.Duration(lan.AgeMillis) * time.Millisecond),
 		})
 		rnd.team(cfg, lan.Team).Waiting += waiting
@@ -192,36 +197,58 @@
 	return &rnd.teams[len(rnd.teams)-1]
 }
 
+// grantOne gives one slot away. Work that was tried on every VM with a free slot
+// sits this round out.
 func (rnd *round) grantOne() (dec Decision, ok bool) {
-	slot := rnd.freest()
-	if slot < 0 {
-		return Decision{}, false
-	}
-	at := rnd.pickLane()
-	if at < 0 {
-		return Decision{}, false
+	for {
+		at := rnd.pickLane()
+		if at < 0 {
+			return Decision{}, false
+		}
+		slot := rnd.freest(rnd.lanes[at].avoid)
+		if slot >= 0 {
+			return rnd.give(at, slot), true
+		}
+		if len(rnd.lanes[at].avoid) == 0 {
+			return Decision{}, false
+		}
+		rnd.sitOut(at)
 	}
+}
+
+func (rnd *round) give(at, slot int) Decision {
 	lan := &rnd.lanes[at]
 	lan.waiting--
 	rnd.slots[slot].used++
 	if lan.urgency != table.UrgencyUrgent {
 		rnd.plain++
 	}
+	rnd.take(lan.team, 1, 1)
+	grt := message.Grant{VM: rnd.slots[slot].vm, Team: lan.team, Urgency: lan.urgency, Retry: lan.retry}
+	return Decision{Member: lan.member, Grant: grt}
+}
+
+func (rnd *round) sitOut(at int) {
+	rnd.take(rnd.lanes[at].team, 0, rnd.lanes[at].waiting)
+	rnd.lanes[at].waiting = 0
+}
+
+// take moves work of a team from waiting to running.
+func (rnd *round) take(team string, running, waiting int) {
 	for i := range rnd.teams {
-		if rnd.teams[i].Name == lan.team {
-			rnd.teams[i].Running++
-			rnd.teams[i].Waiting--
+		if rnd.teams[i].Name == team {
+			rnd.teams[i].Running += running
+			rnd.teams[i].Waiting -= waiting
 		}
 	}
-	grt := message.Grant{VM: rnd.slots[slot].vm, Team: lan.team, Urgency: lan.urgency}
-	return Decision{Member: lan.member, Grant: grt}, true
 }
 
-// freest returns the VM with the largest part of its slots free, or -1.
-func (rnd *round) freest() int {
+// freest returns the VM with the largest part of its slots free, other than
+// those to avoid, or -1.
+func (rnd *round) freest(avoid []string) int {
 	best := -1
 	for i, slt := range rnd.slots {
-		if slt.used >= slt.size {
+		if slt.used >= slt.size || slices.Contains(avoid, slt.vm) {
 			continue
 		}
 		if best < 0 || slt.used*rnd.slots[best].size < rnd.slots[best].used*slt.size {
--- a/internal/core/dispatch/dispatcher.go
+++ b/internal/core/dispatch/dispatcher.go
@@ -35,8 +35,14 @@
 	// outstanding holds the grants that the member has not acknowledged, in
 	// the order of their numbers.
 	outstanding []message.Grant
+	// grantedAt is when the last grant was made.
+	grantedAt time.Time
 }
 
+// grantTimeout is how long a grant may stay unacknowledged after the last one.
+// Then it counts as lost.
+const grantTimeout = time.Second
+
 // New returns the dispatcher of an entry that has just come to lead a pool.
 func New(now time.Time) Dispatcher {
 	return Dispatcher{since: now, reports: immutable.NewSortedMap[string, report](nil)}
@@ -54,6 +60,9 @@
 	rep.outstanding = slices.DeleteFunc(slices.Clone(rep.outstanding), func(grt message.Grant) bool {
 		return grt.Seq <= dem.Acknowledged
 	})
+	if now.Sub(rep.grantedAt) > grantTimeout {
+		rep.outstanding = nil
+	}
 	rep.seq = max(rep.seq, dem.Acknowledged)
 	dsp.reports = dsp.reports.Set(from, rep)
 	return dsp
--- a/internal/core/dispatch/recall.go
+++ b/internal/core/dispatch/recall.go
@@ -22,7 +22,7 @@
 // for their weight than others do. Entries use a slot for their next work
 // without asking, so that without a recall it would not come back soon.
 func (dsp Dispatcher) recall(now time.Time, rnd *round) (next Dispatcher, rcs []Recall) {
-	if rnd.freest() >= 0 && rnd.plain < rnd.plainLimit {
+	if rnd.freest(nil) >= 0 && rnd.plain < rnd.plainLimit {
 		return dsp, nil
 	}
 	holds := dsp.recallable(now)
--- a/internal/core/entry/demand.go
+++ b/internal/core/entry/demand.go
@@ -8,7 +8,6 @@
 	"github.com/balsamgauge/balsamgauge/internal/core/member"
 	"github.com/balsamgauge/balsamgauge/internal/core/message"
 	"github.com/balsamgauge/balsamgauge/internal/core/work"
-	"github.com/balsamgauge/balsamgauge/pkg/table"
 	"github.com/benbjohnson/immutable"
 )
 
@@ -103,6 +102,10 @@
 			continue
 		}
 		left[team] -= startable
+		if cnt.Lane.Retry {
+			lanes = append(lanes, stp.retryDemands(own, cnt.Lane, startable)...)
+			continue
+		}
 		lanes = append(lanes, message.LaneDemand{
 			Team: team, Urgency: cnt.Lane.Urgency, Waiting: startable,
 			AgeMillis: stp.now.Sub(cnt.Oldest).Milliseconds(),
@@ -111,6 +114,23 @@
 	return lanes
 }
 
+// maxRetryDemands bounds the retries that are reported of one lane at a time.
+const maxRetryDemands = 16
+
+// retryDemands lists the retries of a lane one by one, each with the VMs that
+// it must not be given again.
+func (stp *step) retryDemands(own poolState, lan work.Lane, limit int) []message.LaneDemand {
+	var demands []message.LaneDemand
+	for _, id := range own.queue.Oldest(lan, min(limit, maxRetryDemands)) {
+		wrk, _ := stp.st.works.Get(id)
+		demands = append(demands, message.LaneDemand{
+			Team: lan.Team, Urgency: lan.Urgency, Waiting: 1, Retry: true, Avoid: wrk.Tried,
+			AgeMillis: stp.now.Sub(wrk.Arrived).Milliseconds(),
+		})
+	}
+	return demands
+}
+
 func (stp *step) runningOn(pool string) []message.Running {
 	var running []message.Running
 	itr := stp.st.held.Iterator()
@@ -277,5 +297,5 @@
 }
 
 func laneOf(grt message.Grant) work.Lane {
-	return work.Lane{Team: grt.Team, Urgency: table.Urgency(grt.Urgency)}
+	return work.Lane{Team: grt.Team, Urgency: grt.Urgency, Retry: grt.Retry}
 }
--- a/internal/core/entry/fixture_test.go
+++ b/internal/core/entry/fixture_test.go
@@ -23,6 +23,7 @@
 	teams     []table.Team
 	deadline  time.Duration
 	reserve   int
+	workers   int
 }
 
 // small is a deployment for tests of faults.
@@ -68,6 +69,9 @@
 			})
 		}
 	}
+	if shp.workers > 0 {
+		tbs = workerTables(tbs, shp.workers, shp.azs)
+	}
 	return tbs
 }
 
@@ -80,6 +84,9 @@
 			Service: table.ServiceExecutor, Slots: 8,
 		})
 	}
+	if shp.workers > 0 {
+		vms = append(vms, workerVMs(shp.workers, shp.azs)...)
+	}
 	return vms
 }
 
--- a/internal/core/entry/grant.go
+++ b/internal/core/entry/grant.go
@@ -79,15 +79,16 @@
 // nextLane returns the team's most urgent lane with work waiting. A slot of
 // urgent work goes to urgent work only: it may be of the reserve.
 func (stp *step) nextLane(left work.Work) work.Lane {
+	plain := work.Lane{Team: left.Team, Urgency: left.Urgency}
 	if left.Urgency == table.UrgencyUrgent {
-		return left.Lane()
+		return plain
 	}
 	for _, cnt := range stp.pool(left.Pool).queue.Counts() {
-		if cnt.Lane.Team == left.Team {
+		if cnt.Lane.Team == left.Team && !cnt.Lane.Retry {
 			return cnt.Lane
 		}
 	}
-	return left.Lane()
+	return plain
 }
 
 // useSlot starts the oldest work of a lane that may run on a VM.
--- a/internal/core/entry/reduce.go
+++ b/internal/core/entry/reduce.go
@@ -169,6 +169,8 @@
 		stp.reserveHeard(from, msg)
 	case message.Reserved:
 		stp.reservedHeard(from, msg)
+	case message.Keep:
+		stp.keepHeard(msg)
 	case message.Release:
 		stp.releaseHeard(from, msg)
 	}
--- a/internal/core/entry/reservation.go
+++ b/internal/core/entry/reservation.go
@@ -34,9 +34,12 @@
 
 // reservationAsk is a request that waits for its key to be remembered.
 type reservationAsk struct {
-	work   work.ID
-	hash   string
-	fresh  int
+	work work.ID
+	hash string
+	// fresh lists the homes that take the key for new.
+	fresh []string
+	// homes lists all that were asked; needed of them must agree.
+	homes  []string
 	needed int
 	since  time.Time
 }
@@ -55,7 +58,7 @@
 	stp.putWork(wrk.WithPhase(work.PhaseRecording))
 	stp.st.asks.next++
 	id := stp.st.asks.next
-	ask := reservationAsk{work: wrk.ID, hash: hash, needed: len(homes)/2 + 1, since: stp.now}
+	ask := reservationAsk{work: wrk.ID, hash: hash, homes: homes, needed: len(homes)/2 + 1, since: stp.now}
 	stp.st.asks.reservations = stp.st.asks.reservations.Set(id, ask)
 	stp.st.asks.reservationOf = stp.st.asks.reservationOf.Set(stp.requestOf(wrk.ID), hash)
 	for _, home := range homes {
@@ -66,7 +69,10 @@
 // reservationHomes returns the voters that remember a key: those that come
 // first in the rendezvous order of its hash.
 func (stp *step) reservationHomes(hash string) []string {
-	ids := stp.st.config.VoterIDs()
+	return homesAmong(stp.st.config.VoterIDs(), hash)
+}
+
+func homesAmong(ids []string, hash string) []string {
 	slices.SortFunc(ids, func(a, b string) int {
 		return cmp.Compare(member.Score(b, hash), member.Score(a, hash))
 	})
@@ -97,7 +103,7 @@
 	}
 }
 
-func (stp *step) reservedHeard(_ string, msg message.Reserved) {
+func (stp *step) reservedHeard(from string, msg message.Reserved) {
 	ask, ok := stp.st.asks.reservations.Get(msg.AskID)
 	if !ok || ask.hash != msg.Hash {
 		return
@@ -106,17 +112,75 @@
 		stp.refuseDuplicate(msg.AskID, ask)
 		return
 	}
-	ask.fresh++
-	if ask.fresh < ask.needed {
-		stp.st.asks.reservations = stp.st.asks.reservations.Set(msg.AskID, ask)
-		return
+	if !slices.Contains(ask.fresh, from) {
+		ask.fresh = append(slices.Clip(ask.fresh), from)
+	}
+	stp.st.asks.reservations = stp.st.asks.reservations.Set(msg.AskID, ask)
+	if len(ask.fresh) >= ask.needed && !stp.awaitsHome(ask) {
+		stp.reservationDone(msg.AskID, ask)
+	}
+}
+
+// awaitsHome reports whether a home that is live has yet to answer. Its memory
+// may be the only one left: the others may have come to be homes since.
+func (stp *step) awaitsHome(ask reservationAsk) bool {
+	for _, home := range ask.homes {
+		if !slices.Contains(ask.fresh, home) && slices.Contains(stp.st.live, home) {
+			return true
+		}
 	}
-	stp.st.asks.reservations = stp.st.asks.reservations.Delete(msg.AskID)
+	return false
+}
+
+func (stp *step) reservationDone(id uint64, ask reservationAsk) {
+	stp.st.asks.reservations = stp.st.asks.reservations.Delete(id)
 	if wrk, ok := stp.st.works.Get(ask.work); ok && wrk.Phase == work.PhaseRecording {
 		stp.enqueue(wrk)
 	}
 }
 
+// keepsPerMessage bounds the keys that one message hands on.
+const keepsPerMessage = 1000
+
+// handOnReservations gives the keys that the entry remembers to the members that
+// came to be their homes by a change of the voters.
+func (stp *step) handOnReservations(old []string) {
+	next := stp.st.config.VoterIDs()
+	if slices.Equal(old, next) {
+		return
+	}
+	keeps := map[string][]message.Kept{}
+	itr := stp.st.reserved.Iterator()
+	for !itr.Done() {
+		hash, res, _ := itr.Next()
+		if stp.now.Sub(res.at) > KeepReservations {
+			continue
+		}
+		was := homesAmong(slices.Clone(old), hash)
+		for _, home := range homesAmong(slices.Clone(next), hash) {
+			if home != stp.st.set.ID && !slices.Contains(was, home) {
+				kpt := message.Kept{Hash: hash, Owner: res.owner, AgeMillis: stp.now.Sub(res.at).Milliseconds()}
+				keeps[home] = append(keeps[home], kpt)
+			}
+		}
+	}
+	for _, home := range next {
+		slices.SortFunc(keeps[home], func(a, b message.Kept) int { return cmp.Compare(a.Hash, b.Hash) })
+		for part := range slices.Chunk(keeps[home], keepsPerMessage) {
+			stp.send(home, message.Keep{Keys: part})
+		}
+	}
+}
+
+func (stp *step) keepHeard(msg message.Keep) {
+	for _, kpt := range msg.Keys {
+		if _, seen := stp.st.reserved.Get(kpt.Hash); !seen {
+			at := stp.now.Add(-time.Duration(kpt.AgeMillis) * time.Millisecond)
+			stp.st.reserved = stp.st.reserved.Set(kpt.Hash, reservation{owner: kpt.Owner, at: at})
+		}
+	}
+}
+
 // refuseDuplicate answers a request whose key was seen before. This call is not
 // run, but what the caller wants may have been, so the outcome is unknown.
 func (stp *step) refuseDuplicate(id uint64, ask reservationAsk) {
@@ -158,6 +222,10 @@
 		if stp.now.Sub(ask.since) < askTimeout {
 			continue
 		}
+		if len(ask.fresh) >= ask.needed {
+			stp.reservationDone(id, ask)
+			continue
+		}
 		stp.st.asks.reservations = stp.st.asks.reservations.Delete(id)
 		if wrk, ok := stp.st.works.Get(ask.work); ok {
 			stp.refuseNotRun(stp.requestOf(wrk.ID), outcome.CodeNoFreshConfig, "Too few members could remember the idempotency key.")
--- a/internal/core/entry/tasks.go
+++ b/internal/core/entry/tasks.go
@@ -20,12 +20,20 @@
 const (
 	// TaskLease is how long a worker runs a task without a renewal.
 	TaskLease = 5 * time.Second
-	// pollEvery is the time between two polls of a worker.
-	pollEvery = time.Second
+	// pollEvery is the time between two polls of a worker, and pollYoungEvery
+	// of one with a task that is younger than youngFor: many tasks are short,
+	// and a slot and a permit stay taken until their end is seen.
+	pollEvery      = time.Second
+	pollYoungEvery = 200 * time.Millisecond
+	youngFor       = 2 * time.Second
 	// maxTaskTries is how many VMs a task may fail on before it is parked.
 	maxTaskTries = 3
 	// rewriteEvery is the wait before a write without an answer is repeated.
 	rewriteEvery = 200 * time.Millisecond
+	// logPercent is the part of the budget of writes that the logs may spend.
+	// The rest is for leases, fences and edits.
+	logPercent = 90
+	percent    = 100
 	// acceptWithin bounds how long a submitter waits for the store.
 	acceptWithin = 3 * time.Second
 )
@@ -52,6 +60,8 @@
 	// submitters maps a task to the request that waits for its acceptance.
 	submitters *immutable.SortedMap[string, submitter]
 	polledAt   time.Time
+	// polls counts the rounds of polls.
+	polls int
 	// reachedAt maps a VM to when it last answered a poll.
 	reachedAt *immutable.SortedMap[string, time.Time]
 }
@@ -144,8 +154,9 @@
 // flushEvery is the time between two writes of the log: the budget of writes
 // is divided between the voters.
 func (stp *step) flushEvery() time.Duration {
-	voters := max(1, len(stp.st.config.Voters))
-	return time.Second * time.Duration(voters) / time.Duration(max(1, stp.st.set.StoreWritesPerSecond))
+	voters := time.Duration(max(1, len(stp.st.config.Voters)))
+	writes := time.Duration(max(1, stp.st.set.StoreWritesPerSecond))
+	return time.Second * voters * percent / (writes * logPercent)
 }
 
 // flushLog writes the pending records if it is time, or repeats a write whose
--- a/internal/core/entry/workers.go
+++ b/internal/core/entry/workers.go
@@ -17,20 +17,25 @@
 // pollWorkers asks every worker that runs a task of this entry for news, which
 // renews the tasks' leases, and gives up the tasks of workers that are lost.
 func (stp *step) pollWorkers() {
-	if stp.now.Sub(stp.st.logs.polledAt) < pollEvery {
+	if stp.now.Sub(stp.st.logs.polledAt) < pollYoungEvery || stp.st.tasks.Len() == 0 {
 		return
 	}
 	stp.st.logs.polledAt = stp.now
-	for _, vmID := range stp.busyWorkers() {
+	stp.st.logs.polls++
+	all := stp.st.logs.polls%int(pollEvery/pollYoungEvery) == 0
+	for _, vmID := range stp.busyWorkers(all) {
 		stp.pollWorker(vmID)
 	}
 }
 
-// busyWorkers returns the VMs that run tasks of this entry, sorted.
-func (stp *step) busyWorkers() []string {
+// busyWorkers returns the VMs that run tasks of this entry, sorted: all of
+// them, or those with a young task.
+func (stp *step) busyWorkers(all bool) []string {
 	var vms []string
 	for _, wrk := range stp.runningTasks() {
-		vms = append(vms, wrk.VM)
+		if all || stp.now.Sub(wrk.GrantedAt) < youngFor {
+			vms = append(vms, wrk.VM)
+		}
 	}
 	slices.Sort(vms)
 	return slices.Compact(vms)
--- a/internal/core/queue/queue.go
+++ b/internal/core/queue/queue.go
@@ -29,7 +29,16 @@
 type laneComparer struct{}
 
 func (laneComparer) Compare(a, b work.Lane) int {
-	return cmp.Or(cmp.Compare(a.Urgency.Rank(), b.Urgency.Rank()), cmp.Compare(a.Team, b.Team))
+	return cmp.Or(cmp.Compare(a.Urgency.Rank(), b.Urgency.Rank()), cmp.Compare(a.Team, b.Team),
+		cmp.Compare(retryRank(a), retryRank(b)))
+}
+
+// retryRank lets work that was tried before go first.
+func retryRank(lan work.Lane) int {
+	if lan.Retry {
+		return 0
+	}
+	return 1
 }
 
 type placeComparer struct{}
--- a/internal/core/work/work.go
+++ b/internal/core/work/work.go
@@ -65,13 +65,16 @@
 
 // Lane is work that one team has waiting at one urgency.
 type Lane struct {
-	Team    string        `json:"team"`
-	Urgency table.Urgency `json:"urgency"`
+	Team    string
+	Urgency table.Urgency
+	// Retry says that the work was tried before, so that some VMs are out of
+	// the question.
+	Retry bool
 }
 
 // Lane returns the lane that the work waits in.
 func (wrk Work) Lane() Lane {
-	return Lane{Team: wrk.Team, Urgency: wrk.Urgency}
+	return Lane{Team: wrk.Team, Urgency: wrk.Urgency, Retry: len(wrk.Tried) > 0}
 }
 
 // WithPhase returns the work in another phase.
