--- a/internal/adminclient/client.go
+++ b/internal/adminclient/client.go
@@ -67,6 +67,11 @@
 	return rsp, cli.call(ctx, http.MethodPost, "/v1/azs/"+url.PathEscape(az)+"/"+direction, nil, &rsp)
 }
 
+// Forget vouches that a member runs no more.
+func (cli *Client) Forget(ctx context.Context, member string) (rsp runner.ChangeResponse, err error) {
+	return rsp, cli.call(ctx, http.MethodPost, "/v1/members/"+url.PathEscape(member)+"/gone", nil, &rsp)
+}
+
 // Timeline returns the entry's latest events.
 func (cli *Client) Timeline(ctx context.Context) (evts []timeline.Event, err error) {
 	return evts, cli.call(ctx, http.MethodGet, "/v1/timeline", nil, &evts)
--- a/internal/cli/remote.go
+++ b/internal/cli/remote.go
@@ -54,6 +54,16 @@
 	cmd.addZone(add, zone, "out", "Take an availability zone out.", true)
 	cmd.addZone(add, zone, "in", "Let an availability zone back in.", false)
 
+	forget := app.Command("forget", "Vouch that a voting member certainly runs no more, so that the others can go on without its vote.")
+	member := forget.Arg("member", "ID of the member, as status shows it.").Required().String()
+	add(forget, func(ctx context.Context) error {
+		if _, err := cmd.entry().Forget(ctx, *member); err != nil {
+			return err
+		}
+		_, err := fmt.Fprintf(cmd.out, "%s counts for no majority any more and will be removed.\n", *member)
+		return err
+	})
+
 	add(app.Command("status", "Show how each entry asked sees the fleet."), cmd.status)
 
 	timelineClause := app.Command("timeline", "Merge the latest events of all entries asked.")
--- a/internal/core/entry/capacity_test.go
+++ b/internal/core/entry/capacity_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/balsamgauge/balsamgauge/internal/core/message"
+	"github.com/balsamgauge/balsamgauge/internal/core/plan"
 	"github.com/balsamgauge/balsamgauge/pkg/table"
 	"gotest.tools/v3/assert"
 )
@@ -82,6 +83,26 @@
 	}
 	t.Log(underLoad(t))
 	t.Log(editCost(t))
+	t.Log(targetCosts(t))
+}
+
+// targetCosts measures what is done once for an edit or a new list of VMs, at
+// the target size.
+func targetCosts(t *testing.T) string {
+	drv := deploy(t, 1, sized(1, 269, 108, 320))
+	cfg := drv.nodes[0].state.config
+	began := time.Now()
+	_, err := cfg.Apply(table.KeyGranted{Key: table.Key{Hash: "h", Name: "n", Team: "team000"}}, "nonce")
+	assert.NilError(t, err)
+	applied := time.Since(began)
+	began = time.Now()
+	fle := drv.nodes[0].state.fleet.WithList(drv.fleet, drv.now)
+	listed := time.Since(began)
+	began = time.Now()
+	moves := plan.Assign(table.Empty(), fle)
+	moves = append(moves, plan.Assign(cfg, fle)...)
+	planned := time.Since(began)
+	return fmt.Sprintf("at the target size: an edit %s, a list of VMs %s, a plan %s (%d moves)", applied, listed, planned, len(moves))
 }
 
 // underLoad measures a request at nine entries.
--- a/internal/core/entry/doc.go
+++ b/internal/core/entry/doc.go
@@ -6,7 +6,8 @@
 // must keep to these rules:
 //
 //   - Events come one at a time, with a time that never goes back. The first
-//     is event.Started, and event.Tick follows at least every event.TickEvery.
+//     is event.Started, and event.Tick follows as soon as State.TickWithin says
+//     after the last one. More ticks do no harm.
 //   - Effects are carried out in their order. Each says in its comment which
 //     event must follow.
 //   - Messages of one link arrive in their order or not at all. When one is
--- a/internal/core/entry/planner.go
+++ b/internal/core/entry/planner.go
@@ -11,6 +11,13 @@
 // planEvery is the time between two looks at the pools.
 const planEvery = time.Second
 
+// planInput is what a plan was made from. While it stays the same, so does the
+// plan.
+type planInput struct {
+	revision int64
+	listedAt time.Time
+}
+
 // tickPlanner puts VMs into pools, on one of the live members. Each plan is an
 // edit of the configuration, which takes effect only on top of the revision
 // that it was made from, so a planner that was paused does no harm.
@@ -19,6 +26,9 @@
 		return
 	}
 	stp.st.plannedAt = stp.now
+	if stp.st.plannedFor == (planInput{stp.st.config.Revision, stp.st.fleet.ListedAt}) {
+		return
+	}
 	busy := len(stp.st.edits.pending) > 0 || stp.st.fleet.ListedAt.IsZero() || stp.st.view.Leaving()
 	if busy || len(stp.st.config.Tables.Pools) == 0 {
 		return
@@ -26,7 +36,10 @@
 	if member.Leader(stp.st.view.Live(stp.now), "planner") != stp.st.set.ID {
 		return
 	}
-	if moves := plan.Assign(stp.st.config, stp.st.fleet); len(moves) > 0 {
+	moves := plan.Assign(stp.st.config, stp.st.fleet)
+	if len(moves) > 0 {
 		stp.submitEdit(pendingEdit{change: table.VMsAssigned{VMs: moves}})
+		return
 	}
+	stp.st.plannedFor = planInput{stp.st.config.Revision, stp.st.fleet.ListedAt}
 }
--- a/internal/core/entry/reduce.go
+++ b/internal/core/entry/reduce.go
@@ -18,6 +18,15 @@
 	return stp.st, stp.effects
 }
 
+// TickWithin returns how soon the next event.Tick must come after the last one.
+// While work waits or an edit is under way it is event.TickEvery.
+func (sta State) TickWithin() time.Duration {
+	if sta.busy.Len() > 0 || sta.dirty.Len() > 0 || sta.delayed.Len() > 0 || len(sta.edits.pending) > 0 || sta.log.PendingCount() > 0 {
+		return event.TickEvery
+	}
+	return event.IdleTickEvery
+}
+
 // step is one run of the reducer: the state being built and the effects so
 // far. It lives no longer than Reduce.
 type step struct {
--- a/internal/core/entry/state.go
+++ b/internal/core/entry/state.go
@@ -111,7 +111,9 @@
 	reserved  *immutable.Map[string, reservation]
 	draining  drainState
 	plannedAt time.Time
-	ready     bool
+	// plannedFor is what the last plan without moves was made from.
+	plannedFor planInput
+	ready      bool
 }
 
 // poolState is the entry's own part in a pool.
--- a/internal/core/event/event.go
+++ b/internal/core/event/event.go
@@ -15,8 +15,14 @@
 // An Event is one thing that happened.
 type Event interface{ isEvent() }
 
-// TickEvery is how often a driver must feed Tick.
-const TickEvery = 5 * time.Millisecond
+// How often a driver must feed Tick; State.TickWithin tells which of the two
+// holds.
+const (
+	// TickEvery is while something waits.
+	TickEvery = 5 * time.Millisecond
+	// IdleTickEvery is while nothing does.
+	IdleTickEvery = 50 * time.Millisecond
+)
 
 // Started is the first event of an entry.
 type Started struct{}
@@ -158,7 +164,8 @@
 // StoreChanged is a watch's notice that the configuration's head changed.
 type StoreChanged struct{}
 
-// FleetListed is the platform's list of VMs, which lags.
+// FleetListed is the platform's list of VMs, which lags. A driver feeds it when
+// the list has changed.
 type FleetListed struct{ VMs []vm.VM }
 
 // OperatorAsked is an operator's wish to change the configuration.
--- a/internal/peerlink/links.go
+++ b/internal/peerlink/links.go
@@ -18,9 +18,9 @@
 const (
 	dialTimeout = time.Second
 	redialEvery = 200 * time.Millisecond
-	pingEvery   = 250 * time.Millisecond
+	pingEvery   = 500 * time.Millisecond
 	// silentAfter is how long a connection may leave a ping unanswered.
-	silentAfter = time.Second
+	silentAfter = 1500 * time.Millisecond
 	// queueLength bounds the messages that wait for a connection.
 	queueLength = 4096
 	// idleTimeout ends an accepted connection on which nothing comes.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
@@ -51,7 +52,13 @@
 		return nil, fmt.Errorf("status %d", hrs.StatusCode)
 	}
 	var lst List
-	if err := json.NewDecoder(hrs.Body).Decode(&lst); err != nil {
+	// Only a body that was read to its end leaves the connection for the next
+	// call.
+	data, err := io.ReadAll(hrs.Body)
+	if err != nil {
+		return nil, err
+	}
+	if err := json.Unmarshal(data, &lst); err != nil {
 		return nil, err
 	}
 	return lst.VMs, nil
--- a/internal/runner/effects.go
+++ b/internal/runner/effects.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"strings"
 	"time"
 
@@ -160,9 +159,3 @@
 	rnr.part(eff.Part).WithFields(map[string]any{"subject": eff.Subject, "detail": eff.Detail}).
 		Debug(strings.ReplaceAll(eff.Name, "_", " "))
 }
-
-// eventName returns an event's type in lower case, for metrics.
-func eventName(evt event.Event) string {
-	name := fmt.Sprintf("%T", evt)
-	return strings.ToLower(strings.TrimPrefix(name, "event."))
-}
--- a/internal/runner/operators.go
+++ b/internal/runner/operators.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"net/http"
+	"net/http/pprof"
 	"strings"
 
 	"github.com/balsamgauge/balsamgauge/internal/core/event"
@@ -66,8 +67,11 @@
 	mux.HandleFunc("POST /v1/keys", rnr.serveGrant)
 	mux.HandleFunc("DELETE /v1/keys/{name}", rnr.serveWithdraw)
 	mux.HandleFunc("POST /v1/azs/{az}/{direction}", rnr.serveAZ)
+	mux.HandleFunc("POST /v1/members/{member}/gone", rnr.serveGone)
 	mux.HandleFunc("GET /v1/timeline", rnr.serveTimeline)
 	mux.HandleFunc("GET /v1/metrics", rnr.serveMetrics)
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	return rnr.authenticate(mux)
 }
 
@@ -177,6 +181,17 @@
 	writeJSON(wrt, status, rsp)
 }
 
+// serveGone takes an operator's word that a member runs no more.
+func (rnr *Runner) serveGone(wrt http.ResponseWriter, req *http.Request) {
+	id := req.PathValue("member")
+	if _, votes := rnr.config.Load().Voter(id); !votes || id == rnr.id {
+		writeInvalid(wrt, "No other member that votes has the ID "+id+".")
+		return
+	}
+	rnr.Post(event.MembersGone{IDs: []string{id}})
+	writeJSON(wrt, http.StatusOK, ChangeResponse{Accepted: true, Revision: rnr.config.Load().Revision})
+}
+
 func (rnr *Runner) serveTimeline(wrt http.ResponseWriter, _ *http.Request) {
 	writeJSON(wrt, http.StatusOK, rnr.ring.Events())
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -8,6 +8,9 @@
 	"fmt"
 	"net"
 	"net/http"
+	"reflect"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +18,7 @@
 	"github.com/balsamgauge/balsamgauge/internal/core/entry"
 	"github.com/balsamgauge/balsamgauge/internal/core/event"
 	"github.com/balsamgauge/balsamgauge/internal/core/store"
+	"github.com/balsamgauge/balsamgauge/internal/core/vm"
 	"github.com/balsamgauge/balsamgauge/internal/core/work"
 	"github.com/balsamgauge/balsamgauge/internal/etcd"
 	"github.com/balsamgauge/balsamgauge/internal/exchange"
@@ -52,6 +56,7 @@
 	clock     *timeline.Clock
 	ring      *timeline.Ring
 	registry  metrics.Registry
+	timers    map[reflect.Type]metrics.Timer
 	links     *peerlink.Links
 	store     *etcd.Client
 	upstream  *upstream.Client
@@ -100,6 +105,7 @@
 		clock:     &timeline.Clock{},
 		ring:      timeline.NewRing(set.TimelineEvents),
 		registry:  metrics.NewRegistry(),
+		timers:    map[reflect.Type]metrics.Timer{},
 		upstream:  upstream.New(set.ConnectionsPerVM()),
 		workers:   worker.New(),
 		platform:  platform.New(set.VMList),
@@ -210,12 +216,14 @@
 		ID:                   rnr.id,
 		Address:              rnr.PeerListener.Addr().String(),
 		AZ:                   rnr.set.AZ,
+		VM:                   rnr.set.VM,
 		Seed:                 binary.LittleEndian.Uint64(seed),
 		StoreWritesPerSecond: rnr.set.StoreWritesPerSecond,
 	})
 	sta = rnr.step(sta, event.Started{})
-	ticker := time.NewTicker(event.TickEvery)
-	defer ticker.Stop()
+	tick := time.NewTimer(sta.TickWithin())
+	defer tick.Stop()
+	tickedAt := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -224,9 +232,11 @@
 			return nil
 		case evt := <-rnr.events:
 			sta = rnr.step(sta, evt)
-		case <-ticker.C:
+		case <-tick.C:
 			sta = rnr.step(sta, event.Tick{})
+			tickedAt = time.Now()
 		}
+		tick.Reset(time.Until(tickedAt.Add(sta.TickWithin())))
 	}
 }
 
@@ -234,13 +244,24 @@
 func (rnr *Runner) step(sta entry.State, evt event.Event) entry.State {
 	began := time.Now()
 	next, effs := entry.Reduce(began, sta, evt)
-	metrics.GetOrRegisterTimer("reducer."+eventName(evt), rnr.registry).UpdateSince(began)
+	rnr.timerOf(evt).UpdateSince(began)
 	for _, eff := range effs {
 		rnr.carryOut(eff)
 	}
 	return next
 }
 
+// timerOf returns the metric of an event's type. Only the loop calls it.
+func (rnr *Runner) timerOf(evt event.Event) metrics.Timer {
+	kind := reflect.TypeOf(evt)
+	timer, ok := rnr.timers[kind]
+	if !ok {
+		timer = metrics.GetOrRegisterTimer("reducer."+strings.ToLower(kind.Name()), rnr.registry)
+		rnr.timers[kind] = timer
+	}
+	return timer
+}
+
 func (rnr *Runner) exit() {
 	rnr.exitOnce.Do(func() {
 		rnr.endCalls()
@@ -251,16 +272,19 @@
 func (rnr *Runner) listVMs(ctx context.Context) error {
 	ticker := time.NewTicker(listEvery)
 	defer ticker.Stop()
+	var told []vm.VM
 	for {
 		vms, err := rnr.platform.List(ctx)
-		if err == nil {
+		switch {
+		case err == nil && (told == nil || !slices.Equal(told, vms)):
+			told = vms
 			rnr.Post(event.FleetListed{VMs: vms})
 			kept := make(map[string]bool, len(vms))
 			for _, one := range vms {
 				kept[one.ID] = true
 			}
 			rnr.upstream.Keep(kept)
-		} else if ctx.Err() == nil {
+		case err != nil && ctx.Err() == nil:
 			rnr.part("platform").WithError(err).Debug("The list of VMs could not be read.")
 		}
 		select {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -28,6 +28,9 @@
 	Name   string `toml:"name"`
 	Region string `toml:"region"`
 	AZ     string `toml:"az"`
+	// VM is the platform's name of the VM that the entry runs on. With it, the
+	// others notice that the platform took the VM away. It may be empty.
+	VM string `toml:"vm"`
 	// Callers, PeerListener and Admin are the addresses to listen on.
 	Callers      string `toml:"callers"`
 	PeerListener string `toml:"peer_listener"`
--- a/internal/worker/client.go
+++ b/internal/worker/client.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
@@ -114,8 +115,9 @@
 		return 0, err
 	}
 	defer func() { _ = hrs.Body.Close() }()
-	if rsp != nil && hrs.StatusCode == http.StatusOK {
-		err = json.NewDecoder(hrs.Body).Decode(rsp)
+	data, err := io.ReadAll(hrs.Body)
+	if err == nil && rsp != nil && hrs.StatusCode == http.StatusOK {
+		err = json.Unmarshal(data, rsp)
 	}
 	return hrs.StatusCode, err
 }
--- a/pkg/table/diff.go
+++ b/pkg/table/diff.go
@@ -1,6 +1,7 @@
 package table
 
 import (
+	"encoding/json"
 	"fmt"
 	"reflect"
 	"slices"
@@ -57,11 +58,11 @@
 		dif := Difference{Part: noun + " " + key}
 		switch {
 		case !was:
-			dif.Action, dif.New = ActionAdd, fmt.Sprintf("%+v", after)
+			dif.Action, dif.New = ActionAdd, text(after)
 		case !is:
-			dif.Action, dif.Old = ActionRemove, fmt.Sprintf("%+v", before)
+			dif.Action, dif.Old = ActionRemove, text(before)
 		case !reflect.DeepEqual(before, after):
-			dif.Action, dif.Old, dif.New = ActionChange, fmt.Sprintf("%+v", before), fmt.Sprintf("%+v", after)
+			dif.Action, dif.Old, dif.New = ActionChange, text(before), text(after)
 		default:
 			continue
 		}
@@ -70,6 +71,15 @@
 	return dfs
 }
 
+// text writes a part as JSON, in which spans read as in the tables.
+func text(part any) string {
+	data, err := json.Marshal(part)
+	if err != nil {
+		return fmt.Sprint(part)
+	}
+	return string(data)
+}
+
 func byName[T any](parts []T, name func(T) string) map[string]T {
 	named := make(map[string]T, len(parts))
 	for _, part := range parts {
