dispatch: the reserve is marked by the grant

Cause: every slot of urgent work counted as one of the reserve, so it went back to the dispatcher when no urgent work of its team was left at the entry.

Change: a grant says whether its slot is of the reserve; only those are kept for urgent work next.

--- a/internal/core/dispatch/decide.go
+++ b/internal/core/dispatch/decide.go
@@ -66,8 +66,8 @@
 	slots []slotState
 	// total is the number of slots of the usable VMs.
 	total int
-	// plain counts the slots held by work that is not urgent; plainLimit
-	// bounds it.
+	// plain counts the slots in use that are not of the reserve for urgent
+	// work; plainLimit is how many there are.
 	plain      int
 	plainLimit int
 	weights    int
@@ -142,16 +142,16 @@
 
 func (rnd *round) addRunning(cfg *table.Config, rep report) {
 	for _, run := range rep.running {
-		rnd.occupy(cfg, run.VM, run.Team, run.Urgent, run.Count)
+		rnd.occupy(cfg, run.VM, run.Team, run.Reserve, run.Count)
 	}
 	for _, grt := range rep.outstanding {
-		rnd.occupy(cfg, grt.VM, grt.Team, grt.Urgency == table.UrgencyUrgent, 1)
+		rnd.occupy(cfg, grt.VM, grt.Team, grt.Reserve, 1)
 	}
 }
 
-func (rnd *round) occupy(cfg *table.Config, vmID, team string, urgent bool, count int) {
+func (rnd *round) occupy(cfg *table.Config, vmID, team string, reserve bool, count int) {
 	rnd.team(cfg, team).Running += count
-	if !urgent {
+	if !reserve {
 		rnd.plain += count
 	}
 	for i := range rnd.slots {
@@ -220,11 +220,12 @@
 	lan := &rnd.lanes[at]
 	lan.waiting--
 	rnd.slots[slot].used++
-	if lan.urgency != table.UrgencyUrgent {
+	reserve := rnd.plain >= rnd.plainLimit
+	if !reserve {
 		rnd.plain++
 	}
 	rnd.take(lan.team, 1, 1)
-	grt := message.Grant{VM: rnd.slots[slot].vm, Team: lan.team, Urgency: lan.urgency, Retry: lan.retry}
+	grt := message.Grant{VM: rnd.slots[slot].vm, Team: lan.team, Urgency: lan.urgency, Retry: lan.retry, Reserve: reserve}
 	return Decision{Member: lan.member, Grant: grt}
 }
 
--- a/internal/core/dispatch/recall.go
+++ b/internal/core/dispatch/recall.go
@@ -61,7 +61,7 @@
 		}
 		for i := range holds {
 			taken := min(lan.waiting, holds[i].count)
-			if holds[i].team != lan.team || holds[i].urgent || taken <= 0 {
+			if holds[i].team != lan.team || holds[i].reserve || taken <= 0 {
 				continue
 			}
 			holds[i].count -= taken
@@ -88,7 +88,7 @@
 type hold struct {
 	member   string
 	team     string
-	urgent   bool
+	reserve  bool
 	count    int
 	recalled int
 }
@@ -102,10 +102,10 @@
 		id, rep, _ := itr.Next()
 		for _, run := range rep.running {
 			at := slices.IndexFunc(holds, func(hld hold) bool {
-				return hld.member == id && hld.team == run.Team && hld.urgent == run.Urgent
+				return hld.member == id && hld.team == run.Team && hld.reserve == run.Reserve
 			})
 			if at < 0 {
-				holds = append(holds, hold{member: id, team: run.Team, urgent: run.Urgent})
+				holds = append(holds, hold{member: id, team: run.Team, reserve: run.Reserve})
 				at = len(holds) - 1
 			}
 			holds[at].count += run.Count
@@ -136,7 +136,7 @@
 func heldFor(running []message.Running, slt message.RecallSlot) int {
 	held := 0
 	for _, run := range running {
-		if run.Team == slt.Team && run.Urgent == slt.Urgent {
+		if run.Team == slt.Team && run.Reserve == slt.Reserve {
 			held += run.Count
 		}
 	}
@@ -148,7 +148,7 @@
 func merge(old, next []message.RecallSlot) []message.RecallSlot {
 	merged := slices.Clone(next)
 	for _, slt := range old {
-		same := func(other message.RecallSlot) bool { return other.Team == slt.Team && other.Urgent == slt.Urgent }
+		same := func(other message.RecallSlot) bool { return other.Team == slt.Team && other.Reserve == slt.Reserve }
 		if !slices.ContainsFunc(next, same) {
 			merged = append(merged, slt)
 		}
@@ -158,7 +158,7 @@
 
 func asked(slots []message.RecallSlot, member string, hld hold) int {
 	for _, slt := range slots {
-		if hld.member == member && slt.Team == hld.team && slt.Urgent == hld.urgent {
+		if hld.member == member && slt.Team == hld.team && slt.Reserve == hld.reserve {
 			return slt.Count
 		}
 	}
@@ -202,7 +202,7 @@
 				if now.Before(rep.recalledUntil) {
 					count += asked(rep.recalled, id, hld)
 				}
-				slots = append(slots, message.RecallSlot{Team: hld.team, Urgent: hld.urgent, Count: count})
+				slots = append(slots, message.RecallSlot{Team: hld.team, Reserve: hld.reserve, Count: count})
 			}
 		}
 		if len(slots) == 0 {
--- a/internal/core/entry/demand.go
+++ b/internal/core/entry/demand.go
@@ -134,13 +134,13 @@
 func (stp *step) runningOn(pool string) []message.Running {
 	var running []message.Running
 	itr := stp.st.held.Iterator()
-	itr.Seek(slotKey{pool: pool, urgent: true})
+	itr.Seek(slotKey{pool: pool, reserve: true})
 	for !itr.Done() {
 		slk, count, _ := itr.Next()
 		if slk.pool != pool {
 			break
 		}
-		running = append(running, message.Running{VM: slk.vm, Team: slk.team, Urgent: slk.urgent, Count: count})
+		running = append(running, message.Running{VM: slk.vm, Team: slk.team, Reserve: slk.reserve, Count: count})
 	}
 	return running
 }
--- a/internal/core/entry/grant.go
+++ b/internal/core/entry/grant.go
@@ -25,7 +25,7 @@
 	stp.putPool(grs.Pool, own)
 	stp.markDirty(grs.Pool)
 	for _, grt := range grs.Grants {
-		stp.useSlot(grs.Pool, grt.VM, laneOf(grt), stp.now)
+		stp.useSlot(grs.Pool, work.Slot{VM: grt.VM, GrantedAt: stp.now, Reserve: grt.Reserve}, laneOf(grt))
 	}
 }
 
@@ -46,7 +46,7 @@
 // recallHeard notes the slots that a dispatcher wants back.
 func (stp *step) recallHeard(msg message.Recall) {
 	for _, rcl := range msg.Slots {
-		key := slotKey{pool: msg.Pool, team: rcl.Team, urgent: rcl.Urgent}
+		key := slotKey{pool: msg.Pool, team: rcl.Team, reserve: rcl.Reserve}
 		stp.st.recalls = stp.st.recalls.Set(key, recall{count: rcl.Count, until: stp.now.Add(recallFor)})
 	}
 }
@@ -54,7 +54,7 @@
 // isRecalled reports whether the slot that work has just left is wanted back,
 // and counts it.
 func (stp *step) isRecalled(left work.Work) bool {
-	key := slotKey{pool: left.Pool, team: left.Team, urgent: left.Urgency == table.UrgencyUrgent}
+	key := slotKey{pool: left.Pool, team: left.Team, reserve: left.Reserve}
 	rcl, ok := stp.st.recalls.Get(key)
 	if !ok {
 		return false
@@ -72,39 +72,39 @@
 // left. It saves the time and the messages of a report and a grant.
 func (stp *step) reuseSlot(left work.Work) {
 	if stp.now.Sub(left.GrantedAt) < reuseFor && !stp.isRecalled(left) {
-		stp.useSlot(left.Pool, left.VM, stp.nextLane(left), left.GrantedAt)
+		stp.useSlot(left.Pool, left.Slot(), stp.nextLane(left))
 	}
 }
 
-// nextLane returns the team's most urgent lane with work waiting. A slot of
-// urgent work goes to urgent work only: it may be of the reserve.
+// nextLane returns the team's most urgent lane with work waiting. A slot of the
+// reserve goes to urgent work only.
 func (stp *step) nextLane(left work.Work) work.Lane {
-	plain := work.Lane{Team: left.Team, Urgency: left.Urgency}
-	if left.Urgency == table.UrgencyUrgent {
-		return plain
+	urgent := work.Lane{Team: left.Team, Urgency: table.UrgencyUrgent}
+	if left.Reserve {
+		return urgent
 	}
 	for _, cnt := range stp.pool(left.Pool).queue.Counts() {
 		if cnt.Lane.Team == left.Team && !cnt.Lane.Retry {
 			return cnt.Lane
 		}
 	}
-	return plain
+	return urgent
 }
 
-// useSlot starts the oldest work of a lane that may run on a VM.
-func (stp *step) useSlot(pool, vmID string, lan work.Lane, grantedAt time.Time) {
-	target, ok := stp.mayUse(pool, vmID)
+// useSlot starts the oldest work of a lane that may run on the slot's VM.
+func (stp *step) useSlot(pool string, slt work.Slot, lan work.Lane) {
+	target, ok := stp.mayUse(pool, slt.VM)
 	if !ok {
 		return
 	}
 	own := stp.pool(pool)
 	for _, id := range own.queue.Oldest(lan, candidatesPerGrant) {
 		wrk, ok := stp.st.works.Get(id)
-		if !ok || wrk.HasTried(vmID) || !stp.stillAuthorized(wrk) {
+		if !ok || wrk.HasTried(slt.VM) || !stp.stillAuthorized(wrk) {
 			continue
 		}
 		if stp.st.Running(wrk.Team) < stp.st.Rights(wrk.Team) {
-			stp.startWork(wrk, target, grantedAt)
+			stp.startWork(wrk, target, slt)
 		}
 		return
 	}
@@ -153,7 +153,7 @@
 	stp.refuseWork(wrk, ref)
 }
 
-func (stp *step) startWork(wrk work.Work, target vm.VM, grantedAt time.Time) {
+func (stp *step) startWork(wrk work.Work, target vm.VM, slt work.Slot) {
 	stp.dequeue(wrk)
 	rate, _ := stp.st.rates.Get(rateKey(wrk))
 	stp.st.rates = stp.st.rates.Set(rateKey(wrk), rate.WithStart(stp.now))
@@ -163,10 +163,10 @@
 		stp.putPool(wrk.Pool, own)
 	}
 	if wrk.Kind == table.KindTask {
-		stp.recordTaskStart(wrk, target)
+		stp.recordTaskStart(wrk, slt)
 		return
 	}
-	wrk = wrk.WithStart(target.ID, grantedAt, work.PhaseRunning)
+	wrk = wrk.WithStart(slt, work.PhaseRunning)
 	stp.putWork(wrk)
 	stp.occupy(wrk)
 	stp.emit(effect.StartAttempt{
--- a/internal/core/entry/state.go
+++ b/internal/core/entry/state.go
@@ -135,17 +135,17 @@
 }
 
 type slotKey struct {
-	pool   string
-	vm     string
-	team   string
-	urgent bool
+	pool    string
+	vm      string
+	team    string
+	reserve bool
 }
 
 type slotKeyComparer struct{}
 
 func (slotKeyComparer) Compare(a, b slotKey) int {
 	return cmp.Or(cmp.Compare(a.pool, b.pool), cmp.Compare(a.vm, b.vm),
-		cmp.Compare(a.team, b.team), compareBool(a.urgent, b.urgent))
+		cmp.Compare(a.team, b.team), compareBool(a.reserve, b.reserve))
 }
 
 func compareBool(a, b bool) int {
--- a/internal/core/entry/tasks.go
+++ b/internal/core/entry/tasks.go
@@ -9,7 +9,6 @@
 	"github.com/balsamgauge/balsamgauge/internal/core/event"
 	"github.com/balsamgauge/balsamgauge/internal/core/store"
 	"github.com/balsamgauge/balsamgauge/internal/core/task"
-	"github.com/balsamgauge/balsamgauge/internal/core/vm"
 	"github.com/balsamgauge/balsamgauge/internal/core/work"
 	"github.com/balsamgauge/balsamgauge/pkg/outcome"
 	"github.com/balsamgauge/balsamgauge/pkg/table"
@@ -327,12 +326,12 @@
 
 // recordTaskStart records an attempt before it is made, so that whoever adopts
 // the task knows that it may be running.
-func (stp *step) recordTaskStart(wrk work.Work, target vm.VM) {
+func (stp *step) recordTaskStart(wrk work.Work, slt work.Slot) {
 	rec, ok := stp.st.log.Latest(wrk.TaskID)
 	if !ok {
 		return
 	}
-	wrk = wrk.WithStart(target.ID, stp.now, work.PhaseRecording)
+	wrk = wrk.WithStart(slt, work.PhaseRecording)
 	stp.putWork(wrk)
 	stp.occupy(wrk)
 	rec.State, rec.Attempt, rec.VM, rec.Tried = task.StateRunning, wrk.Attempt, wrk.VM, wrk.Tried
--- a/internal/core/entry/urgent_test.go
+++ b/internal/core/entry/urgent_test.go
@@ -135,7 +135,7 @@
 	spk.start()
 	spk.finish()
 	span, count := spk.worst()
-	t.Logf("99.9th percentile of %d: %s, first in first out %s", count, span, fifo)
+	t.Logf("99.9th percentile of %d: %s, first in first out %s (1h: never)", count, span, fifo)
 	assert.Assert(t, span <= urgentStart, "%s", span)
 }
 
--- a/internal/core/entry/waiting.go
+++ b/internal/core/entry/waiting.go
@@ -119,7 +119,7 @@
 func (stp *step) addRunning(wrk work.Work, delta int) {
 	count, _ := stp.st.running.Get(wrk.Team)
 	stp.st.running = stp.st.running.Set(wrk.Team, count+delta)
-	slk := slotKey{wrk.Pool, wrk.VM, wrk.Team, wrk.Urgency == table.UrgencyUrgent}
+	slk := slotKey{wrk.Pool, wrk.VM, wrk.Team, wrk.Reserve}
 	held, _ := stp.st.held.Get(slk)
 	if held+delta == 0 {
 		stp.st.held = stp.st.held.Delete(slk)
--- a/internal/core/message/message.go
+++ b/internal/core/message/message.go
@@ -83,10 +83,11 @@
 
 // Running is how much work of a team an entry has running on a VM.
 type Running struct {
-	VM     string `json:"v"`
-	Team   string `json:"t"`
-	Urgent bool   `json:"u,omitempty"`
-	Count  int    `json:"c"`
+	VM   string `json:"v"`
+	Team string `json:"t"`
+	// Reserve says that the slots are of the reserve for urgent work.
+	Reserve bool `json:"u,omitempty"`
+	Count   int  `json:"c"`
 }
 
 // Grants gives slots to an entry.
@@ -103,6 +104,9 @@
 	Team    string        `json:"t"`
 	Urgency table.Urgency `json:"u"`
 	Retry   bool          `json:"r,omitempty"`
+	// Reserve says that the slot is of the reserve, so that only urgent work
+	// may use it next.
+	Reserve bool `json:"x,omitempty"`
 }
 
 // Recall asks an entry not to use slots for the next work of a team, but to
@@ -114,9 +118,9 @@
 
 // RecallSlot is how many slots of a team are wanted back.
 type RecallSlot struct {
-	Team   string `json:"t"`
-	Urgent bool   `json:"u,omitempty"`
-	Count  int    `json:"c"`
+	Team    string `json:"t"`
+	Reserve bool   `json:"u,omitempty"`
+	Count   int    `json:"c"`
 }
 
 // PermitAsk asks for permits of a team.
--- a/internal/core/work/work.go
+++ b/internal/core/work/work.go
@@ -53,6 +53,9 @@
 	// GrantedAt is when the dispatcher granted the slot that the last attempt
 	// uses. Work that takes over a slot takes over its time.
 	GrantedAt time.Time
+	// Reserve says that the slot of the last attempt is of the reserve for
+	// urgent work.
+	Reserve bool
 	// Tried lists the VMs of the earlier attempts; no attempt repeats one.
 	Tried []string
 	// MayHaveRun says that some attempt ended without anybody's knowing whether
@@ -86,11 +89,24 @@
 	return wrk
 }
 
-// WithStart returns the work as it starts on a VM.
-func (wrk Work) WithStart(vm string, grantedAt time.Time, pha Phase) Work {
+// Slot is a slot on a VM, as a dispatcher granted it.
+type Slot struct {
+	VM        string
+	GrantedAt time.Time
+	Reserve   bool
+}
+
+// Slot returns the slot of the last attempt.
+func (wrk Work) Slot() Slot {
+	return Slot{VM: wrk.VM, GrantedAt: wrk.GrantedAt, Reserve: wrk.Reserve}
+}
+
+// WithStart returns the work as it starts on a slot.
+func (wrk Work) WithStart(slt Slot, pha Phase) Work {
 	wrk.Attempt++
-	wrk.VM = vm
-	wrk.GrantedAt = grantedAt
+	wrk.VM = slt.VM
+	wrk.GrantedAt = slt.GrantedAt
+	wrk.Reserve = slt.Reserve
 	wrk.Phase = pha
 	return wrk
 }
