entry: quarantine workers that fail everything

Cause: 95 of 200 tasks were tried on the one of three workers that failed all of them: it is always the freest. Change: three failures in a row make a worker suspect; probes grow rarer. The demonstration checks the connections of each executor.

--- a/internal/core/entry/state.go
+++ b/internal/core/entry/state.go
@@ -192,6 +192,8 @@
 type suspicion struct {
 	until time.Time
 	span  time.Duration
+	// failures counts the tasks that failed on the VM since one was done.
+	failures int
 }
 
 // New returns the state of an entry before its first event.
--- a/internal/core/entry/task_test.go
+++ b/internal/core/entry/task_test.go
@@ -91,6 +91,30 @@
 	assert.Equal(t, len(drv.taskRuns[again]), 2)
 }
 
+// TestWorkerThatFailsEverythingGetsLittleWork compares the starts on a failing
+// worker with the third of all starts that it would get.
+func TestWorkerThatFailsEverythingGetsLittleWork(t *testing.T) {
+	drv := deploy(t, 1, withWorkers())
+	drv.worker("wk000").failing = true
+	const tasks = 200
+	for i := range tasks {
+		drv.submit(drv.nodes[i%3], fmt.Sprint(i), "big", "again")
+	}
+	drv.run(60 * time.Second)
+	wasted := 0
+	for i := range tasks {
+		id := drv.accepted(t, fmt.Sprint(i))
+		vms := drv.taskRuns[id]
+		if vms[0] == "wk000" {
+			wasted++
+		}
+		rec, _ := drv.nodes[i%3].state.log.Kept(id)
+		assert.Equal(t, rec.State, task.StateDone, "%s ran on %v", id, vms)
+	}
+	t.Logf("%d of %d tasks were tried on the failing worker", wasted, tasks)
+	assert.Assert(t, wasted <= tasks/6, "%d", wasted)
+}
+
 func TestTaskThatFailsEverywhereIsParked(t *testing.T) {
 	drv := deploy(t, 1, withWorkers())
 	for i := range 3 {
--- a/internal/core/entry/workers.go
+++ b/internal/core/entry/workers.go
@@ -122,6 +122,7 @@
 	switch wtk.State {
 	case event.WorkerDone:
 		stp.release(wrk)
+		stp.clearSuspicion(wrk.VM)
 		stp.endTask(wrk, task.StateDone, wtk.Result, "")
 	case event.WorkerFailed:
 		stp.taskFailed(wrk, wtk.Reason)
@@ -130,10 +131,27 @@
 	}
 }
 
+// failuresBeforeQuarantine is how many tasks must fail on a worker in a row
+// before it is the worker's fault rather than the tasks'.
+const failuresBeforeQuarantine = 3
+
+// noteFailure keeps new work from a worker on which several tasks in a row have
+// failed. The span doubles with each further failure, so the tasks that it gets
+// are probes that grow rarer.
+func (stp *step) noteFailure(vmID string) {
+	sus, _ := stp.st.suspects.Get(vmID)
+	sus.failures++
+	stp.st.suspects = stp.st.suspects.Set(vmID, sus)
+	if sus.failures >= failuresBeforeQuarantine {
+		stp.suspect(vmID)
+	}
+}
+
 // taskFailed tries a task on another VM, or parks it once it has failed on
 // several.
 func (stp *step) taskFailed(wrk work.Work, reason string) {
 	stp.release(wrk)
+	stp.noteFailure(wrk.VM)
 	if wrk.Repeatable && len(wrk.Tried)+1 < maxTaskTries {
 		stp.retryTask(wrk)
 		return
--- a/internal/demo/checks.go
+++ b/internal/demo/checks.go
@@ -25,6 +25,7 @@
 		dem.checkShutdown(),
 		dem.checkConfig(),
 		dem.checkTasks(),
+		dem.checkConnections(),
 	}
 	return rep
 }
@@ -196,6 +197,18 @@
 	return inv
 }
 
+// connectionsPerExecutor is what an executor allows in all.
+const connectionsPerExecutor = 64
+
+func (dem *demonstration) checkConnections() Invariant {
+	inv := Invariant{Name: "connections_within_executor_bound"}
+	for id, exe := range dem.cluster.Executors {
+		peak := exe.PeakConns()
+		inv.check(peak <= connectionsPerExecutor, "%s had %d connections", id, peak)
+	}
+	return inv
+}
+
 func (dem *demonstration) checkTasks() Invariant {
 	inv := Invariant{Name: "accepted_task_is_never_lost"}
 	for _, sub := range dem.callers.submissions {
--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -84,7 +84,7 @@
 			Callers: anyPort, PeerListener: anyPort, Admin: anyPort,
 			Store: cls.StoreURL, StorePrefix: "/balsamgauge/", VMList: cls.ListURL + "/vms",
 			OperatorKeyHash: key.Hash(cls.credential),
-			MaxEntries:      entries, ConnectionsPerExecutor: 64,
+			MaxEntries:      entries, ConnectionsPerExecutor: connectionsPerExecutor,
 			StoreWritesPerSecond: 100, TimelineEvents: 20_000, LogLevel: "info",
 		})
 		if _, err := cls.startEntry(i); err != nil {
