entry: only members that nobody hears are removed

Cause: found by reading the removal again. The remover took its own silence and the lapsed lease for proof that a member has stopped. A member that is cut off from the store and from the remover, but heard by the others, works on by their majority, while its permits are given away. The test shows it: 5 running with a limit of 4.

Change: a voter that has heard the member within the time it takes to stop refuses to freeze; a member that was frozen gets no heartbeats and is told when it is met again, whereupon it exits; contact with the store counts only under a lease.

Conclusion: the limit holds through this partition.

--- a/internal/core/entry/configuration.go
+++ b/internal/core/entry/configuration.go
@@ -39,7 +39,7 @@
 	case hed.revision > stp.st.config.Revision:
 		stp.callStore(configRead{headMod: hed.modRevision}, store.Get{Key: store.KeyConfig})
 	case hed.revision == stp.st.config.Revision:
-		stp.st.view = stp.st.view.WithStoreContact(cal.sentAt)
+		stp.touchStore(cal.sentAt)
 		stp.writeEdit()
 	}
 }
@@ -59,7 +59,7 @@
 		stp.adopt(cfg, nil)
 	}
 	if cfg.Revision == stp.st.config.Revision {
-		stp.st.view = stp.st.view.WithStoreContact(cal.sentAt)
+		stp.touchStore(cal.sentAt)
 	}
 	// The document and the head change in one step. If the document is newer
 	// than the head that was read, the head must be read again.
--- a/internal/core/entry/edit_test.go
+++ b/internal/core/entry/edit_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/balsamgauge/balsamgauge/internal/core/event"
+	"github.com/balsamgauge/balsamgauge/internal/core/member"
 	"github.com/balsamgauge/balsamgauge/internal/core/vm"
 	"github.com/balsamgauge/balsamgauge/pkg/outcome"
 	"github.com/balsamgauge/balsamgauge/pkg/table"
@@ -115,3 +116,32 @@
 		assert.Equal(t, left.state.Rights(tea.Name), tea.Limit)
 	}
 }
+
+// TestEntryThatOthersHearIsNotRemoved cuts an entry off from the store and from
+// the member that removes departed ones. The others hear it, so it works on, and
+// its permits must stay its own.
+func TestEntryThatOthersHearIsNotRemoved(t *testing.T) {
+	drv := deploy(t, 1, small)
+	remover := drv.node(member.Leader(drv.nodes[0].state.live, "adoption"))
+	var heard *node
+	for _, nod := range drv.nodes {
+		if nod != remover {
+			heard = nod
+		}
+	}
+	heard.storeCut = true
+	drv.setCut(remover, heard, true)
+	drv.span = func(string) time.Duration { return time.Second }
+	for i := range 600 {
+		drv.after(time.Duration(i)*100*time.Millisecond, func() {
+			for _, nod := range drv.nodes {
+				drv.request(nod, fmt.Sprint(i, nod.id), arrival("tiny", 0, table.UrgencyNormal))
+				drv.request(nod, fmt.Sprint(i, nod.id, "more"), arrival("tiny", 0, table.UrgencyNormal))
+			}
+		})
+	}
+	drv.run(60 * time.Second)
+	assert.Assert(t, drv.peak["tiny"] <= 4, "%d ran at once", drv.peak["tiny"])
+	assert.Assert(t, heard.alive, "the entry was removed")
+	assert.Equal(t, len(remover.state.config.Voters), 3)
+}
--- a/internal/core/entry/membership.go
+++ b/internal/core/entry/membership.go
@@ -124,7 +124,7 @@
 	}
 	spares := stp.changedSpares()
 	for _, per := range stp.st.view.Peers() {
-		if !per.Connected {
+		if !per.Connected || stp.isDismissed(per.ID) {
 			continue
 		}
 		stp.sendHeartbeat(per.ID, spares)
--- a/internal/core/entry/reduce.go
+++ b/internal/core/entry/reduce.go
@@ -145,8 +145,20 @@
 	stp.emit(effect.Send{To: to, Message: msg})
 }
 
+// peerSaid handles a message of a member, unless the member is to be removed:
+// then it is told so, and nothing of what it says counts.
 func (stp *step) peerSaid(from string, msg message.Message) {
-	stp.heard(from)
+	if !stp.isDismissed(from) {
+		stp.heard(from)
+		stp.handleMessage(from, msg)
+		return
+	}
+	if _, isHeartbeat := msg.(message.Heartbeat); isHeartbeat {
+		stp.send(from, message.Freeze{Members: []string{from}})
+	}
+}
+
+func (stp *step) handleMessage(from string, msg message.Message) {
 	switch msg := msg.(type) {
 	case message.Heartbeat:
 		stp.heartbeatHeard(from, msg)
--- a/internal/core/entry/removal.go
+++ b/internal/core/entry/removal.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/balsamgauge/balsamgauge/internal/core/effect"
 	"github.com/balsamgauge/balsamgauge/internal/core/member"
 	"github.com/balsamgauge/balsamgauge/internal/core/message"
 	"github.com/balsamgauge/balsamgauge/pkg/table"
@@ -101,10 +102,20 @@
 	stp.finishRemoval()
 }
 
+// freezeHeard ends the transfers with members that are to be removed, if they
+// certainly run nothing as far as this entry can tell. A member that is cut off
+// from the remover and the store may be heard here, and work on by that.
 func (stp *step) freezeHeard(from string, msg message.Freeze) {
 	if slices.Contains(msg.Members, stp.st.set.ID) {
+		stp.dismissed(from)
 		return
 	}
+	for _, id := range msg.Members {
+		if id != from && !stp.hasStopped(id) {
+			stp.record("member", "removal_refused", id, "it was heard here")
+			return
+		}
+	}
 	stp.st.ledger = stp.st.ledger.WithFrozen(msg.Members)
 	stp.send(from, message.Frozen{Members: msg.Members, Settlement: table.Settlement{
 		Member: stp.st.set.ID,
@@ -113,6 +124,31 @@
 	}})
 }
 
+// hasStopped reports whether a member has not been heard here for as long as it
+// takes to stop, or is gone. It can't have heard this entry either: a heartbeat
+// counts for it only when it comes back as an echo.
+func (stp *step) hasStopped(id string) bool {
+	per, known := stp.st.view.Peer(id)
+	return !known || stp.st.view.IsGone(id) || stp.now.Sub(per.HeardAt) >= StopsWithin(stp.st.config)
+}
+
+// dismissed ends the entry: another one takes it for departed and has ended its
+// transfers with it. The process that takes its place is a new member.
+func (stp *step) dismissed(by string) {
+	if stp.st.view.Leaving() {
+		return
+	}
+	stp.record("entry", "dismissed", stp.st.set.ID, "by "+by)
+	stp.emit(effect.Exit{})
+}
+
+// isDismissed reports whether a member is to be removed and has not itself asked
+// for it. It gets no heartbeats, so that it stops, and its messages are void.
+func (stp *step) isDismissed(id string) bool {
+	per, _ := stp.st.view.Peer(id)
+	return stp.st.ledger.IsFrozen(id) && !per.Leaving
+}
+
 // debts lists how much more of each team's work the entry runs than its
 // permits allow, because it adopted running tasks.
 func (stp *step) debts() []table.TeamPermits {
--- a/internal/core/entry/storecall.go
+++ b/internal/core/entry/storecall.go
@@ -34,6 +34,8 @@
 	lease     int64
 	leaseAt   time.Time
 	leaseBusy bool
+	// leaseProvenAt is when the last refresh that succeeded was sent.
+	leaseProvenAt time.Time
 	// listed says that the member's key is in the store under the lease.
 	listed bool
 }
@@ -168,7 +170,7 @@
 	case configRead:
 		stp.configAnswered(cal, why, evt.Result)
 	case leaseGranted, leaseRefreshed:
-		stp.leaseAnswered(evt.Result)
+		stp.leaseAnswered(cal, evt.Result)
 	case memberListed:
 		wrt, ok := evt.Result.(store.Written)
 		stp.st.store.listed = ok && wrt.Succeeded
@@ -193,12 +195,24 @@
 	}
 }
 
-func (stp *step) leaseAnswered(res store.Result) {
+// touchStore notes contact with the store, by a read that was sent at a time.
+// It counts only while the member's key stands under a lease: whoever sees the
+// key gone may then conclude that the entry does not start work by the store.
+func (stp *step) touchStore(sentAt time.Time) {
+	if stp.st.store.listed && stp.now.Sub(stp.st.store.leaseProvenAt) <= leaseTTL {
+		stp.st.view = stp.st.view.WithStoreContact(sentAt)
+	}
+}
+
+func (stp *step) leaseAnswered(cal call, res store.Result) {
 	stp.st.store.leaseBusy = false
 	lsd, ok := res.(store.Leased)
 	if !ok {
 		return
 	}
+	if lsd.TTL > 0 {
+		stp.st.store.leaseProvenAt = cal.sentAt
+	}
 	if lsd.TTL <= 0 {
 		stp.record("store", "lease_lapsed", stp.st.set.ID, "")
 		stp.st.store.lease = 0
--- a/internal/core/event/event.go
+++ b/internal/core/event/event.go
@@ -180,8 +180,6 @@
 // MembersGone is an operator's word that members run no more.
 type MembersGone struct{ IDs []string }
 
-func (MembersGone) isEvent() {}
-
 // StatusAsked is an operator's question for the entry's status.
 type StatusAsked struct{ Request uint64 }
 
@@ -193,6 +191,7 @@
 type AcceptingStopped struct{}
 
 func (AcceptingStopped) isEvent() {}
+func (MembersGone) isEvent()      {}
 func (Started) isEvent()          {}
 func (Tick) isEvent()             {}
 func (RequestArrived) isEvent()   {}
