idempotency: the memory of keys is a package of its own

Cause: the reducer's package has grown to 4,000 lines; the memory of idempotency keys needs nothing of the state.

--- a/internal/core/entry/configuration.go
+++ b/internal/core/entry/configuration.go
@@ -88,7 +88,7 @@
 	stp.recordAZs(old, cfg)
 	if !slices.Equal(old.Voters, cfg.Voters) {
 		stp.connect()
-		stp.handOnReservations(old.VoterIDs())
+		stp.handOnKeys(old.VoterIDs())
 	}
 	_, voted := old.Voter(stp.st.set.ID)
 	_, votes := cfg.Voter(stp.st.set.ID)
--- a/internal/core/entry/reservation.go
+++ b/internal/core/entry/reservation.go
@@ -1,13 +1,12 @@
 package entry
 
 import (
-	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"slices"
 	"time"
 
-	"github.com/balsamgauge/balsamgauge/internal/core/member"
+	"github.com/balsamgauge/balsamgauge/internal/core/idempotency"
 	"github.com/balsamgauge/balsamgauge/internal/core/message"
 	"github.com/balsamgauge/balsamgauge/internal/core/work"
 	"github.com/balsamgauge/balsamgauge/pkg/outcome"
@@ -15,23 +14,12 @@
 
 // Bounds of the memory of idempotency keys.
 const (
-	// reservationCopies is how many members remember a key. A majority of
-	// them must agree that it is new, so two entries can't both be told so.
-	reservationCopies = 3
-	// KeepReservations is how long a key is remembered.
-	KeepReservations = 10 * time.Minute
-	// sweepReservationsAbove is the number of keys above which old ones are
-	// looked for.
-	sweepReservationsAbove = 1024
+	// sweepAbove is the number of keys above which old ones are looked for.
+	sweepAbove = 1024
+	// keysPerMessage bounds the keys that one message hands on.
+	keysPerMessage = 1000
 )
 
-// reservation is a member's memory of an idempotency key.
-type reservation struct {
-	owner string
-	ask   uint64
-	at    time.Time
-}
-
 // reservationAsk is a request that waits for its key to be remembered.
 type reservationAsk struct {
 	work work.ID
@@ -49,7 +37,7 @@
 func (stp *step) reserve(wrk work.Work, idempotencyKey string) {
 	sum := sha256.Sum256([]byte(wrk.Team + "\x00" + idempotencyKey))
 	hash := hex.EncodeToString(sum[:])
-	homes := stp.reservationHomes(hash)
+	homes := idempotency.Homes(stp.st.config.VoterIDs(), hash)
 	if len(homes) == 0 {
 		stp.refuseNotRun(stp.requestOf(wrk.ID), outcome.CodeNoFreshConfig, "No voting member can remember the idempotency key.")
 		stp.forget(wrk)
@@ -66,43 +54,15 @@
 	}
 }
 
-// reservationHomes returns the voters that remember a key: those that come
-// first in the rendezvous order of its hash.
-func (stp *step) reservationHomes(hash string) []string {
-	return homesAmong(stp.st.config.VoterIDs(), hash)
-}
-
-func homesAmong(ids []string, hash string) []string {
-	slices.SortFunc(ids, func(a, b string) int {
-		return cmp.Compare(member.Score(b, hash), member.Score(a, hash))
-	})
-	return ids[:min(len(ids), reservationCopies)]
-}
-
 func (stp *step) reserveHeard(from string, msg message.Reserve) {
-	stp.sweepReservations()
-	old, seen := stp.st.reserved.Get(msg.Hash)
-	fresh := !seen || stp.now.Sub(old.at) > KeepReservations || (old.owner == from && old.ask == msg.AskID)
-	if fresh {
-		stp.st.reserved = stp.st.reserved.Set(msg.Hash, reservation{owner: from, ask: msg.AskID, at: stp.now})
+	if stp.st.memory.Len() > sweepAbove && stp.random(sweepAbove) == 0 {
+		stp.st.memory = stp.st.memory.Swept(stp.now)
 	}
+	next, fresh := stp.st.memory.WithUse(stp.now, msg.Hash, from, msg.AskID)
+	stp.st.memory = next
 	stp.send(from, message.Reserved{AskID: msg.AskID, Hash: msg.Hash, Fresh: fresh})
 }
 
-// sweepReservations forgets old keys, now and then.
-func (stp *step) sweepReservations() {
-	if stp.st.reserved.Len() < sweepReservationsAbove || stp.random(sweepReservationsAbove) != 0 {
-		return
-	}
-	itr := stp.st.reserved.Iterator()
-	for !itr.Done() {
-		hash, res, _ := itr.Next()
-		if stp.now.Sub(res.at) > KeepReservations {
-			stp.st.reserved = stp.st.reserved.Delete(hash)
-		}
-	}
-}
-
 func (stp *step) reservedHeard(from string, msg message.Reserved) {
 	ask, ok := stp.st.asks.reservations.Get(msg.AskID)
 	if !ok || ask.hash != msg.Hash {
@@ -139,46 +99,27 @@
 	}
 }
 
-// keepsPerMessage bounds the keys that one message hands on.
-const keepsPerMessage = 1000
-
-// handOnReservations gives the keys that the entry remembers to the members that
-// came to be their homes by a change of the voters.
-func (stp *step) handOnReservations(old []string) {
-	next := stp.st.config.VoterIDs()
-	if slices.Equal(old, next) {
-		return
-	}
-	keeps := map[string][]message.Kept{}
-	itr := stp.st.reserved.Iterator()
-	for !itr.Done() {
-		hash, res, _ := itr.Next()
-		if stp.now.Sub(res.at) > KeepReservations {
-			continue
-		}
-		was := homesAmong(slices.Clone(old), hash)
-		for _, home := range homesAmong(slices.Clone(next), hash) {
-			if home != stp.st.set.ID && !slices.Contains(was, home) {
-				kpt := message.Kept{Hash: hash, Owner: res.owner, AgeMillis: stp.now.Sub(res.at).Milliseconds()}
-				keeps[home] = append(keeps[home], kpt)
-			}
+// handOnKeys gives the keys that the entry remembers to the members that came to
+// be their homes by a change of the voters.
+func (stp *step) handOnKeys(old []string) {
+	for _, hdo := range stp.st.memory.Handovers(stp.now, stp.st.set.ID, old, stp.st.config.VoterIDs()) {
+		var keeps []message.Kept
+		for _, key := range hdo.Keys {
+			keeps = append(keeps, message.Kept{Hash: key.Hash, Owner: key.Owner, AgeMillis: key.Age.Milliseconds()})
 		}
-	}
-	for _, home := range next {
-		slices.SortFunc(keeps[home], func(a, b message.Kept) int { return cmp.Compare(a.Hash, b.Hash) })
-		for part := range slices.Chunk(keeps[home], keepsPerMessage) {
-			stp.send(home, message.Keep{Keys: part})
+		for part := range slices.Chunk(keeps, keysPerMessage) {
+			stp.send(hdo.To, message.Keep{Keys: part})
 		}
 	}
 }
 
 func (stp *step) keepHeard(msg message.Keep) {
+	var keys []idempotency.Key
 	for _, kpt := range msg.Keys {
-		if _, seen := stp.st.reserved.Get(kpt.Hash); !seen {
-			at := stp.now.Add(-time.Duration(kpt.AgeMillis) * time.Millisecond)
-			stp.st.reserved = stp.st.reserved.Set(kpt.Hash, reservation{owner: kpt.Owner, at: at})
-		}
+		age := time.Duration(kpt.AgeMillis) * time.Millisecond
+		keys = append(keys, idempotency.Key{Hash: kpt.Hash, Owner: kpt.Owner, Age: age})
 	}
+	stp.st.memory = stp.st.memory.WithKeys(stp.now, keys)
 }
 
 // refuseDuplicate answers a request whose key was seen before. This call is not
@@ -204,15 +145,13 @@
 		return
 	}
 	stp.st.asks.reservationOf = stp.st.asks.reservationOf.Delete(request)
-	for _, home := range stp.reservationHomes(hash) {
+	for _, home := range idempotency.Homes(stp.st.config.VoterIDs(), hash) {
 		stp.send(home, message.Release{Hash: hash})
 	}
 }
 
 func (stp *step) releaseHeard(from string, msg message.Release) {
-	if res, ok := stp.st.reserved.Get(msg.Hash); ok && res.owner == from {
-		stp.st.reserved = stp.st.reserved.Delete(msg.Hash)
-	}
+	stp.st.memory = stp.st.memory.WithoutUse(msg.Hash, from)
 }
 
 func (stp *step) tickReservations() {
--- a/internal/core/entry/state.go
+++ b/internal/core/entry/state.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/balsamgauge/balsamgauge/internal/core/dispatch"
+	"github.com/balsamgauge/balsamgauge/internal/core/idempotency"
 	"github.com/balsamgauge/balsamgauge/internal/core/member"
 	"github.com/balsamgauge/balsamgauge/internal/core/permit"
 	"github.com/balsamgauge/balsamgauge/internal/core/queue"
@@ -110,10 +111,11 @@
 	// answeredAt maps a VM to when it answered, to within noteAnswerEvery.
 	answeredAt *immutable.SortedMap[string, time.Time]
 
-	log       task.Log
-	logs      logState
-	asks      askState
-	reserved  *immutable.Map[string, reservation]
+	log  task.Log
+	logs logState
+	asks askState
+	// memory holds the idempotency keys that this entry is a home of.
+	memory    idempotency.Memory
 	draining  drainState
 	plannedAt time.Time
 	// plannedFor is what the last plan without moves was made from.
@@ -228,7 +230,7 @@
 		log:        task.NewLog(),
 		asks:       newAskState(),
 		logs:       newLogState(),
-		reserved:   immutable.NewMap[string, reservation](nil),
+		memory:     idempotency.NewMemory(),
 		store:      newStoreState(),
 	}
 }
