entry: one look for a VM that is left

Cause: reading the change again. Two functions walked the usable VMs of a pool for one that work was not tried on, alike but for a condition; the spare permits of a team were worked out in two places; a key of the store for a planner's lease was never used, since the planner has none.

Change: hasVMLeft takes the condition; teamState tells its spare permits; the key is gone. No change of behaviour; no test was touched.

--- a/internal/core/entry/permits.go
+++ b/internal/core/entry/permits.go
@@ -28,6 +28,9 @@
 	free int
 }
 
+// spare returns how many permits the entry has no work for.
+func (tst teamState) spare() int { return max(0, tst.free-tst.waiting) }
+
 func (stp *step) teamState(team string) teamState {
 	tst := teamState{free: stp.st.Rights(team) - stp.st.Running(team)}
 	if _, waits := stp.st.waiting.Get(team); !waits {
@@ -125,8 +128,7 @@
 
 // spareOf returns how many permits of a team the entry has no work for.
 func (stp *step) spareOf(team string) int {
-	tst := stp.teamState(team)
-	return max(0, tst.free-tst.waiting)
+	return stp.teamState(team).spare()
 }
 
 // permitsAsked gives what the asker should have.
@@ -151,7 +153,7 @@
 // entry keeps a team's permits to itself.
 func (stp *step) giveable(ask message.PermitAsk) int {
 	tst := stp.teamState(ask.Team)
-	spare := max(0, tst.free-tst.waiting)
+	spare := tst.spare()
 	if spare > 0 || tst.free <= 0 || ask.Free > 0 {
 		return spare
 	}
--- a/internal/core/entry/request.go
+++ b/internal/core/entry/request.go
@@ -179,8 +179,8 @@
 	backoff := stp.jitter(min(retryMax, retryBase<<min(wrk.Attempt, 6)))
 	at := stp.now.Add(backoff)
 	harmless := out == outcome.NotRun || wrk.Repeatable
-	free := out == outcome.NotRun && stp.hasUntriedVM(wrk)
-	inTime := at.Before(wrk.Deadline) && stp.hasVMLeft(wrk)
+	free := out == outcome.NotRun && stp.hasVMLeft(wrk, stp.isGood)
+	inTime := at.Before(wrk.Deadline) && stp.hasVMLeft(wrk, isAny)
 	if !harmless || !inTime || (!free && !stp.spendRetry(wrk.Pool)) {
 		stp.refuseWork(wrk, *notRun(outcome.CodeUpstreamFailed, reason))
 		return
@@ -192,31 +192,26 @@
 	stp.st.expiry = stp.st.expiry.Set(timer{wrk.Deadline, wrk.ID}, struct{}{})
 }
 
-// hasUntriedVM reports whether the pool has a VM that answered a moment ago and
-// that the work has not been tried on. Work that reached no VM may go there
-// without the retry budget: it has cost no VM anything. In an outage of the
-// whole pool no VM answers, and the budget binds.
-func (stp *step) hasUntriedVM(wrk work.Work) bool {
+// hasVMLeft reports whether the pool has a VM that the work has not been tried
+// on and of which a condition holds.
+func (stp *step) hasVMLeft(wrk work.Work, holds func(vmID string) bool) bool {
 	for _, one := range stp.st.fleet.Usable(stp.st.config, wrk.Pool) {
-		_, suspected := stp.st.suspects.Get(one.ID)
-		at, answered := stp.st.answeredAt.Get(one.ID)
-		isGood := answered && !suspected && stp.now.Sub(at) <= goodFor
-		if isGood && one.ID != wrk.VM && !wrk.HasTried(one.ID) {
+		if one.ID != wrk.VM && !wrk.HasTried(one.ID) && holds(one.ID) {
 			return true
 		}
 	}
 	return false
 }
 
-// hasVMLeft reports whether the pool has a VM that the work has not been tried
-// on.
-func (stp *step) hasVMLeft(wrk work.Work) bool {
-	for _, one := range stp.st.fleet.Usable(stp.st.config, wrk.Pool) {
-		if one.ID != wrk.VM && !wrk.HasTried(one.ID) {
-			return true
-		}
-	}
-	return false
+func isAny(string) bool { return true }
+
+// isGood reports whether a VM answered a moment ago. Work that reached no VM may
+// go to a good one without the retry budget: it has cost no VM anything. In an
+// outage of the whole pool no VM answers, and the budget binds.
+func (stp *step) isGood(vmID string) bool {
+	_, suspected := stp.st.suspects.Get(vmID)
+	at, answered := stp.st.answeredAt.Get(vmID)
+	return answered && !suspected && stp.now.Sub(at) <= goodFor
 }
 
 // noteAnswer remembers that a VM answered.
--- a/internal/core/store/store.go
+++ b/internal/core/store/store.go
@@ -16,7 +16,6 @@
 	KeyConfig      = "config/doc"
 	PrefixMembers  = "members/"
 	PrefixFences   = "fences/"
-	KeyPlanner     = "planner"
 	prefixTaskLogs = "tasks/"
 )
 
