--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -64,6 +64,7 @@
 	app.Flag("format", "Output for a person or a program.").Default(formatText).EnumVar(&cmd.format, formatText, formatJSON)
 	actions := map[string]action{}
 	cmd.addLocal(app, actions)
+	cmd.addManage(app, actions)
 	cmd.addStandin(app, actions)
 	cmd.addRemote(app, actions)
 	selected, err := app.Parse(args)
--- /dev/null
+++ b/internal/core/scheduler/assign.go
@@ -0,0 +1,308 @@
+package scheduler
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/balsamgauge/balsamgauge/internal/core/job"
+	"github.com/balsamgauge/balsamgauge/internal/core/priority"
+)
+
+// waitingStage is a stage with tasks that wait for room.
+type waitingStage struct {
+	stage *stage
+	bid   priority.Bid
+}
+
+// assign starts tasks where there is room, in the order of priority.
+func (sta *State) assign() {
+	unresolved := sta.unresolved()
+	pools := map[string][]waitingStage{}
+	for _, liv := range sta.jobList {
+		if liv.final != "" || liv.restored && unresolved {
+			continue
+		}
+		pool := sta.poolOf(liv)
+		for _, occ := range liv.occs {
+			for i := range occ.stages {
+				stg := &occ.stages[i]
+				if stg.waiting == 0 || stg.blockers > 0 {
+					continue
+				}
+				pools[pool] = append(pools[pool], waitingStage{stg, sta.bid(stg)})
+			}
+		}
+	}
+	for _, pool := range slices.Sorted(maps.Keys(pools)) {
+		waiting := pools[pool]
+		hosts := sta.usableHosts(pool)
+		slices.SortFunc(waiting, func(one, oth waitingStage) int { return priority.Compare(sta.now, one.bid, oth.bid) })
+		for _, wai := range waiting {
+			sta.place(wai.stage, hosts)
+		}
+	}
+}
+
+// poolOf returns the pool that runs a job's tasks. It outlasts the removal of
+// the job's queue.
+func (sta *State) poolOf(liv *live) string {
+	if que := sta.catalog.Queue(liv.spec.Queue); que != nil {
+		liv.pool = que.Pool
+	}
+	return liv.pool
+}
+
+func (sta *State) bid(stg *stage) priority.Bid {
+	liv := stg.live
+	occ := liv.occs[stg.occ]
+	bid := priority.Bid{Lasts: stg.step.LongRunning, Accepted: liv.spec.Accepted, Job: string(liv.spec.ID)}
+	if que := sta.catalog.Queue(liv.spec.Queue); que != nil {
+		bid.Priority = que.Priority
+	}
+	bid.Remaining = sta.chain(liv.spec, func(step int) bool { return occ.stages[step].left > 0 })
+	factor := sta.learned[liv.spec.Queue].factor()
+	for i := range occ.stages {
+		rest := &occ.stages[i]
+		bid.Work += rest.step.Size.Cores() * float64(rest.left) * rest.step.Estimate.Seconds() * factor
+	}
+	bid.Deadline = liv.deadline
+	if liv.spec.Occurrences > 0 {
+		bid.Deadline = liv.deadline.Add(liv.spec.Due(stg.occ).Sub(liv.spec.Accepted))
+	}
+	return bid
+}
+
+func (sta *State) usableHosts(pool string) (hosts []*host) {
+	for _, hos := range sta.pools[pool] {
+		if hos.usable(sta.now) && !sta.zonesOut[hos.vm.AZ] {
+			hosts = append(hosts, hos)
+		}
+	}
+	return hosts
+}
+
+// place starts as many of a stage's waiting tasks as fit.
+func (sta *State) place(stg *stage, hosts []*host) {
+	if !sta.haveTickets(stg, hosts) {
+		return
+	}
+	if stg.step.Gang {
+		sta.placeGang(stg, hosts)
+		return
+	}
+	for i := range stg.tasks {
+		tas := &stg.tasks[i]
+		if tas.phase != phaseWaiting || sta.now.Before(tas.notBefore) {
+			continue
+		}
+		if !sta.underCap(stg, 1) {
+			return
+		}
+		hos := sta.choose(stg, hosts)
+		if hos == nil {
+			return
+		}
+		sta.start(hos, stg, i, tas.run+1)
+	}
+}
+
+// placeGang starts all tasks of a gang or none.
+func (sta *State) placeGang(stg *stage, hosts []*host) {
+	if stg.waiting < len(stg.tasks) || !sta.underCap(stg, len(stg.tasks)) {
+		return
+	}
+	run := 0
+	chosen := make([]*host, len(stg.tasks))
+	for i := range stg.tasks {
+		if sta.now.Before(stg.tasks[i].notBefore) {
+			return
+		}
+		run = max(run, stg.tasks[i].run)
+	}
+	room := stg.step.Room()
+	for i := range chosen {
+		chosen[i] = sta.choose(stg, hosts)
+		if chosen[i] == nil {
+			break
+		}
+		chosen[i].used = chosen[i].used.Plus(room)
+	}
+	complete := chosen[len(chosen)-1] != nil
+	checkpoint := ""
+	for i, hos := range chosen {
+		if hos != nil {
+			hos.used = hos.used.Minus(room)
+		}
+		if checkpoint == "" {
+			checkpoint = stg.tasks[i].checkpoint
+		}
+	}
+	if !complete {
+		return
+	}
+	for i, hos := range chosen {
+		stg.tasks[i].checkpoint = checkpoint
+		sta.start(hos, stg, i, run+1)
+	}
+}
+
+// underCap reports whether a client account may run n more tasks of a stage.
+func (sta *State) underCap(stg *stage, n int) bool {
+	acc := sta.catalog.Account(stg.live.spec.Account)
+	if acc == nil {
+		return true
+	}
+	sum := sta.usage[acc.Name].Plus(stg.step.Size.Times(n))
+	return (acc.Cap.CPU == 0 || sum.CPU <= acc.Cap.CPU) &&
+		(acc.Cap.Memory == 0 || sum.Memory <= acc.Cap.Memory) &&
+		(acc.Cap.Accelerators == 0 || sum.Accelerators <= acc.Cap.Accelerators)
+}
+
+// start orders a VM to start a run of a task.
+func (sta *State) start(hos *host, stg *stage, index, run int) {
+	name := job.Task{Job: stg.live.spec.ID, Occurrence: stg.occ, Step: stg.index, Index: index}
+	tas := &stg.tasks[index]
+	tas.ordered = sta.now
+	if len(hos.runs) == 0 {
+		hos.nextLook = sta.now.Add(lookPause)
+	}
+	sta.hold(hos, stg, name, run, runOrdered)
+	sta.emit(Start{
+		VM: hos.vm, Task: name, Run: run, Payload: stg.live.spec.Payload, Deadline: sta.deadline(hos),
+		Checkpoint: tas.checkpoint, Ticket: stg.advice.tickets[hos.vm.ID],
+	})
+}
+
+// choose returns the VM where a task of a stage runs best, or nil.
+func (sta *State) choose(stg *stage, hosts []*host) (best *host) {
+	var bestScore score
+	for _, hos := range hosts {
+		if !sta.allows(stg, hos) {
+			continue
+		}
+		sco := sta.score(stg, hos)
+		if best == nil || sco.better(bestScore) {
+			best, bestScore = hos, sco
+		}
+	}
+	return best
+}
+
+// allows reports whether a task of a stage may run on a VM.
+func (sta *State) allows(stg *stage, hos *host) bool {
+	ste := stg.step
+	if !ste.Room().Fits(hos.vm.Capacity.Minus(hos.used)) {
+		return false
+	}
+	if ste.Label != "" && !hos.vm.HasLabel(ste.Label) {
+		return false
+	}
+	if ste.MaxPerVM > 0 && hos.count(stg) >= ste.MaxPerVM {
+		return false
+	}
+	if sta.needsTicket(stg) && stg.advice.tickets[hos.vm.ID] == "" {
+		return false
+	}
+	return true
+}
+
+// count returns how many tasks of a stage a VM holds.
+func (hos *host) count(stg *stage) int {
+	n := 0
+	for _, hel := range hos.list {
+		if hel.stage == stg {
+			n++
+		}
+	}
+	return n
+}
+
+// score says how well a task runs on a VM; lower fields only break ties.
+type score struct {
+	// remote says that the task's data lies on another rack.
+	remote bool
+	// siblings is how many tasks of the step the VM holds, for steps that last.
+	siblings int
+	// disturbed is how many tasks there disturb the task or are disturbed by it.
+	disturbed int
+	// free is the share of the VM that stays free.
+	free float64
+}
+
+func (sco score) better(oth score) bool {
+	switch {
+	case sco.remote != oth.remote:
+		return !sco.remote
+	case sco.siblings != oth.siblings:
+		return sco.siblings < oth.siblings
+	case sco.disturbed != oth.disturbed:
+		return sco.disturbed < oth.disturbed
+	default:
+		return sco.free > oth.free
+	}
+}
+
+func (sta *State) score(stg *stage, hos *host) score {
+	ste := stg.step
+	sco := score{remote: ste.DataRack != "" && !hos.vm.HasLabel(ste.DataRack)}
+	if ste.LongRunning {
+		sco.siblings = hos.count(stg)
+	}
+	for _, hel := range hos.list {
+		if hel.stage == nil {
+			continue
+		}
+		if oth := hel.stage.step; ste.Fills && oth.TailTarget > 0 || ste.TailTarget > 0 && oth.Fills {
+			sco.disturbed++
+		}
+	}
+	if cpu := hos.vm.Capacity.CPU; cpu > 0 {
+		sco.free = float64(cpu-hos.used.CPU-ste.Room().CPU) / float64(cpu)
+	}
+	return sco
+}
+
+// adviceRetry is the time between two questions about a step.
+const adviceRetry = 300 * time.Millisecond
+
+func (sta *State) needsTicket(stg *stage) bool {
+	que := sta.catalog.Queue(stg.live.spec.Queue)
+	return que != nil && que.Advice != nil
+}
+
+// haveTickets reports whether a stage's tasks may start as far as the advisor
+// is concerned, and asks it where needed.
+func (sta *State) haveTickets(stg *stage, hosts []*host) bool {
+	if !sta.needsTicket(stg) {
+		return true
+	}
+	adv := &stg.advice
+	if sta.now.Before(adv.until) {
+		return true
+	}
+	if adv.asked || len(hosts) == 0 || sta.now.Sub(adv.askedAt) < adviceRetry {
+		return false
+	}
+	adv.asked, adv.askedAt = true, sta.now
+	ask := Advise{Job: stg.live.spec.ID, Occurrence: stg.occ, Step: stg.index}
+	for _, hos := range hosts {
+		ask.VMs = append(ask.VMs, hos.vm.ID)
+	}
+	sta.emit(ask)
+	return false
+}
+
+// advised takes in the advisor's answer.
+func (sta *State) advised(evt Advised) {
+	stg := sta.stageOf(job.Task{Job: evt.Job, Occurrence: evt.Occurrence, Step: evt.Step})
+	if stg == nil {
+		return
+	}
+	stg.advice.asked = false
+	if evt.Tickets == nil {
+		return
+	}
+	stg.advice.tickets = evt.Tickets
+	stg.advice.until = evt.Sent.Add(evt.Valid)
+}
--- /dev/null
+++ b/internal/core/scheduler/emulator_test.go
@@ -0,0 +1,710 @@
+package scheduler
+
+import (
+	"container/heap"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/balsamgauge/balsamgauge/internal/core/catalog"
+	"github.com/balsamgauge/balsamgauge/internal/core/job"
+	"github.com/balsamgauge/balsamgauge/internal/core/worker"
+	"github.com/balsamgauge/balsamgauge/internal/kv"
+)
+
+// emulator plays a fleet, a store and a sequence of dispatchers on a virtual
+// clock. All chance comes from its seed. It checks what must always hold, from
+// what the VMs run and what the store holds.
+type emulator struct {
+	rng   *rand.Rand
+	now   time.Time
+	start time.Time
+	queue timers
+	order int
+
+	catalog catalog.Catalog
+	vms     map[string]*emulatedVM
+	names   []string
+	store   *emulatedStore
+
+	sched   *State
+	opt     Options
+	inbox   []Event
+	term    int64
+	down    bool
+	waiting bool
+
+	// faults
+	loseAnswer, loseOrder, lateOrder float64
+	loseCommit, lateCommit           float64
+
+	truth  map[job.Task]*taskTruth
+	broken []string
+	notes  map[string]int
+	// finished holds when each job was stored as ended.
+	finished map[job.ID]time.Time
+	specs    map[job.ID]job.Spec
+	// duration gives a task's true run time; failing says that it always fails.
+	duration func(tas job.Task, ste job.Step) time.Duration
+	failing  func(tas job.Task) bool
+}
+
+// taskTruth is what the VMs have done of a task.
+type taskTruth struct {
+	running   int
+	done      bool
+	acked     bool
+	failedEnd int
+}
+
+type timer struct {
+	at    time.Time
+	order int
+	fire  func()
+}
+
+type timers []timer
+
+func (tms timers) Len() int { return len(tms) }
+func (tms timers) Less(i, j int) bool {
+	if !tms[i].at.Equal(tms[j].at) {
+		return tms[i].at.Before(tms[j].at)
+	}
+	return tms[i].order < tms[j].order
+}
+func (tms timers) Swap(i, j int) { tms[i], tms[j] = tms[j], tms[i] }
+func (tms *timers) Push(x any)   { *tms = append(*tms, x.(timer)) }
+func (tms *timers) Pop() any {
+	old := *tms
+	last := old[len(old)-1]
+	*tms = old[:len(old)-1]
+	return last
+}
+
+// emulatedVM is one machine with its present life.
+type emulatedVM struct {
+	vm       worker.VM
+	up       bool
+	cut      bool
+	born     time.Time
+	fence    int64
+	runs     map[job.Task]*emulatedRun
+	ends     []worker.End
+	number   int64
+	tomb     map[job.Task]int
+	deadline time.Duration
+	lives    int
+	waiter   func()
+	fails    bool
+}
+
+// sorted returns the tasks that run, in the order of their names.
+func (vm *emulatedVM) sorted() []job.Task {
+	return slices.SortedFunc(maps.Keys(vm.runs), func(one, oth job.Task) int { return strings.Compare(one.String(), oth.String()) })
+}
+
+type emulatedRun struct {
+	run   int
+	since time.Time
+	size  job.Size
+	owner string
+	over  bool
+}
+
+type emulatedStore struct {
+	rev   kv.Revision
+	items map[string]kv.Item
+}
+
+const (
+	emulatedLatency = 2 * time.Millisecond
+	emulatedTTL     = 1500 * time.Millisecond
+)
+
+func newEmulator(seed uint64, cat catalog.Catalog) *emulator {
+	start := time.Date(2026, 1, 2, 3, 0, 0, 0, time.UTC)
+	return &emulator{
+		rng: rand.New(rand.NewPCG(seed, 1)), now: start, start: start, catalog: cat, vms: map[string]*emulatedVM{},
+		store: &emulatedStore{rev: 1, items: map[string]kv.Item{}}, truth: map[job.Task]*taskTruth{}, notes: map[string]int{},
+		finished: map[job.ID]time.Time{}, specs: map[job.ID]job.Spec{},
+		duration: func(_ job.Task, ste job.Step) time.Duration { return ste.Estimate },
+		failing:  func(job.Task) bool { return false },
+	}
+}
+
+func (emu *emulator) after(span time.Duration, fire func()) {
+	emu.order++
+	heap.Push(&emu.queue, timer{emu.now.Add(span), emu.order, fire})
+}
+
+// run plays until a time after the start.
+func (emu *emulator) run(until time.Duration) {
+	end := emu.start.Add(until)
+	for emu.queue.Len() > 0 && !emu.queue[0].at.After(end) {
+		tim := heap.Pop(&emu.queue).(timer)
+		emu.now = tim.at
+		tim.fire()
+	}
+	emu.now = end
+}
+
+func (emu *emulator) fail(format string, args ...any) {
+	emu.broken = append(emu.broken, fmt.Sprintf("%6d ms: ", emu.now.Sub(emu.start).Milliseconds())+fmt.Sprintf(format, args...))
+}
+
+// addVMs adds VMs to a pool, some to a rack.
+func (emu *emulator) addVMs(pool string, count, rack int, size job.Size) {
+	for i := range count {
+		name := fmt.Sprintf("%s-%d", pool, i)
+		vm := &emulatedVM{vm: worker.VM{
+			Pool: pool, Address: name, AZ: fmt.Sprintf("az%d", i%3), Capacity: size,
+			Labels: []string{"a", fmt.Sprintf("%s-r%d", pool, i/rack)},
+		}}
+		emu.vms[name] = vm
+		emu.names = append(emu.names, name)
+		emu.boot(vm)
+	}
+}
+
+// boot begins a new life.
+func (emu *emulator) boot(vm *emulatedVM) {
+	vm.lives++
+	vm.up = true
+	vm.born = emu.now
+	vm.vm.ID = fmt.Sprintf("%s.%d", vm.vm.Address, vm.lives)
+	vm.vm.Born = emu.now.UnixMilli()
+	vm.fence, vm.number, vm.deadline = 0, 0, 0
+	vm.runs, vm.ends, vm.tomb = map[job.Task]*emulatedRun{}, nil, map[job.Task]int{}
+	one := vm.vm
+	emu.after(emulatedLatency, func() { emu.tell(VMRegistered{VM: one}) })
+}
+
+// crash ends a life. Its registration goes after a while.
+func (emu *emulator) crash(vm *emulatedVM, back time.Duration) {
+	if !vm.up {
+		return
+	}
+	vm.up = false
+	for name, run := range vm.runs {
+		emu.endTruth(name, run)
+	}
+	vm.runs = map[job.Task]*emulatedRun{}
+	id := vm.vm.ID
+	emu.after(4500*time.Millisecond, func() { emu.tell(VMUnregistered{ID: id}) })
+	emu.after(back, func() { emu.boot(vm) })
+}
+
+func (emu *emulator) endTruth(name job.Task, run *emulatedRun) {
+	if !run.over {
+		run.over = true
+		emu.truthOf(name).running--
+	}
+}
+
+func (emu *emulator) truthOf(name job.Task) *taskTruth {
+	tru := emu.truth[name]
+	if tru == nil {
+		tru = &taskTruth{}
+		emu.truth[name] = tru
+	}
+	return tru
+}
+
+// clock is a VM's steady clock; it may be 2% slow.
+func (emu *emulator) clock(vm *emulatedVM) time.Duration {
+	return time.Duration(float64(emu.now.Sub(vm.born)) * 0.98)
+}
+
+// tell brings an event to the dispatcher, if there is one.
+func (emu *emulator) tell(evt Event) {
+	if emu.sched == nil || emu.down {
+		return
+	}
+	emu.inbox = append(emu.inbox, evt)
+	emu.wake(3 * time.Millisecond)
+}
+
+func (emu *emulator) wake(span time.Duration) {
+	if emu.waiting {
+		return
+	}
+	emu.waiting = true
+	term := emu.term
+	emu.after(span, func() {
+		emu.waiting = false
+		if term != emu.term || emu.down {
+			return
+		}
+		emu.reduce()
+	})
+}
+
+func (emu *emulator) reduce() {
+	events := emu.inbox
+	emu.inbox = nil
+	for _, eff := range emu.sched.Reduce(emu.now, events) {
+		emu.perform(eff)
+	}
+	emu.wake(40 * time.Millisecond)
+}
+
+// takeOver begins the term of a new dispatcher, which loads what is stored.
+func (emu *emulator) takeOver(opt Options) {
+	emu.term++
+	emu.store.rev++
+	opt.Since, opt.Revision, opt.Term = emu.now, emu.store.rev, emu.term
+	emu.opt = opt
+	emu.sched, emu.inbox, emu.down, emu.waiting = New(opt), nil, false, false
+	emu.tell(CatalogChanged{Catalog: emu.catalog})
+	for _, name := range emu.names {
+		if vm := emu.vms[name]; vm.up {
+			emu.tell(VMRegistered{VM: vm.vm})
+		}
+	}
+	for _, itm := range emu.store.sorted(job.LivePrefix) {
+		id, cancelled := job.ParseLiveKey(itm.Key)
+		if cancelled {
+			emu.tell(JobCancelled{ID: id})
+			continue
+		}
+		evt := JobAccepted{Revision: itm.Revision}
+		evt.Spec, _ = job.Unmarshal[job.Spec](itm.Value)
+		if pro, ok := emu.store.items[job.ProgressKey(id)]; ok {
+			evt.Progress, _ = job.Unmarshal[job.Progress](pro.Value)
+			evt.ProgressRevision = pro.Revision
+		}
+		emu.tell(evt)
+	}
+	emu.tell(Loaded{})
+}
+
+// killDispatcher ends the dispatcher; another one takes over when the lease
+// has ended.
+func (emu *emulator) killDispatcher() {
+	if emu.down || emu.sched == nil {
+		return
+	}
+	emu.down = true
+	opt := emu.opt
+	emu.after(emulatedTTL, func() { emu.takeOver(opt) })
+}
+
+// submit stores a job and tells the dispatcher.
+func (emu *emulator) submit(spe job.Spec) {
+	spe.Accepted = emu.now
+	raw, err := job.Marshal(spe)
+	if err != nil {
+		panic(err)
+	}
+	emu.specs[spe.ID] = spe
+	rev := emu.store.put(job.LiveKey(spe.ID), raw)
+	emu.after(emulatedLatency, func() { emu.tell(JobAccepted{Spec: spe, Revision: rev}) })
+}
+
+func (emu *emulator) perform(eff Effect) {
+	switch eff := eff.(type) {
+	case Look:
+		emu.performLook(eff)
+	case Start:
+		emu.carry(eff.VM, func(vm *emulatedVM, term int64) worker.Result { return emu.startOn(vm, eff, term) }, func(res worker.Result) Event {
+			return StartAnswered{VM: eff.VM, Task: eff.Task, Run: eff.Run, Result: res}
+		})
+	case Stop:
+		emu.carry(eff.VM, func(vm *emulatedVM, term int64) worker.Result { return emu.stopOn(vm, eff, term) }, func(res worker.Result) Event {
+			return StopAnswered{VM: eff.VM, Task: eff.Task, Run: eff.Run, Result: res}
+		})
+	case Commit:
+		emu.performCommit(eff)
+	case ListMachines:
+		asked := emu.now
+		emu.after(emulatedLatency, func() { emu.tell(MachinesListed{Asked: asked, Machines: emu.machines()}) })
+	case GiveUp:
+		emu.killDispatcher()
+	case Note:
+		emu.notes[eff.Name]++
+	}
+}
+
+func (emu *emulator) machines() (all []worker.Machine) {
+	for _, name := range emu.names {
+		vm := emu.vms[name]
+		mac := worker.Machine{Name: name, Pool: vm.vm.Pool, State: worker.MachineUp, VM: vm.vm.ID, Capacity: vm.vm.Capacity}
+		if !vm.up {
+			mac.State = worker.MachineDown
+		}
+		all = append(all, mac)
+	}
+	return all
+}
+
+// find returns the VM of a life that can be reached.
+func (emu *emulator) find(one worker.VM) *emulatedVM {
+	vm := emu.vms[one.Address]
+	if vm == nil || !vm.up || vm.cut {
+		return nil
+	}
+	return vm
+}
+
+// carry carries an order to a VM and its answer back; either may be lost, and
+// the order may be carried out late.
+func (emu *emulator) carry(one worker.VM, carryOut func(*emulatedVM, int64) worker.Result, answer func(worker.Result) Event) {
+	term := emu.term
+	back := func(span time.Duration, res worker.Result) {
+		emu.after(span, func() {
+			if term == emu.term {
+				emu.tell(answer(res))
+			}
+		})
+	}
+	chance := emu.rng.Float64()
+	arrive := func() (worker.Result, bool) {
+		vm := emu.find(one)
+		if vm == nil {
+			return 0, false
+		}
+		if vm.vm.ID != one.ID {
+			return worker.ResultOtherLife, true
+		}
+		return carryOut(vm, term), true
+	}
+	if chance < emu.lateOrder {
+		back(time.Second, worker.ResultUnknown)
+		emu.after(2*time.Second+time.Duration(emu.rng.Int64N(int64(10*time.Second))), func() { arrive() })
+		return
+	}
+	emu.after(emulatedLatency, func() {
+		if chance < emu.lateOrder+emu.loseOrder {
+			back(time.Second, worker.ResultUnknown)
+			return
+		}
+		res, ok := arrive()
+		if !ok || chance < emu.lateOrder+emu.loseOrder+emu.loseAnswer {
+			back(time.Second, worker.ResultUnknown)
+			return
+		}
+		back(emulatedLatency, res)
+	})
+}
+
+func (emu *emulator) extend(vm *emulatedVM, deadline time.Duration) {
+	if deadline <= vm.deadline {
+		return
+	}
+	vm.deadline = deadline
+	id := vm.vm.ID
+	wait := time.Duration(float64(deadline-emu.clock(vm)) / 0.98)
+	emu.after(wait+time.Millisecond, func() {
+		if vm.vm.ID != id || !vm.up || emu.clock(vm) < vm.deadline {
+			return
+		}
+		for _, name := range vm.sorted() {
+			emu.endOn(vm, name, vm.runs[name], worker.EndLapsed)
+		}
+	})
+}
+
+func (emu *emulator) startOn(vm *emulatedVM, ord Start, term int64) worker.Result {
+	if term < vm.fence {
+		return worker.ResultFenced
+	}
+	vm.fence = term
+	if run := vm.runs[ord.Task]; run != nil && run.run == ord.Run {
+		return worker.ResultOK
+	}
+	if ord.Run <= vm.tomb[ord.Task] || vm.runs[ord.Task] != nil {
+		return worker.ResultOldRun
+	}
+	if ord.Deadline <= emu.clock(vm) {
+		return worker.ResultLate
+	}
+	emu.extend(vm, ord.Deadline)
+	spe := emu.specs[ord.Task.Job]
+	ste := spe.Steps[ord.Task.Step]
+	used := job.Size{}
+	for _, run := range vm.runs {
+		used = used.Plus(run.size)
+	}
+	if !used.Plus(ste.Room()).Fits(vm.vm.Capacity) {
+		return worker.ResultNoRoom
+	}
+	emu.checkStart(vm, ord, spe)
+	run := &emulatedRun{run: ord.Run, since: emu.now, size: ste.Room(), owner: spe.Account}
+	vm.runs[ord.Task] = run
+	emu.truthOf(ord.Task).running++
+	if ste.LongRunning {
+		return worker.ResultOK
+	}
+	id := vm.vm.ID
+	emu.after(emu.duration(ord.Task, ste), func() {
+		if vm.vm.ID != id || vm.runs[ord.Task] != run {
+			return
+		}
+		kind := worker.EndDone
+		if emu.failing(ord.Task) || vm.fails {
+			kind = worker.EndFailed
+		}
+		emu.endOn(vm, ord.Task, run, kind)
+	})
+	return worker.ResultOK
+}
+
+// checkStart checks what must hold when a task starts.
+func (emu *emulator) checkStart(vm *emulatedVM, ord Start, spe job.Spec) {
+	tru := emu.truthOf(ord.Task)
+	if tru.running > 0 {
+		emu.fail("%s run %d starts on %s while it runs", ord.Task, ord.Run, vm.vm.ID)
+	}
+	if tru.done && tru.acked {
+		emu.fail("%s run %d starts on %s after its end was acknowledged", ord.Task, ord.Run, vm.vm.ID)
+	}
+	for _, dep := range spe.Steps[ord.Task.Step].After {
+		for i := range spe.Steps[dep].Count {
+			before := job.Task{Job: ord.Task.Job, Occurrence: ord.Task.Occurrence, Step: dep, Index: i}
+			if !emu.truthOf(before).done {
+				emu.fail("%s starts before %s is done", ord.Task, before)
+			}
+		}
+	}
+	if acc := emu.catalog.Account(spe.Account); acc != nil && acc.Cap.CPU > 0 {
+		sum := spe.Steps[ord.Task.Step].Size.CPU
+		for _, oth := range emu.vms {
+			for _, run := range oth.runs {
+				if run.owner == spe.Account {
+					sum += run.size.CPU
+				}
+			}
+		}
+		if sum > acc.Cap.CPU {
+			emu.fail("%s brings account %s to %d of %d", ord.Task, spe.Account, sum, acc.Cap.CPU)
+		}
+	}
+}
+
+func (emu *emulator) endOn(vm *emulatedVM, name job.Task, run *emulatedRun, kind worker.EndKind) {
+	emu.endTruth(name, run)
+	delete(vm.runs, name)
+	vm.tomb[name] = max(vm.tomb[name], run.run)
+	vm.number++
+	vm.ends = append(vm.ends, worker.End{Number: vm.number, Task: name, Run: run.run, Kind: kind})
+	switch kind {
+	case worker.EndDone:
+		emu.truthOf(name).done = true
+	case worker.EndFailed:
+		emu.truthOf(name).failedEnd++
+	}
+	if vm.waiter != nil {
+		wake := vm.waiter
+		vm.waiter = nil
+		wake()
+	}
+}
+
+func (emu *emulator) stopOn(vm *emulatedVM, ord Stop, term int64) worker.Result {
+	if term < vm.fence {
+		return worker.ResultFenced
+	}
+	vm.fence = term
+	vm.tomb[ord.Task] = max(vm.tomb[ord.Task], ord.Run)
+	run := vm.runs[ord.Task]
+	if run != nil && run.run <= ord.Run {
+		emu.after(200*time.Millisecond, func() {
+			if vm.runs[ord.Task] == run {
+				emu.endOn(vm, ord.Task, run, worker.EndStopped)
+			}
+		})
+	}
+	return worker.ResultOK
+}
+
+func (emu *emulator) performLook(eff Look) {
+	sent, term := emu.now, emu.term
+	answered := false
+	answer := func(res worker.Result, rep worker.Report) {
+		if answered {
+			return
+		}
+		answered = true
+		emu.after(emulatedLatency, func() {
+			if term == emu.term {
+				emu.tell(Looked{VM: eff.VM, Sent: sent, Report: rep, Result: res})
+			}
+		})
+	}
+	emu.after(eff.Wait+time.Second, func() { answer(worker.ResultUnknown, worker.Report{}) })
+	emu.after(emulatedLatency, func() {
+		vm := emu.find(eff.VM)
+		if vm == nil {
+			return
+		}
+		if vm.vm.ID != eff.VM.ID {
+			answer(worker.ResultOtherLife, worker.Report{})
+			return
+		}
+		if term < vm.fence {
+			answer(worker.ResultFenced, worker.Report{})
+			return
+		}
+		vm.fence = term
+		emu.acknowledge(vm, eff.Acked)
+		if eff.Deadline > 0 {
+			emu.extend(vm, eff.Deadline)
+		}
+		id := vm.vm.ID
+		respond := func() {
+			if vm.vm.ID == id && emu.find(eff.VM) == vm {
+				answer(worker.ResultOK, emu.reportOf(vm))
+			}
+		}
+		if eff.Wait > 0 && len(vm.ends) == 0 {
+			vm.waiter = respond
+			emu.after(eff.Wait, respond)
+			return
+		}
+		respond()
+	})
+}
+
+func (emu *emulator) acknowledge(vm *emulatedVM, upTo int64) {
+	kept := vm.ends[:0]
+	for _, end := range vm.ends {
+		if end.Number > upTo {
+			kept = append(kept, end)
+			continue
+		}
+		if end.Kind == worker.EndDone {
+			emu.truthOf(end.Task).acked = true
+			if !emu.store.knowsDone(end.Task) {
+				emu.fail("the end of %s is acknowledged and not stored", end.Task)
+			}
+		}
+	}
+	vm.ends = kept
+}
+
+func (emu *emulator) reportOf(vm *emulatedVM) worker.Report {
+	rep := worker.Report{Clock: emu.clock(vm), Born: vm.vm.Born, Ends: append([]worker.End(nil), vm.ends...)}
+	for _, name := range vm.sorted() {
+		run := vm.runs[name]
+		rep.Running = append(rep.Running, worker.Running{Task: name, Run: run.run, Percent: 100})
+	}
+	return rep
+}
+
+func (emu *emulator) performCommit(eff Commit) {
+	term := emu.term
+	chance := emu.rng.Float64()
+	apply := func() (rev kv.Revision, err error) {
+		if term != emu.term {
+			return 0, kv.ErrNotDone
+		}
+		return emu.commit(eff.Txn)
+	}
+	answer := func(span time.Duration, rev kv.Revision, err error) {
+		emu.after(span, func() {
+			if term == emu.term {
+				emu.tell(Committed{Revision: rev, Err: err})
+			}
+		})
+	}
+	switch {
+	case chance < emu.lateCommit:
+		answer(time.Second, 0, kv.ErrUnknown)
+		emu.after(time.Second+time.Duration(emu.rng.Int64N(int64(5*time.Second))), func() { _, _ = apply() })
+	case chance < emu.lateCommit+emu.loseCommit:
+		emu.after(emulatedLatency, func() { _, _ = apply() })
+		answer(time.Second, 0, kv.ErrUnknown)
+	default:
+		emu.after(emulatedLatency, func() {
+			rev, err := apply()
+			answer(emulatedLatency, rev, err)
+		})
+	}
+}
+
+func (emu *emulator) commit(txn kv.Txn) (rev kv.Revision, err error) {
+	con := &kv.ConflictError{}
+	failed := false
+	for _, cnd := range txn.Conditions {
+		itm := emu.store.items[cnd.Key]
+		itm.Key = cnd.Key
+		con.Current = append(con.Current, itm)
+		failed = failed || itm.Revision != cnd.Revision
+	}
+	if failed {
+		return 0, con
+	}
+	for _, put := range txn.Puts {
+		rev = emu.store.put(put.Key, put.Value)
+		if len(put.Key) > len(job.EndedPrefix) && put.Key[:len(job.EndedPrefix)] == job.EndedPrefix {
+			emu.checkEnded(job.ID(put.Key[len(job.EndedPrefix):]), put.Value)
+		}
+	}
+	for _, key := range txn.Deletes {
+		delete(emu.store.items, key)
+	}
+	return rev, nil
+}
+
+// checkEnded checks a job that is stored as ended.
+func (emu *emulator) checkEnded(id job.ID, raw []byte) {
+	emu.finished[id] = emu.now
+	out, err := job.Unmarshal[job.Outcome](raw)
+	if err != nil {
+		panic(err)
+	}
+	worst := 0
+	spe := emu.specs[id]
+	for i, ste := range spe.Steps {
+		for j := range ste.Count {
+			tru := emu.truthOf(job.Task{Job: id, Step: i, Index: j})
+			worst = max(worst, tru.failedEnd)
+			if out.State == job.StateCompleted && !tru.done {
+				emu.fail("job %s is completed while task %d.%d is not done", id, i, j)
+			}
+		}
+	}
+	if out.State == job.StateFailed && worst < emu.catalog.Queue(spe.Queue).MaxAttempts {
+		emu.fail("job %s failed after %d failures of a task", id, worst)
+	}
+}
+
+func (sto *emulatedStore) put(key string, value []byte) kv.Revision {
+	sto.rev++
+	sto.items[key] = kv.Item{Key: key, Value: value, Revision: sto.rev}
+	return sto.rev
+}
+
+func (sto *emulatedStore) sorted(prefix string) (items []kv.Item) {
+	for key, itm := range sto.items {
+		if len(key) >= len(prefix) && key[:len(prefix)] == prefix {
+			items = append(items, itm)
+		}
+	}
+	sortItems(items)
+	return items
+}
+
+// knowsDone reports whether the store holds that a task is done.
+func (sto *emulatedStore) knowsDone(tas job.Task) bool {
+	if _, ok := sto.items[job.EndedKey(tas.Job)]; ok {
+		return true
+	}
+	itm, ok := sto.items[job.ProgressKey(tas.Job)]
+	if !ok {
+		return false
+	}
+	pro, err := job.Unmarshal[job.Progress](itm.Value)
+	if err != nil {
+		panic(err)
+	}
+	for _, rec := range pro.Tasks {
+		if rec.Occurrence == tas.Occurrence && rec.Step == tas.Step && rec.Index == tas.Index {
+			return rec.Done
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/core/scheduler/reduce.go
@@ -0,0 +1,111 @@
+package scheduler
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Reduce takes events in and returns what is to be done.
+func (sta *State) Reduce(now time.Time, events []Event) (effects []Effect) {
+	sta.now = now
+	sta.effects = nil
+	for _, evt := range events {
+		if sta.gaveUp {
+			return sta.effects
+		}
+		sta.handle(evt)
+	}
+	if sta.gaveUp {
+		return sta.effects
+	}
+	sta.expire()
+	sta.dueOccurrences()
+	if sta.loaded {
+		sta.planWaves()
+		sta.assign()
+	}
+	sta.pursueStops()
+	sta.look()
+	sta.save()
+	sta.listMachines()
+	return sta.effects
+}
+
+func (sta *State) handle(evt Event) {
+	switch evt := evt.(type) {
+	case Tick:
+	case Loaded:
+		sta.loaded = true
+	case CatalogChanged:
+		sta.catalog = evt.Catalog
+	case ZonesChanged:
+		sta.zonesOut = evt.Out
+	case JobAccepted:
+		sta.accept(evt)
+	case JobCancelled:
+		sta.cancel(evt.ID)
+	case VMRegistered:
+		sta.register(evt.VM)
+	case VMUnregistered:
+		if hos := sta.hosts[evt.ID]; hos != nil {
+			hos.unregistered = true
+		}
+	case MachinesListed:
+		sta.machinesListed(evt)
+	case Committed:
+		sta.committed(evt)
+	case Advised:
+		sta.advised(evt)
+	case WaveAsked:
+		sta.waveAsked(evt)
+	case WaveWithdrawn:
+		delete(sta.waves, evt.Number)
+	case MachineAnswered:
+		sta.machineAnswered(evt)
+	default:
+		sta.handleAnswer(evt)
+	}
+}
+
+// handleAnswer takes in what VMs answered. Answers of former lives are void.
+func (sta *State) handleAnswer(evt Event) {
+	switch evt := evt.(type) {
+	case Looked:
+		if hos := sta.hosts[evt.VM.ID]; hos != nil && hos.vm.SameLife(evt.VM) {
+			sta.looked(hos, evt)
+		}
+	case StartAnswered:
+		if hos := sta.hosts[evt.VM.ID]; hos != nil && hos.vm.SameLife(evt.VM) {
+			sta.startAnswered(hos, evt)
+		}
+	case StopAnswered:
+		if hos := sta.hosts[evt.VM.ID]; hos != nil && hos.vm.SameLife(evt.VM) {
+			sta.stopAnswered(hos, evt)
+		}
+	case PaceAnswered:
+		if hos := sta.hosts[evt.VM.ID]; hos != nil && hos.vm.SameLife(evt.VM) {
+			sta.paceAnswered(hos, evt)
+		}
+	default:
+		panic(fmt.Sprintf("scheduler: unknown event %T", evt))
+	}
+}
+
+func (sta *State) giveUp(reason string) {
+	sta.gaveUp = true
+	sta.emit(GiveUp{Reason: reason})
+}
+
+// indexPools sorts the hosts, and into their pools.
+func (sta *State) indexPools() {
+	pools := make(map[string][]*host, len(sta.pools))
+	sta.hostList = make([]*host, 0, len(sta.hosts))
+	for _, id := range slices.Sorted(maps.Keys(sta.hosts)) {
+		hos := sta.hosts[id]
+		sta.hostList = append(sta.hostList, hos)
+		pools[hos.vm.Pool] = append(pools[hos.vm.Pool], hos)
+	}
+	sta.pools = pools
+}
--- /dev/null
+++ b/internal/core/scheduler/schedule_test.go
@@ -0,0 +1,113 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/balsamgauge/balsamgauge/internal/core/catalog"
+	"github.com/balsamgauge/balsamgauge/internal/core/job"
+	"github.com/balsamgauge/balsamgauge/internal/kv"
+	"gotest.tools/v3/assert"
+)
+
+func sortItems(items []kv.Item) {
+	slices.SortFunc(items, func(one, oth kv.Item) int { return strings.Compare(one.Key, oth.Key) })
+}
+
+// testCatalog has one pool with a queue, and an account with a cap.
+func testCatalog() catalog.Catalog {
+	return catalog.New(catalog.Catalog{
+		Version: 1, Revision: 1,
+		Queues: []catalog.Queue{
+			{Name: "gate", Pool: "lots", MaxAttempts: 4, SlackFactor: 1.6, Target: 600 * time.Millisecond},
+			{Name: "settle", Pool: "lots", MaxAttempts: 3, SlackFactor: 2.2, Target: 2500 * time.Millisecond},
+		},
+		Pools:    []catalog.Pool{{Name: "lots", GuardsRoom: true}},
+		Accounts: []catalog.Account{{Name: "small", Cap: job.Size{CPU: 24_000}}, {Name: "large"}},
+	})
+}
+
+func testOptions() Options {
+	return Options{
+		Lease: 4 * time.Second, MachineLease: 3 * time.Second, StopTime: 400 * time.Millisecond,
+		MoveTime: 1500 * time.Millisecond, UpkeepTime: 2 * time.Second, RemoteFactor: 1.5,
+	}
+}
+
+func jobName(n int) job.ID { return job.ID(fmt.Sprintf("%016x", n)) }
+
+// fanOut is a job of two steps, the second after the first.
+func fanOut(n int, account string, width int, cpu int64, span time.Duration) job.Spec {
+	ste := job.Step{Count: width, Size: job.Size{CPU: cpu, Memory: 512}, Estimate: span}
+	next := ste
+	next.After = []int{0}
+	return job.Spec{ID: jobName(n), Queue: "gate", Account: account, Payload: "x", Steps: []job.Step{ste, next}}
+}
+
+// faultyDay plays half a minute of jobs with faults of every kind, and a calm
+// quarter of a minute after it.
+func faultyDay(seed uint64) *emulator {
+	emu := newEmulator(seed, testCatalog())
+	emu.addVMs("lots", 9, 3, job.Size{CPU: 16_000, Memory: 32_768})
+	emu.loseAnswer, emu.loseOrder, emu.lateOrder = 0.03, 0.02, 0.03
+	emu.loseCommit, emu.lateCommit = 0.1, 0.1
+	emu.duration = func(_ job.Task, ste job.Step) time.Duration {
+		return time.Duration(float64(ste.Estimate) * (0.5 + emu.rng.Float64()))
+	}
+	poisoned := map[job.ID]bool{}
+	emu.failing = func(tas job.Task) bool { return poisoned[tas.Job] || emu.rng.Float64() < 0.02 }
+	emu.takeOver(testOptions())
+	for i := range 120 {
+		account := []string{"small", "large"}[i%2]
+		at := time.Duration(emu.rng.Int64N(int64(28 * time.Second)))
+		spe := fanOut(i+1, account, 1+emu.rng.IntN(6), 500+emu.rng.Int64N(2000), 200*time.Millisecond+time.Duration(emu.rng.Int64N(int64(time.Second))))
+		poisoned[spe.ID] = i%29 == 7
+		emu.after(at, func() { emu.submit(spe) })
+	}
+	for range 8 {
+		vm := emu.vms[emu.names[emu.rng.IntN(len(emu.names))]]
+		at := time.Duration(emu.rng.Int64N(int64(26 * time.Second)))
+		span := time.Second + time.Duration(emu.rng.Int64N(int64(7*time.Second)))
+		switch emu.rng.IntN(3) {
+		case 0:
+			emu.after(at, func() { emu.crash(vm, span) })
+		case 1:
+			emu.after(at, func() { vm.cut = true })
+			emu.after(at+span, func() { vm.cut = false })
+		default:
+			emu.after(at, func() { vm.fails = true })
+			emu.after(at+span, func() { vm.fails = false })
+		}
+	}
+	for range 3 {
+		emu.after(time.Duration(emu.rng.Int64N(int64(28*time.Second))), emu.killDispatcher)
+	}
+	emu.after(30*time.Second, func() {
+		emu.loseAnswer, emu.loseOrder, emu.lateOrder, emu.loseCommit, emu.lateCommit = 0, 0, 0, 0, 0
+	})
+	emu.run(75 * time.Second)
+	return emu
+}
+
+// TestFaultyDays plays many seeds. No task runs twice at once or after its end
+// was acknowledged, none starts before its step or beyond its account's cap,
+// no end is acknowledged before it is stored, jobs end as they truly did, and
+// none is lost.
+func TestFaultyDays(t *testing.T) {
+	seeds := uint64(150)
+	if testing.Short() {
+		seeds = 20
+	}
+	for seed := range seeds {
+		emu := faultyDay(seed)
+		for id := range emu.specs {
+			if _, ok := emu.finished[id]; !ok {
+				emu.fail("job %s has not ended", id)
+			}
+		}
+		assert.Equal(t, len(emu.broken), 0, "seed %d: %s", seed, strings.Join(emu.broken, "\n"))
+	}
+}
--- /dev/null
+++ b/internal/core/scheduler/state.go
@@ -0,0 +1,319 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/balsamgauge/balsamgauge/internal/core/catalog"
+	"github.com/balsamgauge/balsamgauge/internal/core/job"
+	"github.com/balsamgauge/balsamgauge/internal/core/pace"
+	"github.com/balsamgauge/balsamgauge/internal/core/upkeep"
+	"github.com/balsamgauge/balsamgauge/internal/core/worker"
+	"github.com/balsamgauge/balsamgauge/internal/kv"
+)
+
+// Options are fixed for the time of a duty.
+type Options struct {
+	// Since is when the duty was taken, and Revision the store's revision then:
+	// what was stored later, no former dispatcher has started.
+	Since    time.Time
+	Revision kv.Revision
+	// Term rises with each holder of the duty, from 1.
+	Term int64
+	// Lease is for how long a VM runs tasks without being looked at.
+	Lease time.Duration
+	// MachineLease is how long this dispatcher keeps apart from the orders for
+	// machines of a former one.
+	MachineLease time.Duration
+	// StopTime is how long a task takes to stop.
+	StopTime time.Duration
+	// MoveTime and UpkeepTime are how long a machine is away for either.
+	MoveTime   time.Duration
+	UpkeepTime time.Duration
+	// RemoteFactor is how many times longer a task takes away from its data.
+	RemoteFactor float64
+}
+
+// runsPerTerm is how far the run numbers of two terms are apart at least, so
+// that a dispatcher that doesn't know the last run of its predecessor uses a
+// higher one.
+const runsPerTerm = 1000
+
+// phase is where a task stands.
+type phase int
+
+const (
+	// phaseWaiting tasks have no run.
+	phaseWaiting phase = iota
+	// phaseHeld tasks have a run that may be running on a VM.
+	phaseHeld
+	phaseDone
+)
+
+type task struct {
+	phase phase
+	// run is the highest run that was ordered or seen.
+	run int
+	// failed counts the runs that ended failed, up to failedRun.
+	failed, failedRun int
+	checkpoint        string
+	// host is set while the phase is phaseHeld.
+	host *host
+	// notBefore delays the next start after an order was refused.
+	notBefore time.Time
+	// ordered is when the present run was ordered.
+	ordered time.Time
+}
+
+// stage is a step of one occurrence.
+type stage struct {
+	live  *live
+	occ   int
+	index int
+	step  *job.Step
+	tasks []task
+	// blockers is how many steps must end before this one.
+	blockers int
+	// waiting and left count the tasks without a run, and those not done.
+	waiting, left int
+	advice        advice
+}
+
+// advice is what the advisor said of a stage.
+type advice struct {
+	asked   bool
+	askedAt time.Time
+	tickets map[string]string
+	until   time.Time
+}
+
+type occurrence struct {
+	stages []stage
+	// left counts the stages that are not done.
+	left int
+}
+
+// live is a job that hasn't ended.
+type live struct {
+	spec     job.Spec
+	revision kv.Revision
+	// occs holds the occurrences that are due.
+	occs []*occurrence
+	// occsLeft counts the occurrences that have not ended.
+	occsLeft int
+	deadline time.Time
+	work     float64
+	// pool is the one that ran the queue's tasks when the queue was last known.
+	pool      string
+	cancelled bool
+	// begun says that some task has started.
+	begun bool
+	// final is the state to be stored, once it is known.
+	final job.State
+	// held counts the runs that may be running.
+	held int
+	// dirtySince is when something changed that is not stored yet; zero if all
+	// is stored.
+	dirtySince  time.Time
+	progressRev kv.Revision
+	// acks lists the ends that are stored with the job's next record.
+	acks []ack
+	// restored says that a former dispatcher may have started its tasks.
+	restored bool
+}
+
+// ack names an end that a VM listed.
+type ack struct {
+	host   *host
+	number int64
+}
+
+// runState is what is known of a run on a VM.
+type runState int
+
+const (
+	// runOrdered runs have been ordered; no answer came yet.
+	runOrdered runState = iota
+	// runUnknown runs were ordered, and the answer was lost.
+	runUnknown
+	runRunning
+	// runStopping runs are to be stopped; the VM may not have answered yet.
+	runStopping
+	// runRejected runs have been stopped before they came, or have ended.
+	runRejected
+)
+
+// held is a run that may be running on a VM. It takes room.
+type held struct {
+	task  job.Task
+	run   int
+	room  job.Size
+	size  job.Size
+	owner string
+	state runState
+	// stage is nil for runs of jobs that are not known.
+	stage *stage
+	// since is when the state was entered.
+	since time.Time
+	// percent and load are as in worker.Running.
+	percent int
+	load    int64
+	// pace is the share of its speed that it was last ordered, in percent.
+	pace       int
+	paceBusy   bool
+	checkpoint string
+	// stopSent is when a stop was last sent; stopBusy says that its answer is
+	// awaited.
+	stopSent time.Time
+	stopBusy bool
+}
+
+// host is one life of a VM with what may be running there.
+type host struct {
+	vm worker.VM
+	// fenced says that the VM has answered a look of this term.
+	fenced bool
+	// clock is the VM's clock at clockAt.
+	clock   time.Duration
+	clockAt time.Time
+	runs    map[job.Task]*held
+	// list holds the runs in the order in which they were noted.
+	list []*held
+	used job.Size
+	// lapse is when everything there has surely ended, unless it is looked at
+	// again.
+	lapse time.Time
+	// looking says that the answer to a look is awaited.
+	looking  bool
+	nextLook time.Time
+	// failedLooks counts the looks without an answer since the last one.
+	failedLooks int
+	// seen is the highest end that was taken in; acked the highest up to which
+	// all ends are stored; stored holds those above it that are.
+	seen, acked int64
+	stored      map[int64]bool
+	// ackDue says that acked is higher than the last look told.
+	ackDue bool
+	// unregistered says that the registration is gone.
+	unregistered bool
+	// cordoned says that the machine goes down soon and gets no new tasks.
+	cordoned bool
+	// goingDown says that the machine's upkeep or move has been ordered.
+	goingDown bool
+	// quarantine is until when it gets no new tasks, for it failed some.
+	quarantine time.Time
+	failures   int
+	// pace is that of the tasks that fill.
+	pace pace.Control
+}
+
+// usable reports whether new tasks may start there.
+func (hos *host) usable(now time.Time) bool {
+	return hos.fenced && !hos.unregistered && !hos.vm.Leaving && !hos.cordoned && !hos.goingDown && hos.failedLooks == 0 && !now.Before(hos.quarantine)
+}
+
+// State is what the dispatcher knows. It belongs to one goroutine.
+type State struct {
+	opt      Options
+	now      time.Time
+	effects  []Effect
+	catalog  catalog.Catalog
+	zonesOut map[string]bool
+	jobs     map[job.ID]*live
+	// jobList holds the jobs in the order in which they were taken in.
+	jobList []*live
+	hosts   map[string]*host
+	// hostList holds the hosts in the order of their IDs.
+	hostList []*host
+	// pools holds the hosts of each pool in the order of their IDs.
+	pools map[string][]*host
+	// usage is what each client account may have running.
+	usage    map[string]job.Size
+	machines machines
+	waves    map[int64]*wave
+	commit   commit
+	loaded   bool
+	// ended remembers jobs that are stored as ended, so that an event that comes
+	// late doesn't bring them back.
+	ended map[job.ID]bool
+	// learned holds, by queue, how run times compare with the estimates.
+	learned map[string]*ratio
+	gaveUp  bool
+}
+
+// machines is the list of machines as last read.
+type machines struct {
+	byName map[string]worker.Machine
+	byVM   map[string]string
+	// asked is when the last list was asked for; listed is when the list that is
+	// known was asked for.
+	asked, listed time.Time
+	busy          bool
+}
+
+// wave is a plan with the orders under way.
+type wave struct {
+	plan upkeep.Plan
+	// down holds machines whose upkeep was ordered, with the ID of the VM that
+	// it ended and the time of the order.
+	down map[string]downMachine
+	// ordered holds machines whose answer is awaited.
+	ordered map[string]bool
+	// saved says that the status is stored as completed.
+	completed bool
+}
+
+type downMachine struct {
+	vm    string
+	since time.Time
+}
+
+// commit is the write under way.
+type commit struct {
+	busy    bool
+	retryAt time.Time
+	jobs    []jobWrite
+}
+
+type jobWrite struct {
+	live  *live
+	acks  []ack
+	final bool
+}
+
+// New returns the state of a dispatcher that has just taken the duty.
+func New(opt Options) *State {
+	return &State{
+		opt: opt, zonesOut: map[string]bool{}, jobs: map[job.ID]*live{}, hosts: map[string]*host{},
+		pools: map[string][]*host{}, usage: map[string]job.Size{}, waves: map[int64]*wave{},
+		machines: machines{byName: map[string]worker.Machine{}, byVM: map[string]string{}},
+		ended:    map[job.ID]bool{}, learned: map[string]*ratio{},
+	}
+}
+
+func (sta *State) emit(eff Effect) { sta.effects = append(sta.effects, eff) }
+
+func (sta *State) note(name string, id job.ID, fields map[string]any) {
+	sta.emit(Note{Name: name, Job: id, Fields: fields})
+}
+
+// ratio learns how run times compare with the estimates.
+type ratio struct {
+	mean  float64
+	count int
+}
+
+// learnWeight is the weight of a new run once several have been seen.
+const learnWeight = 0.05
+
+func (rat *ratio) add(val float64) {
+	rat.count++
+	rat.mean += (val - rat.mean) * max(learnWeight, 1/float64(rat.count))
+}
+
+// factor returns the mean, or 1 if nothing has been learned.
+func (rat *ratio) factor() float64 {
+	if rat == nil || rat.count == 0 {
+		return 1
+	}
+	return rat.mean
+}
--- /dev/null
+++ b/internal/core/scheduler/waves.go
@@ -0,0 +1,257 @@
+package scheduler
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/balsamgauge/balsamgauge/internal/core/upkeep"
+	"github.com/balsamgauge/balsamgauge/internal/core/worker"
+)
+
+// Times of the list of machines.
+const (
+	// listPause is the time between two lists while something waits for them.
+	listPause = 500 * time.Millisecond
+	// listRest is that time while nothing does.
+	listRest = 10 * time.Second
+)
+
+// waveAsked takes in a wave.
+func (sta *State) waveAsked(evt WaveAsked) {
+	if wav := sta.waves[evt.Wave.Number]; wav != nil {
+		return
+	}
+	plan := upkeep.Plan{Wave: evt.Wave, Asked: sta.now}
+	for _, name := range evt.Begun {
+		plan = plan.WithBegun(name)
+	}
+	sta.waves[evt.Wave.Number] = &wave{plan: plan, down: map[string]downMachine{}, ordered: map[string]bool{}}
+	sta.note("wave_asked", "", map[string]any{"wave": evt.Wave.Number, "machines": len(evt.Wave.Machines), "cap": evt.Wave.Cap, "duration_ms": evt.Wave.Duration.Milliseconds(), "begun": len(evt.Begun)})
+	sta.emit(SaveWave{Number: evt.Wave.Number, Begun: evt.Begun})
+}
+
+// planWaves orders the upkeep that is due.
+func (sta *State) planWaves() {
+	if len(sta.waves) == 0 {
+		return
+	}
+	for _, hos := range sta.hostList {
+		hos.cordoned = false
+	}
+	for _, number := range slices.Sorted(maps.Keys(sta.waves)) {
+		wav := sta.waves[number]
+		if !wav.completed && !sta.machines.listed.IsZero() {
+			sta.planWave(number, wav)
+		}
+	}
+}
+
+func (sta *State) planWave(number int64, wav *wave) {
+	exists := func(name string) bool { _, ok := sta.machines.byName[name]; return ok }
+	if wav.plan.Completed(exists) && len(wav.ordered) == 0 {
+		wav.completed = true
+		sta.note("wave_completed", "", map[string]any{"wave": number, "age_ms": sta.now.Sub(wav.plan.Asked).Milliseconds()})
+		sta.emit(SaveWave{Number: number, Begun: wav.begun(), Completed: true})
+		return
+	}
+	// A former dispatcher's orders must be a while ago.
+	if sta.now.Before(sta.opt.Since.Add(sta.opt.MachineLease)) && sta.opt.Term > 1 {
+		return
+	}
+	var cans []upkeep.Candidate
+	for _, name := range wav.plan.Wave.Machines {
+		if wav.plan.Begun[name] || wav.ordered[name] || !exists(name) {
+			continue
+		}
+		cans = append(cans, sta.candidate(name))
+	}
+	stp := wav.plan.Next(sta.now, cans, sta.downOf(wav)+len(wav.ordered), sta.opt.UpkeepTime)
+	for _, name := range stp.Cordon {
+		if hos := sta.hosts[sta.machines.byName[name].VM]; hos != nil {
+			hos.cordoned = true
+		}
+	}
+	for _, name := range stp.Begin {
+		// Machines that go down before it in this round may hold tasks of the same
+		// step.
+		if sta.candidate(name).Breaks() {
+			continue
+		}
+		wav.ordered[name] = true
+		if hos := sta.hosts[sta.machines.byName[name].VM]; hos != nil {
+			hos.goingDown = true
+		}
+		sta.note("upkeep_ordered", "", map[string]any{"machine": name, "wave": number, "vm": sta.machines.byName[name].VM})
+		sta.emit(Upkeep{Machine: name, Wave: number})
+	}
+}
+
+func (wav *wave) begun() (names []string) {
+	for name := range wav.plan.Begun {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// downOf returns how many machines of a wave are down for upkeep. A machine is
+// back once the list shows it up with another VM.
+func (sta *State) downOf(wav *wave) int {
+	for name, dow := range wav.down {
+		mac, ok := sta.machines.byName[name]
+		back := mac.State == worker.MachineUp && mac.VM != dow.vm
+		if !ok || back && sta.machines.listed.After(dow.since) {
+			delete(wav.down, name)
+		}
+	}
+	return len(wav.down)
+}
+
+// candidate describes a machine that a wave may take down.
+func (sta *State) candidate(name string) upkeep.Candidate {
+	mac := sta.machines.byName[name]
+	hos := sta.hosts[mac.VM]
+	can := upkeep.Candidate{Machine: name, Up: mac.State == worker.MachineUp}
+	if hos == nil {
+		return can
+	}
+	if hos.vm.Leaving || hos.failedLooks > 0 || !hos.fenced {
+		can.Up = false
+		return can
+	}
+	shares := map[*stage]upkeep.LastingShare{}
+	var lasting []*stage
+	for _, hel := range hos.list {
+		stg := hel.stage
+		if stg == nil || stg.live.final != "" {
+			continue
+		}
+		if stg.step.LongRunning {
+			sha, seen := shares[stg]
+			if !seen {
+				lasting = append(lasting, stg)
+			}
+			sha.Here++
+			shares[stg] = sha
+			continue
+		}
+		left := stg.step.Estimate - sta.now.Sub(hel.since)
+		can.Left = max(can.Left, left)
+		can.Lost += stg.step.Size.Cores() * sta.now.Sub(hel.since).Seconds()
+		if can.Lost == 0 {
+			can.Lost = stg.step.Size.Cores()
+		}
+	}
+	for _, stg := range lasting {
+		sha := shares[stg]
+		sha.MayMiss = stg.step.MayMiss
+		sha.Away = stg.away(hos)
+		can.Lasting = append(can.Lasting, sha)
+	}
+	return can
+}
+
+// atWork is the percent of a task that lasts and is at work.
+const atWork = 100
+
+// away returns how many tasks of a stage that lasts are not at work on other
+// VMs than one.
+func (stg *stage) away(but *host) int {
+	n := 0
+	for i := range stg.tasks {
+		hos := stg.tasks[i].host
+		if hos == but {
+			continue
+		}
+		if hos == nil || hos.failedLooks > 0 || hos.vm.Leaving || hos.goingDown {
+			n++
+			continue
+		}
+		for _, hel := range hos.list {
+			if hel.stage == stg && hel.task.Index == i && (hel.state != runRunning || hel.percent < atWork) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// machineAnswered takes in the answer to an order for a machine.
+func (sta *State) machineAnswered(evt MachineAnswered) {
+	sta.note("machine_answered", "", map[string]any{"machine": evt.Machine, "wave": evt.Wave, "result": evt.Result.String()})
+	wav := sta.waves[evt.Wave]
+	if wav == nil {
+		return
+	}
+	delete(wav.ordered, evt.Machine)
+	sta.machines.asked = time.Time{}
+	if evt.Result == worker.MachineNotInWave || evt.Result == worker.MachineInvalid {
+		wav.plan = wav.plan.WithBegun(evt.Machine)
+		return
+	}
+	vm := sta.machines.byName[evt.Machine].VM
+	if evt.Result != worker.MachineOK {
+		if hos := sta.hosts[vm]; hos != nil {
+			hos.goingDown = evt.Result == worker.MachineUnknown
+		}
+		return
+	}
+	wav.plan = wav.plan.WithBegun(evt.Machine)
+	wav.down[evt.Machine] = downMachine{vm: vm, since: sta.now}
+	sta.emit(SaveWave{Number: evt.Wave, Begun: wav.begun()})
+	if hos := sta.hosts[vm]; hos != nil {
+		sta.lose(hos, "its machine went down for upkeep")
+	}
+}
+
+// machinesListed takes in the list of machines. It tells which lives have
+// ended.
+func (sta *State) machinesListed(evt MachinesListed) {
+	sta.machines.busy = false
+	if evt.Machines == nil {
+		return
+	}
+	sta.machines.listed = evt.Asked
+	sta.machines.byName = make(map[string]worker.Machine, len(evt.Machines))
+	sta.machines.byVM = make(map[string]string, len(evt.Machines))
+	for _, mac := range evt.Machines {
+		sta.machines.byName[mac.Name] = mac
+		if mac.VM != "" {
+			sta.machines.byVM[mac.VM] = mac.Name
+		}
+	}
+	for _, hos := range slices.Clone(sta.hostList) {
+		if hos.failedLooks == 0 {
+			continue
+		}
+		name, ok := sta.machines.byVM[hos.vm.ID]
+		if !ok || sta.machines.byName[name].State == worker.MachineDown {
+			sta.lose(hos, "the list of machines says that it is down")
+		}
+	}
+}
+
+// listMachines asks for the list of machines while something waits for it.
+func (sta *State) listMachines() {
+	pause := listRest
+	if sta.restoring() && sta.machines.listed.Before(sta.opt.Since) {
+		pause = 0
+	}
+	for _, wav := range sta.waves {
+		if !wav.completed {
+			pause = min(pause, listPause)
+		}
+	}
+	for _, hos := range sta.hostList {
+		if hos.failedLooks >= suspectFailures {
+			pause = min(pause, listPause)
+		}
+	}
+	if sta.machines.busy || sta.now.Sub(sta.machines.asked) < pause {
+		return
+	}
+	sta.machines.busy = true
+	sta.machines.asked = sta.now
+	sta.emit(ListMachines{})
+}
--- /dev/null
+++ b/internal/core/upkeep/wave.go
@@ -0,0 +1,135 @@
+// Package upkeep plans waves of upkeep: which machine goes down next, so that
+// few are down at once and no step loses more tasks than it may miss.
+package upkeep
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Wave asks for the upkeep of machines within a time. It is immutable.
+type Wave struct {
+	Number   int64
+	Machines []string
+	Duration time.Duration
+	// Cap is how many of them may be down for upkeep at once; at least 1.
+	Cap int
+	// Revision is the store's revision at which the operator asked.
+	Revision int64
+}
+
+// Plan is a wave with how far it has got. It is immutable.
+type Plan struct {
+	Wave Wave
+	// Asked is when this process learned of the wave.
+	Asked time.Time
+	// Begun holds the machines whose upkeep has begun.
+	Begun map[string]bool
+}
+
+// WithBegun returns the plan after a machine's upkeep has begun.
+func (pla Plan) WithBegun(machine string) Plan {
+	begun := make(map[string]bool, len(pla.Begun)+1)
+	for name := range pla.Begun {
+		begun[name] = true
+	}
+	begun[machine] = true
+	pla.Begun = begun
+	return pla
+}
+
+// Completed reports whether the upkeep of every machine that stays has begun.
+func (pla Plan) Completed(exists func(machine string) bool) bool {
+	for _, name := range pla.Wave.Machines {
+		if !pla.Begun[name] && exists(name) {
+			return false
+		}
+	}
+	return true
+}
+
+// LastingShare is what a machine holds of a step that lasts.
+type LastingShare struct {
+	// Here is how many of the step's tasks at work the machine holds; Away is
+	// how many others are not at work; MayMiss is how many may be away.
+	Here, Away, MayMiss int
+}
+
+// Breaks reports whether ending the tasks here would leave too many away.
+func (sha LastingShare) Breaks() bool {
+	return sha.MayMiss > 0 && sha.Here > 0 && sha.Away+sha.Here > sha.MayMiss
+}
+
+// Candidate is a machine that may go down.
+type Candidate struct {
+	Machine string
+	// Up says that the machine is up and not leaving.
+	Up bool
+	// Lost is the core-seconds of unsaved work that its upkeep would end.
+	Lost float64
+	// Left is the longest time that a task there is thought to need yet.
+	Left time.Duration
+	// Lasting holds its tasks that last, by step.
+	Lasting []LastingShare
+}
+
+// Breaks reports whether the machine's upkeep would leave too many tasks of a
+// step away.
+func (can Candidate) Breaks() bool {
+	for _, sha := range can.Lasting {
+		if sha.Breaks() {
+			return true
+		}
+	}
+	return false
+}
+
+// Step is what to do next for a wave.
+type Step struct {
+	// Cordon lists the machines that get no new tasks.
+	Cordon []string
+	// Begin lists the machines whose upkeep begins now.
+	Begin []string
+}
+
+// reserveShare is the part of a wave's duration that is kept in reserve, for
+// the upkeep of its last machines and for faults.
+const reserveShare = 0.15
+
+// Next plans the next step of a wave. down is how many of its machines are
+// down for upkeep; each takes about the span.
+func (pla Plan) Next(now time.Time, cans []Candidate, down int, span time.Duration) Step {
+	free := pla.Wave.Cap - down
+	if free <= 0 || len(cans) == 0 {
+		return Step{}
+	}
+	cans = slices.Clone(cans)
+	slices.SortStableFunc(cans, func(one, oth Candidate) int {
+		if one.Breaks() != oth.Breaks() {
+			if oth.Breaks() {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(one.Left, oth.Left), cmp.Compare(one.Lost, oth.Lost), cmp.Compare(one.Machine, oth.Machine))
+	})
+	usable := time.Duration(float64(pla.Wave.Duration) * (1 - reserveShare))
+	rounds := (len(cans) + pla.Wave.Cap - 1) / pla.Wave.Cap
+	late := now.Add(time.Duration(rounds) * span).After(pla.Asked.Add(usable))
+	var stp Step
+	for _, can := range cans {
+		if free == 0 {
+			break
+		}
+		if !can.Up {
+			continue
+		}
+		free--
+		stp.Cordon = append(stp.Cordon, can.Machine)
+		if !can.Breaks() && (can.Lost == 0 || late) {
+			stp.Begin = append(stp.Begin, can.Machine)
+		}
+	}
+	return stp
+}
--- /dev/null
+++ b/internal/kv/kv.go
@@ -0,0 +1,146 @@
+// Package kv is what the product needs of a key-value store with revisions,
+// leases and watches. Adapters implement Store.
+package kv
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Errors that a Store returns, possibly wrapped.
+var (
+	// ErrNotFound means that the key doesn't exist.
+	ErrNotFound = errors.New("key not found")
+	// ErrNotDone means that the store refused the call and did nothing.
+	ErrNotDone = errors.New("store refused the call")
+	// ErrUnknown means that no answer came: a write may have taken effect, or
+	// may still do so while its conditions hold.
+	ErrUnknown = errors.New("no answer from the store")
+	// ErrCompacted means that the history after a revision is gone.
+	ErrCompacted = errors.New("history is no longer available")
+	// ErrLeaseGone means that a lease has ended.
+	ErrLeaseGone = errors.New("lease has ended")
+)
+
+// Revision counts the changes of the store; the first is above 0.
+type Revision int64
+
+// LeaseID names a lease; 0 is none.
+type LeaseID int64
+
+// Item is a key with its value.
+type Item struct {
+	Key   string
+	Value []byte
+	// Revision is that of the latest change; 0 means that the key doesn't exist.
+	Revision Revision
+	Created  Revision
+	Lease    LeaseID
+}
+
+// Change is one change of a key. Deleted changes have no value.
+type Change struct {
+	Item    Item
+	Deleted bool
+}
+
+// Condition holds while a key is at a revision; 0 means that it doesn't exist.
+type Condition struct {
+	Key      string
+	Revision Revision
+}
+
+// Put writes a value.
+type Put struct {
+	Key   string
+	Value []byte
+	Lease LeaseID
+}
+
+// Txn is applied as a whole if all its conditions hold.
+type Txn struct {
+	Conditions []Condition
+	Puts       []Put
+	Deletes    []string
+}
+
+// Len returns the number of entries, which stores limit.
+func (txn Txn) Len() int { return len(txn.Conditions) + len(txn.Puts) + len(txn.Deletes) }
+
+// MaxTxnEntries is the most entries in a transaction, a limit of the store.
+const MaxTxnEntries = 32
+
+// ConflictError says that a condition of a transaction didn't hold.
+type ConflictError struct {
+	// Current holds the items that the conditions name, as they are. An item
+	// that doesn't exist has revision 0.
+	Current []Item
+}
+
+// Error names the keys.
+func (con *ConflictError) Error() string {
+	return fmt.Sprintf("condition failed on %d items", len(con.Current))
+}
+
+// Item returns the current item of a key. It has revision 0 if the key does
+// not exist.
+func (con *ConflictError) Item(key string) Item {
+	for _, itm := range con.Current {
+		if itm.Key == key {
+			return itm
+		}
+	}
+	return Item{Key: key}
+}
+
+// Page is one page of a range. Several pages are no snapshot.
+type Page struct {
+	Items []Item
+	More  bool
+	// Revision is the store's when it answered.
+	Revision Revision
+}
+
+// Batch is what a watch returns.
+type Batch struct {
+	Changes []Change
+	// Revision is where the next watch continues.
+	Revision Revision
+}
+
+// Store is a key-value store. Reads are linearizable.
+type Store interface {
+	Get(ctx context.Context, key string) (itm Item, err error)
+	// Range returns a page of the items whose keys begin with a prefix and are
+	// greater than after.
+	Range(ctx context.Context, prefix, after string) (pag Page, err error)
+	// Watch returns once something under the prefix has changed after a
+	// revision, or when the wait is over.
+	Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) (bat Batch, err error)
+	Commit(ctx context.Context, txn Txn) (rev Revision, err error)
+	Grant(ctx context.Context, ttl time.Duration) (lea LeaseID, err error)
+	Renew(ctx context.Context, lea LeaseID) (err error)
+	EndLease(ctx context.Context, lea LeaseID) (err error)
+}
+
+// List reads all pages of a prefix. Changes after the revision that it returns
+// are to be read by a watch; some may be in the items already.
+func List(ctx context.Context, sto Store, prefix string) (items []Item, rev Revision, err error) {
+	after := ""
+	for {
+		pag, err := sto.Range(ctx, prefix, after)
+		if err != nil {
+			return nil, 0, fmt.Errorf("list %q: %w", prefix, err)
+		}
+		if rev == 0 {
+			rev = pag.Revision
+		}
+		items = append(items, pag.Items...)
+		if !pag.More || len(pag.Items) == 0 {
+			return items, rev, nil
+		}
+		after = pag.Items[len(pag.Items)-1].Key
+	}
+}
--- /dev/null
+++ b/internal/manager/load.go
@@ -0,0 +1,78 @@
+package manager
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/balsamgauge/balsamgauge/internal/core/catalog"
+	"github.com/balsamgauge/balsamgauge/internal/core/job"
+	"github.com/balsamgauge/balsamgauge/internal/core/scheduler"
+	"github.com/balsamgauge/balsamgauge/internal/decisionlog"
+	"github.com/balsamgauge/balsamgauge/internal/kv"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Keys under which the dispatcher and the duty lie.
+const (
+	dutyPrefix = "duty/"
+	// loadKey holds the dispatcher's load.
+	loadKey = "duty/load"
+)
+
+func encodeLoad(loa scheduler.Load) (raw []byte, err error) {
+	raw, err = msgpack.Marshal(&loa)
+	if err != nil {
+		return nil, fmt.Errorf("encode load: %w", err)
+	}
+	return raw, nil
+}
+
+// loadView is the dispatcher's load as this process last read it. It is safe
+// for concurrent use.
+type loadView struct {
+	log *decisionlog.Log
+	now func() time.Time
+
+	mu   sync.Mutex
+	load scheduler.Load
+	read time.Time
+}
+
+func (lov *loadView) change(itm kv.Item) {
+	var loa scheduler.Load
+	if err := msgpack.Unmarshal(itm.Value, &loa); err != nil {
+		lov.log.Event("entry_ignored", decisionlog.Fields{"key": itm.Key, "revision": itm.Revision, "error": err.Error()})
+		return
+	}
+	lov.mu.Lock()
+	defer lov.mu.Unlock()
+	lov.load, lov.read = loa, lov.now()
+}
+
+// maxLoadAge is how old a load may be to refuse a job by it.
+const maxLoadAge = 2500 * time.Millisecond
+
+// admit decides whether a queue takes a job.
+func (lov *loadView) admit(now time.Time, que *catalog.Queue, spe job.Spec) (after time.Duration, reason string) {
+	lov.mu.Lock()
+	defer lov.mu.Unlock()
+	if now.Sub(lov.read) > maxLoadAge {
+		return 0, ""
+	}
+	return lov.load.Admit(que, spe)
+}
+
+var errNoLoad = errors.New("no load of a dispatcher is known")
+
+// pending returns how many jobs of a queue have not begun.
+func (lov *loadView) pending(_ context.Context, queue string) (count int, err error) {
+	lov.mu.Lock()
+	defer lov.mu.Unlock()
+	if lov.read.IsZero() {
+		return 0, errNoLoad
+	}
+	return lov.load.Pending[queue], nil
+}
--- /dev/null
+++ b/internal/manager/node.go
@@ -0,0 +1,230 @@
+package manager
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/balsamgauge/balsamgauge/internal/clock"
+	"github.com/balsamgauge/balsamgauge/internal/core/duty"
+	"github.com/balsamgauge/balsamgauge/internal/core/job"
+	"github.com/balsamgauge/balsamgauge/internal/decisionlog"
+	"github.com/balsamgauge/balsamgauge/internal/intake"
+	"github.com/balsamgauge/balsamgauge/internal/kv"
+	"github.com/balsamgauge/balsamgauge/platform"
+	"github.com/oklog/run"
+	"github.com/rcrowley/go-metrics"
+)
+
+// Parts of a key's withdrawal time after which a process that can't confirm
+// the configuration stops trusting it.
+const (
+	// keyedShare leaves time for the write that a call may still make.
+	keyedShare = 0.6
+	// deniedAge bounds the age of a configuration that denies a call: a version
+	// must be in force 2 s after it was written.
+	deniedAge = 1500 * time.Millisecond
+	// readyShare is when the balancer is told to look elsewhere.
+	readyShare = 0.45
+)
+
+// configWatch is how long a watch of the operator's keys waits. It bounds the
+// age of the configuration while nothing changes.
+const configWatch = 800 * time.Millisecond
+
+// dutyWatch is how long a watch of the duty waits.
+const dutyWatch = 2 * time.Second
+
+// Node is a process on an entry VM.
+type Node struct {
+	set       platform.Settings
+	log       *decisionlog.Log
+	now       func() time.Time
+	store     kv.Store
+	executors *platform.Executors
+	machines  *platform.Machines
+	advisor   *platform.Advisor
+	operator  *operatorView
+	load      *loadView
+	keeper    *keeper
+	metrics   metrics.Registry
+}
+
+// New returns a process with its settings.
+func New(set platform.Settings, out io.Writer) (nod *Node, err error) {
+	clo, err := clock.New()
+	if err != nil {
+		return nil, err
+	}
+	log := decisionlog.New(out, set.Name, clo.Now)
+	nod = &Node{
+		set: set, log: log, now: clo.Now, store: platform.NewStore(set.Store), executors: platform.NewExecutors(),
+		machines: platform.NewMachines(set.Machines), advisor: platform.NewAdvisor(set.Advisor),
+		operator: newOperatorView(log, clo.Now), load: &loadView{log: log, now: clo.Now}, metrics: metrics.NewRegistry(),
+	}
+	nod.keeper = &keeper{
+		store: nod.store, name: set.Name, cpuShare: set.CPUShare, log: log, now: clo.Now,
+		dispatch: nod.dispatch, freed: make(chan struct{}, 1),
+	}
+	return nod, nil
+}
+
+// Run runs the process until the context is done, and then shuts it down
+// gracefully.
+func (nod *Node) Run(ctx context.Context) (err error) {
+	defer func() {
+		nod.log.Event("stopped", decisionlog.Fields{"error": fmt.Sprint(err)})
+	}()
+	nod.log.Event("started", decisionlog.Fields{"az": nod.set.AZ, "callers": nod.set.Callers, "store": nod.set.Store, "pid": os.Getpid()})
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	// The duty is given up first, so that another process takes it while this
+	// one finishes its calls.
+	held, handOver := context.WithCancel(work)
+	defer handOver()
+	var group run.Group
+	kept := make(chan struct{})
+	group.Add(func() error { defer close(kept); nod.keeper.run(held); return nil }, func(error) { handOver() })
+	nod.addFollowers(work, &group, stop)
+	for _, srv := range []struct {
+		address string
+		handler http.Handler
+	}{
+		{nod.set.Callers, nod.ingress()},
+		{nod.set.Ready, http.HandlerFunc(nod.ready(ctx))},
+		{net.JoinHostPort(nod.set.IP, strconv.Itoa(nod.set.FirstPort)), http.HandlerFunc(nod.serveMetrics)},
+	} {
+		if err := nod.addServer(&group, srv.address, srv.handler, kept); err != nil {
+			return err
+		}
+	}
+	group.Add(func() error { <-ctx.Done(); return nil }, func(error) {})
+	return group.Run()
+}
+
+func (nod *Node) addFollowers(ctx context.Context, group *run.Group, stop context.CancelFunc) {
+	for _, fol := range []*follower{
+		{
+			store: nod.store, prefix: platform.OperatorPrefix, wait: configWatch, log: nod.log, now: nod.now,
+			reset: nod.operator.reset, change: nod.operator.change, confirmed: nod.operator.confirm,
+		},
+		{store: nod.store, prefix: dutyPrefix, wait: dutyWatch, log: nod.log, now: nod.now, reset: nod.dutyReset, change: nod.dutyChanged},
+	} {
+		group.Add(func() error { fol.run(ctx); return nil }, func(error) { stop() })
+	}
+}
+
+// shutdownShare is the part of the grace time for which open calls may go on.
+const shutdownShare = 0.75
+
+// addServer serves HTTP on an address. At the end it lets open calls finish.
+func (nod *Node) addServer(group *run.Group, address string, handler http.Handler, kept <-chan struct{}) error {
+	lis, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", address, err)
+	}
+	srv := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	group.Add(func() error {
+		err := srv.Serve(lis)
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return fmt.Errorf("serve on %s: %w", address, err)
+	}, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(float64(nod.set.Bounds.Grace)*shutdownShare))
+		defer cancel()
+		select {
+		case <-kept:
+		case <-ctx.Done():
+		}
+		if err := srv.Shutdown(ctx); err != nil {
+			nod.log.Event("calls_cut", decisionlog.Fields{"address": address, "error": err.Error()})
+		}
+	})
+	return nil
+}
+
+// Bounds of the connections of clients, in the platform's default limits.
+const (
+	headerTimeout = 3 * time.Second
+	idleTimeout   = 60 * time.Second
+)
+
+func (nod *Node) ingress() http.Handler {
+	desk := &intake.Desk{
+		Store: nod.store, ConfigKey: platform.ConfigKey,
+		Freshness: intake.Freshness{Keyed: time.Duration(float64(nod.set.Bounds.Revoke) * keyedShare), Denied: deniedAge},
+		View:      nod.operator.current, Admit: nod.load.admit, Pending: nod.load.pending,
+	}
+	return &platform.Ingress{Desk: desk, Now: nod.now, Done: nod.called}
+}
+
+// called counts and logs a call. Reads of states that went well are only
+// counted.
+func (nod *Node) called(req *http.Request, id job.ID, ans intake.Answer, took time.Duration) {
+	metrics.GetOrRegisterTimer("calls."+req.Method+"."+ans.Verdict.String(), nod.metrics).Update(took)
+	if req.Method == http.MethodGet && ans.Verdict == intake.VerdictOK {
+		return
+	}
+	vie := nod.operator.current()
+	nod.log.Event("call", decisionlog.Fields{
+		"job": string(id), "method": req.Method, "path": req.URL.Path, "verdict": ans.Verdict.String(), "reason": ans.Reason,
+		"took_ms": took.Milliseconds(), "config_version": vie.Catalog.Version, "config_age_ms": nod.now().Sub(vie.Confirmed).Milliseconds(),
+		"retry_after_ms": ans.RetryAfter.Milliseconds(),
+	})
+}
+
+// ready answers the balancer: a process that shuts down, or that can't confirm
+// its configuration, takes no new connections.
+func (nod *Node) ready(ctx context.Context) http.HandlerFunc {
+	bound := time.Duration(float64(nod.set.Bounds.Revoke) * readyShare)
+	return func(wri http.ResponseWriter, _ *http.Request) {
+		vie := nod.operator.current()
+		if ctx.Err() != nil || vie.Confirmed.IsZero() || nod.now().Sub(vie.Confirmed) > bound {
+			wri.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		wri.WriteHeader(http.StatusOK)
+	}
+}
+
+func (nod *Node) serveMetrics(wri http.ResponseWriter, _ *http.Request) {
+	metrics.WriteOnce(nod.metrics, wri)
+}
+
+func (nod *Node) dutyReset(items []kv.Item) {
+	held := false
+	for _, itm := range items {
+		nod.dutyChanged(kv.Change{Item: itm})
+		held = held || itm.Key == duty.HolderKey
+	}
+	if !held {
+		nod.dutyFreed()
+	}
+}
+
+func (nod *Node) dutyChanged(cha kv.Change) {
+	switch cha.Item.Key {
+	case duty.HolderKey:
+		if cha.Deleted {
+			nod.dutyFreed()
+		}
+	case loadKey:
+		if !cha.Deleted {
+			nod.load.change(cha.Item)
+		}
+	}
+}
+
+func (nod *Node) dutyFreed() {
+	select {
+	case nod.keeper.freed <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/manager/view.go
@@ -0,0 +1,124 @@
+package manager
+
+import (
+	"sync"
+	"time"
+
+	"github.com/balsamgauge/balsamgauge/internal/core/upkeep"
+	"github.com/balsamgauge/balsamgauge/internal/decisionlog"
+	"github.com/balsamgauge/balsamgauge/internal/intake"
+	"github.com/balsamgauge/balsamgauge/internal/kv"
+	"github.com/balsamgauge/balsamgauge/platform"
+)
+
+// operatorView is what this process knows of what the operator wrote. It is
+// safe for concurrent use.
+type operatorView struct {
+	log *decisionlog.Log
+	now func() time.Time
+
+	mu    sync.Mutex
+	view  intake.View
+	zones map[string]bool
+	waves map[string]upkeep.Wave
+	// changed is closed and replaced at each change.
+	changed chan struct{}
+}
+
+func newOperatorView(log *decisionlog.Log, now func() time.Time) *operatorView {
+	return &operatorView{log: log, now: now, zones: map[string]bool{}, waves: map[string]upkeep.Wave{}, changed: make(chan struct{})}
+}
+
+// snapshot is a copy of an operatorView.
+type snapshot struct {
+	view  intake.View
+	zones map[string]bool
+	waves map[int64]upkeep.Wave
+	// changed is closed at the next change.
+	changed <-chan struct{}
+}
+
+func (opv *operatorView) snapshot() snapshot {
+	opv.mu.Lock()
+	defer opv.mu.Unlock()
+	sna := snapshot{view: opv.view, zones: map[string]bool{}, waves: map[int64]upkeep.Wave{}, changed: opv.changed}
+	for az := range opv.zones {
+		sna.zones[az] = true
+	}
+	for _, wav := range opv.waves {
+		sna.waves[wav.Number] = wav
+	}
+	return sna
+}
+
+func (opv *operatorView) current() intake.View {
+	opv.mu.Lock()
+	defer opv.mu.Unlock()
+	return opv.view
+}
+
+func (opv *operatorView) confirm(sent time.Time) {
+	opv.mu.Lock()
+	defer opv.mu.Unlock()
+	if opv.view.Catalog.Revision != 0 && sent.After(opv.view.Confirmed) {
+		opv.view.Confirmed = sent
+	}
+}
+
+func (opv *operatorView) reset(items []kv.Item) {
+	opv.mu.Lock()
+	defer opv.mu.Unlock()
+	opv.zones, opv.waves = map[string]bool{}, map[string]upkeep.Wave{}
+	for _, itm := range items {
+		opv.apply(kv.Change{Item: itm})
+	}
+	opv.announce()
+}
+
+func (opv *operatorView) change(cha kv.Change) {
+	opv.mu.Lock()
+	defer opv.mu.Unlock()
+	opv.apply(cha)
+	opv.announce()
+}
+
+func (opv *operatorView) announce() {
+	close(opv.changed)
+	opv.changed = make(chan struct{})
+}
+
+// apply takes in one change. Entries that can't be read are left out.
+func (opv *operatorView) apply(cha kv.Change) {
+	itm := cha.Item
+	if az, ok := platform.ParseEvacuation(itm.Key); ok {
+		if cha.Deleted {
+			delete(opv.zones, az)
+		} else {
+			opv.zones[az] = true
+		}
+		opv.log.Event("zone_changed", decisionlog.Fields{"az": az, "out": !cha.Deleted, "revision": itm.Revision})
+		return
+	}
+	switch {
+	case itm.Key == platform.ConfigKey && !cha.Deleted:
+		cat, err := platform.DecodeCatalog(itm)
+		if err != nil {
+			opv.log.Event("entry_ignored", decisionlog.Fields{"key": itm.Key, "revision": itm.Revision, "error": err.Error()})
+			return
+		}
+		if cat.Revision <= opv.view.Catalog.Revision {
+			return
+		}
+		opv.view.Catalog = cat
+		opv.log.Event("configuration_applied", decisionlog.Fields{"version": cat.Version, "revision": cat.Revision, "queues": len(cat.Queues), "accounts": len(cat.Accounts)})
+	case platform.IsWave(itm.Key) && cha.Deleted:
+		delete(opv.waves, itm.Key)
+	case platform.IsWave(itm.Key):
+		wav, err := platform.DecodeWave(itm)
+		if err != nil {
+			opv.log.Event("entry_ignored", decisionlog.Fields{"key": itm.Key, "revision": itm.Revision, "error": err.Error()})
+			return
+		}
+		opv.waves[itm.Key] = wav
+	}
+}
