--- a/internal/upstream/limit.go
+++ b/internal/upstream/limit.go
@@ -45,8 +45,8 @@
 }
 
 // lingerFor bounds how long a closed connection keeps its place while the VM has
-// not closed its end.
-const lingerFor = 100 * time.Millisecond
+// not closed its end. A VM whose processors are busy takes over 100 ms.
+const lingerFor = time.Second
 
 // Close closes the connection. Its place is free only when the VM has closed
 // its end too: until then the VM counts the connection.
