upstream: a connection whose dial was given up keeps its place

Cause: the last of the failures of TestConnectionsStayWithinTheirBound (2 of 200 beside 8 busy processes): a dial that its request gave up had been accepted, and the VM counted it. Change: the dial goes on; the transport keeps the connection for the next request.

--- a/internal/upstream/limit.go
+++ b/internal/upstream/limit.go
@@ -29,7 +29,9 @@
 		return nil, ctx.Err()
 	}
 	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, network, address)
+	// A dial that is given up may have been accepted; the VM would count the
+	// connection and the limit would not.
+	conn, err := dialer.DialContext(context.WithoutCancel(ctx), network, address)
 	if err != nil {
 		<-lim.slots
 		return nil, err
