--- a/internal/core/scheduler/assign.go
+++ b/internal/core/scheduler/assign.go
@@ -226,7 +226,8 @@
 	siblings int
 	// disturbed is how many tasks there disturb the task or are disturbed by it.
 	disturbed int
-	// free is the share of the VM that stays free.
+	// free is the share of the VM that stays free. Tasks are packed, so that
+	// other VMs become empty and can be moved.
 	free float64
 }
 
@@ -239,7 +240,7 @@
 	case sco.disturbed != oth.disturbed:
 		return sco.disturbed < oth.disturbed
 	default:
-		return sco.free > oth.free
+		return sco.free < oth.free
 	}
 }
 
--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -21,9 +21,13 @@
 	// mixedLookWait is that time where tasks serve beside others that fill: tails
 	// are measured over half a second.
 	mixedLookWait = 400 * time.Millisecond
-	// lookPause is the least time between two looks at a VM, so that ends that
-	// come together are told together.
+	// lookPause is the least time between two looks at a VM.
 	lookPause = 30 * time.Millisecond
+	// endPause is that time after a look that told of ends. Until they are
+	// acknowledged, VMs answer every look at once; each look is paid for.
+	endPause = 110 * time.Millisecond
+	// idleAckPause is how long a VM's last ends wait for their acknowledgement.
+	idleAckPause = 700 * time.Millisecond
 	// retryPause is the time between two looks at a VM that didn't answer.
 	retryPause = 250 * time.Millisecond
 	// suspectFailures is how many looks fail before the list of machines is
@@ -53,7 +57,7 @@
 		lapse = sta.opt.Since.Add(sta.leaseEnd())
 	}
 	sta.hosts[one.ID] = &host{
-		vm: one, runs: map[job.Task]*held{}, stored: map[int64]bool{}, lapse: lapse, nextLook: sta.now,
+		vm: one, runs: map[job.Task]*held{}, stored: map[int64]bool{}, lapse: lapse, nextLook: sta.now, emptySince: sta.now,
 		pace: pace.NewControl(),
 	}
 	sta.indexPools()
@@ -84,6 +88,7 @@
 	delete(hos.runs, hel.task)
 	hos.list = slices.DeleteFunc(hos.list, func(oth *held) bool { return oth == hel })
 	hos.used = hos.used.Minus(hel.room)
+	hos.emptySince = sta.now
 	sta.usage[hel.owner] = sta.usage[hel.owner].Minus(hel.size)
 	stg := hel.stage
 	if stg == nil {
@@ -131,17 +136,15 @@
 	return hos.clock + sta.now.Sub(hos.clockAt) + sta.opt.Lease
 }
 
-// look asks those VMs for a report that are due for one.
+// look asks those VMs for a report that are due for one. Idle VMs are left
+// alone, but for the acknowledgement of their last ends.
 func (sta *State) look() {
 	for _, hos := range sta.hostList {
-		if hos.looking {
+		if hos.looking || sta.now.Before(hos.nextLook) {
 			continue
 		}
-		urgent := hos.ackDue && hos.fenced
-		if sta.now.Before(hos.nextLook) && !(urgent && !sta.now.Before(hos.nextLook.Add(-lookWait))) {
-			continue
-		}
-		if hos.fenced && hos.failedLooks == 0 && len(hos.runs) == 0 && !hos.ackDue {
+		idle := hos.fenced && hos.failedLooks == 0 && len(hos.runs) == 0
+		if idle && (!hos.ackDue || sta.now.Sub(hos.lastLook) < idleAckPause) {
 			continue
 		}
 		sta.sendLook(hos)
@@ -163,7 +166,7 @@
 		}
 	}
 	hos.ackDue = false
-	hos.looking = true
+	hos.looking, hos.lastLook = true, sta.now
 	sta.emit(loo)
 }
 
@@ -182,6 +185,9 @@
 func (sta *State) looked(hos *host, evt Looked) {
 	hos.looking = false
 	hos.nextLook = sta.now.Add(lookPause)
+	if len(evt.Report.Ends) > 0 {
+		hos.nextLook = sta.now.Add(endPause)
+	}
 	switch evt.Result {
 	case worker.ResultOK:
 		sta.report(hos, evt)
--- a/internal/core/scheduler/jobs.go
+++ b/internal/core/scheduler/jobs.go
@@ -27,6 +27,7 @@
 	for _, rec := range evt.Progress.Tasks {
 		sta.restore(liv, rec)
 	}
+	sta.arrive(liv)
 	sta.note("job_taken", id, map[string]any{"queue": evt.Spec.Queue, "revision": evt.Revision, "age_ms": sta.now.Sub(evt.Spec.Accepted).Milliseconds()})
 }
 
--- a/internal/core/scheduler/reduce.go
+++ b/internal/core/scheduler/reduce.go
@@ -24,6 +24,7 @@
 	sta.dueOccurrences()
 	if sta.loaded {
 		sta.planWaves()
+		sta.planMoves()
 		sta.assign()
 	}
 	sta.pursueStops()
--- a/internal/core/scheduler/save.go
+++ b/internal/core/scheduler/save.go
@@ -12,7 +12,7 @@
 // Times of writes.
 const (
 	// saveDelay is how long the progress of a job that goes on waits for more.
-	saveDelay = 250 * time.Millisecond
+	saveDelay = 90 * time.Millisecond
 	// saveRetry is the time between two tries of a write that failed.
 	saveRetry = 60 * time.Millisecond
 )
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -184,6 +184,7 @@
 	lapse time.Time
 	// looking says that the answer to a look is awaited.
 	looking  bool
+	lastLook time.Time
 	nextLook time.Time
 	// failedLooks counts the looks without an answer since the last one.
 	failedLooks int
@@ -201,6 +202,8 @@
 	goingDown bool
 	// quarantine is until when it gets no new tasks, for it failed some.
 	quarantine time.Time
+	// emptySince is when the last run there was over.
+	emptySince time.Time
 	failures   int
 	// pace is that of the tasks that fill.
 	pace pace.Control
@@ -238,6 +241,18 @@
 	// learned holds, by queue, how run times compare with the estimates.
 	learned map[string]*ratio
 	gaveUp  bool
+	// machineNames are those of the list of machines, sorted.
+	machineNames []string
+	demands      map[string]*demand
+	// moves holds the machines on their way to another pool; fleetAt is when the
+	// moves were last planned.
+	moves   map[string]moving
+	fleetAt time.Time
+	// poolsNoted is when the log was last told of the pools.
+	poolsNoted time.Time
+	// barred holds the moves that the platform doesn't allow, as machine and
+	// pool.
+	barred map[string]bool
 }
 
 // machines is the list of machines as last read.
@@ -287,6 +302,7 @@
 		pools: map[string][]*host{}, usage: map[string]job.Size{}, waves: map[int64]*wave{},
 		machines: machines{byName: map[string]worker.Machine{}, byVM: map[string]string{}},
 		ended:    map[job.ID]bool{}, learned: map[string]*ratio{},
+		demands: map[string]*demand{}, moves: map[string]moving{}, barred: map[string]bool{},
 	}
 }
 
--- a/internal/core/scheduler/waves.go
+++ b/internal/core/scheduler/waves.go
@@ -61,7 +61,7 @@
 	}
 	var cans []upkeep.Candidate
 	for _, name := range wav.plan.Wave.Machines {
-		if wav.plan.Begun[name] || wav.ordered[name] || !exists(name) {
+		if _, moves := sta.moves[name]; moves || wav.plan.Begun[name] || wav.ordered[name] || !exists(name) {
 			continue
 		}
 		cans = append(cans, sta.candidate(name))
@@ -180,6 +180,10 @@
 // machineAnswered takes in the answer to an order for a machine.
 func (sta *State) machineAnswered(evt MachineAnswered) {
 	sta.note("machine_answered", "", map[string]any{"machine": evt.Machine, "wave": evt.Wave, "result": evt.Result.String()})
+	if evt.Wave == 0 {
+		sta.moveAnswered(evt)
+		return
+	}
 	wav := sta.waves[evt.Wave]
 	if wav == nil {
 		return
@@ -221,6 +225,7 @@
 			sta.machines.byVM[mac.VM] = mac.Name
 		}
 	}
+	sta.machineNames = slices.Sorted(maps.Keys(sta.machines.byName))
 	for _, hos := range slices.Clone(sta.hostList) {
 		if hos.failedLooks == 0 {
 			continue
@@ -244,10 +249,14 @@
 		}
 	}
 	for _, hos := range sta.hostList {
-		if hos.failedLooks >= suspectFailures {
+		_, listed := sta.machines.byVM[hos.vm.ID]
+		if hos.failedLooks >= suspectFailures || !listed {
 			pause = min(pause, listPause)
 		}
 	}
+	if len(sta.moves) > 0 {
+		pause = min(pause, listPause)
+	}
 	if sta.machines.busy || sta.now.Sub(sta.machines.asked) < pause {
 		return
 	}
