scheduler: machines rest only beyond what all pools wanted of late; lost lives stay lost

Change: standby by the most that all pools wanted together within 20 s; VMs not yet looked at count; ended lives are remembered.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -20,9 +20,6 @@
 	// Want is how many it needs now; Keep is how many it needed at most of late,
 	// and at least Want.
 	Want, Keep int
-	// Unknown says that no work has come yet: the pool's machines don't go to
-	// standby.
-	Unknown bool
 	// Empty lists its machines that run nothing, the longest idle first.
 	Empty []Idle
 }
@@ -48,7 +45,9 @@
 
 // Plan returns the moves that bring the pools to what they need, at most a
 // number of them. allowed says whether a machine may be in a pool.
-func Plan(pools []Pool, most int, allowed func(machine, pool string) bool) (moves []Move) {
+//
+// spare is how many machines may go to standby at most.
+func Plan(pools []Pool, most, spare int, allowed func(machine, pool string) bool) (moves []Move) {
 	pools = slices.Clone(pools)
 	slices.SortStableFunc(pools, func(one, oth Pool) int {
 		return cmp.Or(cmp.Compare(oth.Want-oth.Have, one.Want-one.Have), cmp.Compare(one.Name, oth.Name))
@@ -63,7 +62,7 @@
 			pools[i].Have++
 		}
 	}
-	return append(moves, rests(pools, most-len(moves), allowed)...)
+	return append(moves, rests(pools, min(spare, most-len(moves)), allowed)...)
 }
 
 // take finds a machine for a pool: one of a pool that has more than it keeps,
@@ -97,7 +96,7 @@
 	to := pools[standby].Name
 	for i := range pools {
 		src := &pools[i]
-		if src.Standby || src.Unknown {
+		if src.Standby {
 			continue
 		}
 		for _, idl := range src.Empty {
--- a/internal/core/scheduler/fleet.go
+++ b/internal/core/scheduler/fleet.go
@@ -24,6 +24,9 @@
 	rateTime = 700 * time.Millisecond
 	// keepTime is for how long a pool keeps what it needed.
 	keepTime = 1500 * time.Millisecond
+	// restTime is for how long the pools together keep what they needed. Turns of
+	// demand come back within seconds.
+	restTime = 20 * time.Second
 	// fullShare is the part of a machine that tasks fill before another one is
 	// needed; sizes don't fit without gaps.
 	fullShare = 0.9
@@ -43,8 +46,6 @@
 	updated time.Time
 	// arrived is the work that arrived since, in core-seconds.
 	arrived float64
-	// jobs counts the jobs that came.
-	jobs int
 	// peaks holds what the pool wanted of late.
 	peaks []peak
 }
@@ -55,9 +56,9 @@
 }
 
 // want notes what the pool wants and returns the most that it wanted of late.
-func (dem *demand) want(now time.Time, want int) (keep int) {
+func (dem *demand) want(now time.Time, want int, within time.Duration) (keep int) {
 	dem.peaks = append(dem.peaks, peak{now, want})
-	for now.Sub(dem.peaks[0].at) > keepTime {
+	for now.Sub(dem.peaks[0].at) > within {
 		dem.peaks = dem.peaks[1:]
 	}
 	for _, pea := range dem.peaks {
@@ -86,17 +87,12 @@
 	since time.Time
 }
 
-// seen reports whether jobs have come to the pool.
-func (dem *demand) seen() bool { return dem.jobs > 0 }
-
 // arrive counts a job that was taken in towards its pool's demand.
 func (sta *State) arrive(liv *live) {
 	if liv.spec.Lasts() || liv.restored {
 		return
 	}
-	dem := sta.demandOf(sta.poolOf(liv))
-	dem.arrived += liv.work * sta.learned[liv.spec.Queue].factor()
-	dem.jobs++
+	sta.demandOf(sta.poolOf(liv)).arrived += liv.work * sta.learned[liv.spec.Queue].factor()
 }
 
 func (sta *State) demandOf(pool string) *demand {
@@ -119,7 +115,7 @@
 	sta.fleetAt = sta.now
 	pools := sta.fleetPools()
 	sta.notePools(pools)
-	moves := fleet.Plan(pools, maxMoves, func(machine, pool string) bool { return !sta.barred[machine+" "+pool] })
+	moves := fleet.Plan(pools, maxMoves, sta.spareMachines(pools), func(machine, pool string) bool { return !sta.barred[machine+" "+pool] })
 	for _, mov := range moves {
 		mac := sta.machines.byName[mov.Machine]
 		if hos := sta.hosts[mac.VM]; hos != nil {
@@ -131,6 +127,23 @@
 	}
 }
 
+// spareMachines returns how many machines the pools don't need together, by the
+// most that they wanted within a while.
+func (sta *State) spareMachines(pools []fleet.Pool) int {
+	have, want := 0, 0
+	for _, poo := range pools {
+		if !poo.Standby {
+			have += poo.Have
+			want += poo.Want
+		}
+	}
+	most := sta.total.want(sta.now, want, restTime)
+	if sta.now.Sub(sta.opt.Since) < restTime {
+		return 0
+	}
+	return max(0, have-most)
+}
+
 // notePools tells the log once a second what the pools have and want.
 func (sta *State) notePools(pools []fleet.Pool) {
 	if sta.now.Sub(sta.poolsNoted) < time.Second {
@@ -161,6 +174,9 @@
 		dem.average(sta.now)
 		cores, lasting, machineCores := 0.0, 0, 0.0
 		for _, hos := range sta.pools[poo.Name] {
+			if !hos.fenced && hos.failedLooks == 0 && !hos.vm.Leaving {
+				flp.Have++
+			}
 			if !hos.usable(sta.now) || sta.zonesOut[hos.vm.AZ] {
 				continue
 			}
@@ -177,8 +193,7 @@
 		}
 		cores += needed[poo.Name] + dem.rate*leadTime.Seconds()
 		flp.Want = max(leastMachines, lasting, int(math.Ceil(cores/(sta.largestMachine(machineCores)*fullShare))))
-		flp.Keep = dem.want(sta.now, flp.Want)
-		flp.Unknown = !dem.seen()
+		flp.Keep = dem.want(sta.now, flp.Want, keepTime)
 		pools = append(pools, flp)
 	}
 	return pools
--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -37,6 +37,9 @@
 
 // register takes in a VM's registration.
 func (sta *State) register(one worker.VM) {
+	if old, ok := sta.lost[one.ID]; ok && old.SameLife(one) {
+		return
+	}
 	hos := sta.hosts[one.ID]
 	if hos != nil && hos.vm.SameLife(one) {
 		if hos.vm.Leaving != one.Leaving {
@@ -80,6 +83,7 @@
 		sta.drop(hos, hel)
 	}
 	delete(sta.hosts, hos.vm.ID)
+	sta.lost[hos.vm.ID] = hos.vm
 	sta.indexPools()
 }
 
@@ -311,6 +315,8 @@
 		}
 		if hos.unregistered && !hos.looking {
 			sta.lose(hos, "its registration is gone and it does not answer")
+			// It may be alive behind a partition, and register again.
+			delete(sta.lost, hos.vm.ID)
 		}
 	}
 }
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -238,12 +238,17 @@
 	// ended remembers jobs that are stored as ended, so that an event that comes
 	// late doesn't bring them back.
 	ended map[job.ID]bool
+	// lost holds the lives of VMs that have ended, by ID: their registrations
+	// last for some seconds more.
+	lost map[string]worker.VM
 	// learned holds, by queue, how run times compare with the estimates.
 	learned map[string]*ratio
 	gaveUp  bool
 	// machineNames are those of the list of machines, sorted.
 	machineNames []string
 	demands      map[string]*demand
+	// total is what all pools want together.
+	total demand
 	// moves holds the machines on their way to another pool; fleetAt is when the
 	// moves were last planned.
 	moves   map[string]moving
@@ -301,7 +306,7 @@
 		opt: opt, zonesOut: map[string]bool{}, jobs: map[job.ID]*live{}, hosts: map[string]*host{},
 		pools: map[string][]*host{}, usage: map[string]job.Size{}, waves: map[int64]*wave{},
 		machines: machines{byName: map[string]worker.Machine{}, byVM: map[string]string{}},
-		ended:    map[job.ID]bool{}, learned: map[string]*ratio{},
+		ended:    map[job.ID]bool{}, lost: map[string]worker.VM{}, learned: map[string]*ratio{},
 		demands: map[string]*demand{}, moves: map[string]moving{}, barred: map[string]bool{},
 	}
 }
