--- a/internal/core/scheduler/emulator_test.go
+++ b/internal/core/scheduler/emulator_test.go
@@ -264,6 +264,19 @@
 			emu.tell(VMRegistered{VM: vm.vm})
 		}
 	}
+	// The store takes its time to tell the jobs; VMs may answer before.
+	term := emu.term
+	emu.after(emulatedLoad, func() {
+		if term == emu.term {
+			emu.tellJobs()
+		}
+	})
+}
+
+// emulatedLoad is how long the jobs take to load.
+const emulatedLoad = 30 * time.Millisecond
+
+func (emu *emulator) tellJobs() {
 	for _, itm := range emu.store.sorted(job.LivePrefix) {
 		id, cancelled := job.ParseLiveKey(itm.Key)
 		if cancelled {
--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -142,7 +142,13 @@
 
 // look asks those VMs for a report that are due for one. Idle VMs are left
 // alone, but for the acknowledgement of their last ends.
+//
+// Until all jobs are loaded no VM is asked: the runs of a job that is not known
+// would be stopped.
 func (sta *State) look() {
+	if !sta.loaded {
+		return
+	}
 	for _, hos := range sta.hostList {
 		if hos.looking || sta.now.Before(hos.nextLook) {
 			continue
