--- a/internal/core/scheduler/emulator_test.go
+++ b/internal/core/scheduler/emulator_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/balsamgauge/balsamgauge/internal/core/catalog"
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
+	"github.com/balsamgauge/balsamgauge/internal/core/upkeep"
 	"github.com/balsamgauge/balsamgauge/internal/core/worker"
 	"github.com/balsamgauge/balsamgauge/internal/kv"
 )
@@ -40,6 +41,12 @@
 	// faults
 	loseAnswer, loseOrder, lateOrder float64
 	loseCommit, lateCommit           float64
+	// killOnUpkeep is how often the dispatcher is killed as it orders upkeep.
+	killOnUpkeep float64
+
+	// wave is the one that was asked for, with what is stored of it.
+	wave  *upkeep.Wave
+	begun []string
 
 	truth  map[job.Task]*taskTruth
 	broken []string
@@ -99,6 +106,10 @@
 	lives    int
 	waiter   func()
 	fails    bool
+	// away says that the machine is down for upkeep or moves; served holds the
+	// waves whose upkeep has begun.
+	away   bool
+	served map[int64]bool
 }
 
 // sorted returns the tasks that run, in the order of their names.
@@ -291,6 +302,9 @@
 		}
 		emu.tell(evt)
 	}
+	if emu.wave != nil {
+		emu.tell(WaveAsked{Wave: *emu.wave, Begun: emu.begun})
+	}
 	emu.tell(Loaded{})
 }
 
@@ -317,6 +331,15 @@
 	emu.after(emulatedLatency, func() { emu.tell(JobAccepted{Spec: spe, Revision: rev}) })
 }
 
+// cancel stores that a job is cancelled, unless it has ended.
+func (emu *emulator) cancel(id job.ID) {
+	if _, live := emu.store.items[job.LiveKey(id)]; !live {
+		return
+	}
+	emu.store.put(job.CancelKey(id), nil)
+	emu.after(emulatedLatency, func() { emu.tell(JobCancelled{ID: id}) })
+}
+
 func (emu *emulator) perform(eff Effect) {
 	switch eff := eff.(type) {
 	case Look:
@@ -334,6 +357,17 @@
 	case ListMachines:
 		asked := emu.now
 		emu.after(emulatedLatency, func() { emu.tell(MachinesListed{Asked: asked, Machines: emu.machines()}) })
+	case Upkeep:
+		emu.performUpkeep(eff)
+	case Move:
+		emu.performMove(eff)
+	case SaveWave:
+		term := emu.term
+		emu.after(emulatedLatency, func() {
+			if term == emu.term && !emu.down {
+				emu.begun = eff.Begun
+			}
+		})
 	case GiveUp:
 		emu.killDispatcher()
 	case Note:
@@ -348,11 +382,93 @@
 		if !vm.up {
 			mac.State = worker.MachineDown
 		}
+		if vm.away {
+			mac.State = worker.MachineUpkeep
+		}
 		all = append(all, mac)
 	}
 	return all
 }
 
+// askWave asks for the upkeep of all VMs.
+func (emu *emulator) askWave(wav upkeep.Wave) {
+	emu.wave = &wav
+	emu.tell(WaveAsked{Wave: wav})
+}
+
+// end ends a life without a trace, as an order for its machine does.
+func (emu *emulator) end(vm *emulatedVM, back time.Duration) {
+	vm.up, vm.away = false, true
+	for name, run := range vm.runs {
+		emu.endTruth(name, run)
+	}
+	vm.runs = map[job.Task]*emulatedRun{}
+	id := vm.vm.ID
+	emu.after(4500*time.Millisecond, func() { emu.tell(VMUnregistered{ID: id}) })
+	emu.after(back, func() {
+		vm.away = false
+		emu.boot(vm)
+	})
+}
+
+// performUpkeep begins a machine's upkeep, unless it has begun before.
+func (emu *emulator) performUpkeep(eff Upkeep) {
+	if emu.rng.Float64() < emu.killOnUpkeep {
+		emu.after(time.Millisecond, emu.killDispatcher)
+	}
+	term := emu.term
+	answer := func(res worker.MachineResult) {
+		emu.after(emulatedLatency, func() {
+			if term == emu.term {
+				emu.tell(MachineAnswered{Machine: eff.Machine, Wave: eff.Wave, Result: res})
+			}
+		})
+	}
+	emu.after(emulatedLatency, func() {
+		vm := emu.vms[eff.Machine]
+		switch {
+		case vm.served[eff.Wave]:
+			answer(worker.MachineOK)
+		case !vm.up:
+			answer(worker.MachineBusy)
+		default:
+			vm.served = map[int64]bool{eff.Wave: true}
+			down := 0
+			for _, oth := range emu.vms {
+				if oth.away {
+					down++
+				}
+			}
+			if down >= emu.wave.Cap {
+				emu.fail("upkeep of %s begins while %d are down", eff.Machine, down)
+			}
+			emu.end(vm, 2*time.Second)
+			answer(worker.MachineOK)
+		}
+	})
+}
+
+// performMove moves a machine.
+func (emu *emulator) performMove(eff Move) {
+	term := emu.term
+	emu.after(emulatedLatency, func() {
+		vm := emu.vms[eff.Machine]
+		res := worker.MachineBusy
+		if vm.up {
+			res = worker.MachineOK
+			if vm.vm.Pool != eff.Pool {
+				emu.end(vm, 1500*time.Millisecond)
+				vm.vm.Pool = eff.Pool
+			}
+		}
+		emu.after(emulatedLatency, func() {
+			if term == emu.term {
+				emu.tell(MachineAnswered{Machine: eff.Machine, Result: res})
+			}
+		})
+	})
+}
+
 // find returns the VM of a life that can be reached.
 func (emu *emulator) find(one worker.VM) *emulatedVM {
 	vm := emu.vms[one.Address]
--- a/internal/core/scheduler/fleet.go
+++ b/internal/core/scheduler/fleet.go
@@ -303,16 +303,18 @@
 	hos := sta.hosts[mov.vm]
 	switch evt.Result {
 	case worker.MachineOK:
+		sta.machines.wanted = true
 		if hos != nil {
-			sta.lose(hos, "its machine moves to another pool")
+			hos.downAnswered = sta.now
 		}
-		sta.machines.asked = time.Time{}
 	case worker.MachineUnknown:
-		// The list of machines will tell.
+		if hos != nil {
+			sta.orderFailed(hos, evt.Result)
+		}
 	default:
 		delete(sta.moves, evt.Machine)
 		if hos != nil {
-			hos.goingDown = false
+			sta.orderFailed(hos, evt.Result)
 		}
 		if evt.Result == worker.MachineInvalid {
 			sta.barred[evt.Machine+" "+mov.to] = true
--- a/internal/core/scheduler/schedule_test.go
+++ b/internal/core/scheduler/schedule_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/balsamgauge/balsamgauge/internal/core/catalog"
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
+	"github.com/balsamgauge/balsamgauge/internal/core/upkeep"
 	"github.com/balsamgauge/balsamgauge/internal/kv"
 	"gotest.tools/v3/assert"
 )
@@ -67,6 +68,13 @@
 		poisoned[spe.ID] = i%29 == 7
 		emu.after(at, func() { emu.submit(spe) })
 	}
+	for i := range 2 {
+		spe := job.Spec{ID: jobName(1000 + i), Queue: "settle", Account: "large", Payload: "x", Steps: []job.Step{{
+			Count: 4, Size: job.Size{CPU: 1500, Memory: 4096}, LongRunning: true, MayMiss: 1,
+		}}}
+		emu.after(100*time.Millisecond, func() { emu.submit(spe) })
+		emu.after(60*time.Second, func() { emu.cancel(spe.ID) })
+	}
 	for range 8 {
 		vm := emu.vms[emu.names[emu.rng.IntN(len(emu.names))]]
 		at := time.Duration(emu.rng.Int64N(int64(26 * time.Second)))
@@ -85,8 +93,15 @@
 	for range 3 {
 		emu.after(time.Duration(emu.rng.Int64N(int64(28*time.Second))), emu.killDispatcher)
 	}
+	if seed%2 == 1 {
+		emu.killOnUpkeep = 0.15
+		emu.after(3*time.Second, func() {
+			emu.askWave(upkeep.Wave{Number: 1, Machines: emu.names, Duration: 25 * time.Second, Cap: 3})
+		})
+	}
 	emu.after(30*time.Second, func() {
 		emu.loseAnswer, emu.loseOrder, emu.lateOrder, emu.loseCommit, emu.lateCommit = 0, 0, 0, 0, 0
+		emu.killOnUpkeep = 0
 	})
 	emu.run(75 * time.Second)
 	return emu
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -200,6 +200,9 @@
 	cordoned bool
 	// goingDown says that the machine's upkeep or move has been ordered.
 	goingDown bool
+	// downAnswered is when the order's answer came. The list of machines tells
+	// whether it had an effect: an order that was carried out before has none.
+	downAnswered time.Time
 	// quarantine is until when it gets no new tasks, for it failed some.
 	quarantine time.Time
 	// emptySince is when the last run there was over.
@@ -268,6 +271,8 @@
 	// known was asked for.
 	asked, listed time.Time
 	busy          bool
+	// wanted says that an order's effect waits for the next list.
+	wanted bool
 }
 
 // wave is a plan with the orders under way.
--- a/internal/core/scheduler/waves.go
+++ b/internal/core/scheduler/waves.go
@@ -13,6 +13,8 @@
 const (
 	// listPause is the time between two lists while something waits for them.
 	listPause = 500 * time.Millisecond
+	// listSoon is that time after an order for a machine.
+	listSoon = 60 * time.Millisecond
 	// listRest is that time while nothing does.
 	listRest = 10 * time.Second
 )
@@ -189,7 +191,6 @@
 		return
 	}
 	delete(wav.ordered, evt.Machine)
-	sta.machines.asked = time.Time{}
 	if evt.Result == worker.MachineNotInWave || evt.Result == worker.MachineInvalid {
 		wav.plan = wav.plan.WithBegun(evt.Machine)
 		return
@@ -197,7 +198,7 @@
 	vm := sta.machines.byName[evt.Machine].VM
 	if evt.Result != worker.MachineOK {
 		if hos := sta.hosts[vm]; hos != nil {
-			hos.goingDown = evt.Result == worker.MachineUnknown
+			sta.orderFailed(hos, evt.Result)
 		}
 		return
 	}
@@ -205,10 +206,22 @@
 	wav.down[evt.Machine] = downMachine{vm: vm, since: sta.now}
 	sta.emit(SaveWave{Number: evt.Wave, Begun: wav.begun()})
 	if hos := sta.hosts[vm]; hos != nil {
-		sta.lose(hos, "its machine went down for upkeep")
+		hos.downAnswered = sta.now
+		sta.machines.wanted = true
 	}
 }
 
+// orderFailed takes in that an order for a host's machine was not carried out,
+// as far as is known.
+func (sta *State) orderFailed(hos *host, res worker.MachineResult) {
+	if res == worker.MachineUnknown {
+		hos.downAnswered = sta.now
+		sta.machines.wanted = true
+		return
+	}
+	hos.goingDown = false
+}
+
 // machinesListed takes in the list of machines. It tells which lives have
 // ended.
 func (sta *State) machinesListed(evt MachinesListed) {
@@ -227,13 +240,28 @@
 	}
 	sta.machineNames = slices.Sorted(maps.Keys(sta.machines.byName))
 	for _, hos := range slices.Clone(sta.hostList) {
-		if hos.failedLooks == 0 {
-			continue
-		}
-		name, ok := sta.machines.byVM[hos.vm.ID]
-		if !ok || sta.machines.byName[name].State == worker.MachineDown {
-			sta.lose(hos, "the list of machines says that it is down")
+		sta.checkListed(hos, evt.Asked)
+	}
+}
+
+// checkListed takes in what a list of machines that was asked for at a time says
+// of a host.
+func (sta *State) checkListed(hos *host, asked time.Time) {
+	name, ok := sta.machines.byVM[hos.vm.ID]
+	mac := sta.machines.byName[name]
+	ordered := hos.goingDown && !hos.downAnswered.IsZero() && asked.After(hos.downAnswered)
+	switch {
+	case ordered && ok && mac.State == worker.MachineUp:
+		sta.note("order_without_effect", "", map[string]any{"machine": name, "vm": hos.vm.ID})
+		hos.goingDown, hos.downAnswered = false, time.Time{}
+		delete(sta.moves, name)
+		for _, wav := range sta.waves {
+			delete(wav.down, name)
 		}
+	case ordered:
+		sta.lose(hos, "its machine went down as ordered")
+	case hos.failedLooks > 0 && (!ok || mac.State == worker.MachineDown):
+		sta.lose(hos, "the list of machines says that it is down")
 	}
 }
 
@@ -257,10 +285,13 @@
 	if len(sta.moves) > 0 {
 		pause = min(pause, listPause)
 	}
+	if sta.machines.wanted {
+		pause = min(pause, listSoon)
+	}
 	if sta.machines.busy || sta.now.Sub(sta.machines.asked) < pause {
 		return
 	}
-	sta.machines.busy = true
+	sta.machines.busy, sta.machines.wanted = true, false
 	sta.machines.asked = sta.now
 	sta.emit(ListMachines{})
 }
