manager: silent watches are noticed within 0.7 s; moves go at the platform's rate

Change: watches of jobs and VMs wait 300 ms and are given up 400 ms later; the rate of moves is a setting's share.

--- a/internal/core/scheduler/fleet.go
+++ b/internal/core/scheduler/fleet.go
@@ -32,8 +32,9 @@
 	fullShare = 0.9
 	// leastMachines is how many machines a pool that is used keeps.
 	leastMachines = 2
-	// maxMoves is how many moves are ordered at a time.
-	maxMoves = 8
+	// movesShare is the part of the platform's rate of orders that moves use; the
+	// rest is for upkeep.
+	movesShare = 0.8
 	// moveLimit is after what time a move whose end wasn't seen is forgotten.
 	moveLimit = 10 * time.Second
 )
@@ -115,7 +116,7 @@
 	sta.fleetAt = sta.now
 	pools := sta.fleetPools()
 	sta.notePools(pools)
-	moves := fleet.Plan(pools, maxMoves, sta.spareMachines(pools), func(machine, pool string) bool { return !sta.barred[machine+" "+pool] })
+	moves := fleet.Plan(pools, int(math.Ceil(sta.opt.MovesPerSecond*movesShare*fleetEvery.Seconds())), sta.spareMachines(pools), func(machine, pool string) bool { return !sta.barred[machine+" "+pool] })
 	for _, mov := range moves {
 		mac := sta.machines.byName[mov.Machine]
 		if hos := sta.hosts[mac.VM]; hos != nil {
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -31,6 +31,8 @@
 	UpkeepTime time.Duration
 	// RemoteFactor is how many times longer a task takes away from its data.
 	RemoteFactor float64
+	// MovesPerSecond is how many orders for machines the platform takes.
+	MovesPerSecond float64
 }
 
 // runsPerTerm is how far the run numbers of two terms are apart at least, so
--- a/internal/manager/dispatcher.go
+++ b/internal/manager/dispatcher.go
@@ -55,7 +55,7 @@
 		Since: cur.Since, Revision: cur.Revision, Term: cur.Holder.Term,
 		Lease:        min(maxLease, time.Duration(float64(bnd.MaxHold)*leaseShare)),
 		MachineLease: bnd.MachineLease, StopTime: bnd.StopTime, MoveTime: bnd.Move, UpkeepTime: bnd.Upkeep,
-		RemoteFactor: bnd.RemoteFactor,
+		RemoteFactor: bnd.RemoteFactor, MovesPerSecond: nod.set.MachineOrders,
 	})
 	go dis.bring(ctx)
 	dis.loop(ctx)
@@ -140,8 +140,8 @@
 }
 
 // dispatchWatch is how long a watch of jobs or VMs waits. A connection that
-// went silent delays new jobs by no more than that.
-const dispatchWatch = 1500 * time.Millisecond
+// went silent delays new jobs by little more than that.
+const dispatchWatch = 300 * time.Millisecond
 
 // stored is a job's progress as a former dispatcher stored it.
 type stored struct {
--- a/internal/manager/node.go
+++ b/internal/manager/node.go
@@ -36,7 +36,7 @@
 
 // configWatch is how long a watch of the operator's keys waits. It bounds the
 // age of the configuration while nothing changes.
-const configWatch = 800 * time.Millisecond
+const configWatch = 700 * time.Millisecond
 
 // dutyWatch is how long a watch of the duty waits.
 const dutyWatch = 2 * time.Second
