--- a/internal/core/scheduler/fleet.go
+++ b/internal/core/scheduler/fleet.go
@@ -110,7 +110,7 @@
 	if sta.now.Sub(sta.fleetAt) < fleetEvery || sta.machines.listed.IsZero() {
 		return
 	}
-	if sta.opt.Term > 1 && sta.now.Before(sta.opt.Since.Add(sta.opt.MachineLease)) {
+	if !sta.maySteer() {
 		return
 	}
 	sta.fleetAt = sta.now
--- a/internal/core/scheduler/schedule_test.go
+++ b/internal/core/scheduler/schedule_test.go
@@ -33,7 +33,7 @@
 
 func testOptions() Options {
 	return Options{
-		Lease: 4 * time.Second, MachineLease: 3 * time.Second, StopTime: 400 * time.Millisecond,
+		Lease: 4 * time.Second, StopTime: 400 * time.Millisecond,
 		MoveTime: 1500 * time.Millisecond, UpkeepTime: 2 * time.Second, RemoteFactor: 1.5, MovesPerSecond: 64,
 	}
 }
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -21,9 +21,6 @@
 	Term int64
 	// Lease is for how long a VM runs tasks without being looked at.
 	Lease time.Duration
-	// MachineLease is how long this dispatcher keeps apart from the orders for
-	// machines of a former one.
-	MachineLease time.Duration
 	// StopTime is how long a task takes to stop.
 	StopTime time.Duration
 	// MoveTime and UpkeepTime are how long a machine is away for either.
--- a/internal/core/scheduler/waves.go
+++ b/internal/core/scheduler/waves.go
@@ -57,8 +57,7 @@
 		sta.emit(SaveWave{Number: number, Begun: wav.begun(), Completed: true})
 		return
 	}
-	// A former dispatcher's orders must be a while ago.
-	if sta.now.Before(sta.opt.Since.Add(sta.opt.MachineLease)) && sta.opt.Term > 1 {
+	if !sta.maySteer() {
 		return
 	}
 	var cans []upkeep.Candidate
@@ -89,6 +88,16 @@
 	}
 }
 
+// steerDelay is how long a dispatcher keeps apart from the orders for machines
+// of a former one, which stopped to send them before its lease ended. Machines
+// do not tell terms apart.
+const steerDelay = 600 * time.Millisecond
+
+// maySteer reports whether orders for machines may be given.
+func (sta *State) maySteer() bool {
+	return sta.opt.Term == 1 || !sta.now.Before(sta.opt.Since.Add(steerDelay))
+}
+
 func (wav *wave) begun() (names []string) {
 	for name := range wav.plan.Begun {
 		names = append(names, name)
--- a/internal/manager/dispatcher.go
+++ b/internal/manager/dispatcher.go
@@ -53,8 +53,8 @@
 	dis := &dispatcher{nod: nod, ten: ten, events: make(chan scheduler.Event, eventQueue)}
 	dis.sta = scheduler.New(scheduler.Options{
 		Since: cur.Since, Revision: cur.Revision, Term: cur.Holder.Term,
-		Lease:        min(maxLease, time.Duration(float64(bnd.MaxHold)*leaseShare)),
-		MachineLease: bnd.MachineLease, StopTime: bnd.StopTime, MoveTime: bnd.Move, UpkeepTime: bnd.Upkeep,
+		Lease:    min(maxLease, time.Duration(float64(bnd.MaxHold)*leaseShare)),
+		StopTime: bnd.StopTime, MoveTime: bnd.Move, UpkeepTime: bnd.Upkeep,
 		RemoteFactor: bnd.RemoteFactor, MovesPerSecond: nod.set.MachineOrders,
 	})
 	go dis.bring(ctx)
