manager: the duty goes to the larger VMs

Change: VMs claim later the smaller they are beside the largest that the store knows; a small holder gives the duty back.

--- a/internal/manager/keeper.go
+++ b/internal/manager/keeper.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"math"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/balsamgauge/balsamgauge/internal/core/duty"
@@ -16,8 +19,16 @@
 	// leaseTimeout bounds a call about the lease.
 	leaseTimeout = 600 * time.Millisecond
 	// smallDelay is how much later a VM without processors would claim the duty
-	// than one with a whole core, so that larger VMs get it.
-	smallDelay = 120 * time.Millisecond
+	// than the largest one, so that larger VMs get it.
+	smallDelay = 800 * time.Millisecond
+	// smallShare is the part of the largest VM's processors below which a holder
+	// gives the duty back: it could not keep up with all pools at their busiest.
+	smallShare = 0.6
+	// smallTenure is how long such a holder keeps the duty, so that larger VMs
+	// that restart are back.
+	smallTenure = 4 * time.Second
+	// smallRetry is how long it keeps the duty if no larger VM took it.
+	smallRetry = 20 * time.Second
 	// claimCheck is how often a process that doesn't hold the duty checks
 	// whether it is free, if no watch tells.
 	claimCheck = 2 * time.Second
@@ -32,6 +43,10 @@
 	now      func() time.Time
 	// dispatch runs the dispatcher until its context is done.
 	dispatch func(ctx context.Context, ten *tenure)
+	// largest holds the processors of the largest VM, as float64 bits.
+	largest atomic.Uint64
+	// gaveBack is when the duty was last given back to larger VMs.
+	gaveBack time.Time
 	// freed is signalled when the holder's key has been seen to be gone.
 	freed chan struct{}
 }
@@ -82,10 +97,52 @@
 	case <-ctx.Done():
 	case <-tim.C:
 	case <-kee.freed:
-		pause(ctx, time.Duration(float64(smallDelay)*max(0, 1-kee.cpuShare)))
+		pause(ctx, time.Duration(float64(smallDelay)*max(0, 1-kee.relativeSize())))
 	}
 }
 
+// relativeSize returns this VM's processors as a part of the largest VM's.
+func (kee *keeper) relativeSize() float64 {
+	largest := math.Float64frombits(kee.largest.Load())
+	if largest <= 0 {
+		return 1
+	}
+	return min(1, kee.cpuShare/largest)
+}
+
+// sawLargest takes in the largest VM that the store knows, and writes this one
+// if it is larger.
+func (kee *keeper) sawLargest(itm kv.Item) {
+	size, err := strconv.ParseFloat(string(itm.Value), 64)
+	if err != nil && itm.Revision != 0 {
+		kee.log.Event("entry_ignored", decisionlog.Fields{"key": itm.Key, "revision": itm.Revision, "error": err.Error()})
+	}
+	kee.largest.Store(math.Float64bits(max(size, kee.cpuShare)))
+	if size >= kee.cpuShare {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
+		defer cancel()
+		_, err := kee.store.Commit(ctx, kv.Txn{
+			Conditions: []kv.Condition{{Key: largestKey, Revision: itm.Revision}},
+			Puts:       []kv.Put{{Key: largestKey, Value: strconv.AppendFloat(nil, kee.cpuShare, 'g', -1, 64)}},
+		})
+		var con *kv.ConflictError
+		if err != nil && !errors.As(err, &con) {
+			kee.log.Event("size_not_written", decisionlog.Fields{"error": err.Error()})
+		}
+	}()
+}
+
+// shouldGiveBack reports whether a small holder leaves the duty to larger VMs.
+func (kee *keeper) shouldGiveBack(held time.Duration, now time.Time) bool {
+	if kee.relativeSize() >= smallShare || held < smallTenure {
+		return false
+	}
+	return kee.gaveBack.IsZero() || now.Sub(kee.gaveBack) > smallRetry
+}
+
 // claim takes the duty. It returns nil if another process holds it.
 func (kee *keeper) claim(ctx context.Context) (ten *tenure, err error) {
 	ask, cancel := context.WithTimeout(ctx, readTimeout)
@@ -170,6 +227,11 @@
 		switch {
 		case err == nil:
 			ten.renewed(sent)
+			if kee.shouldGiveBack(sent.Sub(ten.current().Since), sent) {
+				kee.gaveBack = sent
+				kee.log.Event("duty_given_back", decisionlog.Fields{"relative_size": kee.relativeSize()})
+				return
+			}
 		case errors.Is(err, kv.ErrLeaseGone):
 			kee.log.Event("duty_lost", decisionlog.Fields{"lease": lease})
 			return
--- a/internal/manager/node.go
+++ b/internal/manager/node.go
@@ -200,10 +200,15 @@
 
 func (nod *Node) dutyReset(items []kv.Item) {
 	held := false
+	largest := kv.Item{Key: largestKey}
 	for _, itm := range items {
+		if itm.Key == largestKey {
+			largest = itm
+		}
 		nod.dutyChanged(kv.Change{Item: itm})
 		held = held || itm.Key == duty.HolderKey
 	}
+	nod.keeper.sawLargest(largest)
 	if !held {
 		nod.dutyFreed()
 	}
@@ -215,6 +220,8 @@
 		if cha.Deleted {
 			nod.dutyFreed()
 		}
+	case largestKey:
+		nod.keeper.sawLargest(cha.Item)
 	case loadKey:
 		if !cha.Deleted {
 			nod.load.change(cha.Item)
