--- a/internal/core/scheduler/fleet.go
+++ b/internal/core/scheduler/fleet.go
@@ -23,7 +23,7 @@
 	// rateTime is over what time the rate of arriving work is averaged.
 	rateTime = 700 * time.Millisecond
 	// keepTime is for how long a pool keeps what it needed.
-	keepTime = 1500 * time.Millisecond
+	keepTime = 800 * time.Millisecond
 	// restTime is for how long the pools together keep what they needed. Turns of
 	// demand come back within seconds.
 	restTime = 20 * time.Second
@@ -263,23 +263,31 @@
 }
 
 // needed returns the cores with which each pool would do the work of its jobs
-// by their deadlines.
+// by their deadlines, but no more than their tasks can use at once.
 func (sta *State) needed() map[string]float64 {
 	sums := map[string]float64{}
+	usable := map[string]float64{}
 	for _, liv := range sta.jobList {
 		if liv.final != "" || liv.spec.Lasts() {
 			continue
 		}
 		factor := sta.learned[liv.spec.Queue].factor()
 		sum := 0.0
+		pool := sta.poolOf(liv)
 		for _, occ := range liv.occs {
 			for i := range occ.stages {
 				stg := &occ.stages[i]
 				sum += stg.step.Size.Cores() * float64(stg.left) * stg.step.Estimate.Seconds() * factor
+				if stg.blockers == 0 {
+					usable[pool] += stg.step.Room().Cores() * float64(stg.left)
+				}
 			}
 		}
 		span := max(lateTime, time.Duration(usableTime*float64(liv.deadline.Sub(sta.now))))
-		sums[sta.poolOf(liv)] += sum / span.Seconds()
+		sums[pool] += sum / span.Seconds()
+	}
+	for pool, sum := range sums {
+		sums[pool] = min(sum, usable[pool])
 	}
 	return sums
 }
