scheduler: tasks that last leave a machine that is due for upkeep one by one

Change: one of them is stopped and starts elsewhere; tasks that start, were told to stop, or lie on a VM that could not have told of their end count as away.

--- a/internal/core/scheduler/jobs.go
+++ b/internal/core/scheduler/jobs.go
@@ -219,6 +219,7 @@
 	}
 	switch {
 	case stg.step.LongRunning:
+		sta.note("lasting_task_ended", end.Task.Job, map[string]any{"task": end.Task.String(), "run": end.Run, "vm": hos.vm.ID, "kind": end.Kind})
 		sta.ackable(hos, end.Number)
 		return
 	case tas.phase == phaseDone && end.Kind == worker.EndDone:
--- a/internal/core/scheduler/schedule_test.go
+++ b/internal/core/scheduler/schedule_test.go
@@ -126,3 +126,34 @@
 		assert.Equal(t, len(emu.broken), 0, "seed %d: %s", seed, strings.Join(emu.broken, "\n"))
 	}
 }
+
+// TestSiblingsOnAMachineDueForUpkeep has a step of which one task may be away and
+// two lie on one machine. They leave it one after the other.
+func TestSiblingsOnAMachineDueForUpkeep(t *testing.T) {
+	emu := newEmulator(1, testCatalog())
+	emu.addVMs("lots", 2, 2, job.Size{CPU: 16_000, Memory: 32_768})
+	emu.takeOver(testOptions())
+	emu.after(100*time.Millisecond, func() {
+		emu.submit(job.Spec{ID: jobName(1), Queue: "settle", Account: "large", Payload: "x", Steps: []job.Step{{
+			Count: 4, Size: job.Size{CPU: 1500, Memory: 4096}, LongRunning: true, MayMiss: 1,
+		}}})
+	})
+	fewest := 4
+	for at := 2 * time.Second; at < 20*time.Second; at += 5 * time.Millisecond {
+		emu.after(at, func() {
+			running := 0
+			for _, vm := range emu.vms {
+				running += len(vm.runs)
+			}
+			fewest = min(fewest, running)
+		})
+	}
+	emu.after(2*time.Second, func() {
+		emu.askWave(upkeep.Wave{Number: 1, Machines: []string{"lots-0"}, Duration: 15 * time.Second, Cap: 1})
+	})
+	emu.run(20 * time.Second)
+	assert.Equal(t, emu.notes["wave_completed"], 1)
+	assert.Equal(t, emu.notes["task_relocated"], 1)
+	assert.Equal(t, fewest, 3)
+	assert.Equal(t, len(emu.broken), 0, "%s", strings.Join(emu.broken, "\n"))
+}
--- a/internal/core/scheduler/waves.go
+++ b/internal/core/scheduler/waves.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/balsamgauge/balsamgauge/internal/core/job"
 	"github.com/balsamgauge/balsamgauge/internal/core/upkeep"
 	"github.com/balsamgauge/balsamgauge/internal/core/worker"
 )
@@ -73,6 +74,9 @@
 			hos.cordoned = true
 		}
 	}
+	for _, name := range stp.Relocate {
+		sta.relocate(name)
+	}
 	for _, name := range stp.Begin {
 		// Machines that go down before it in this round may hold tasks of the same
 		// step.
@@ -143,7 +147,9 @@
 			if !seen {
 				lasting = append(lasting, stg)
 			}
-			sha.Here++
+			if hel.working() {
+				sha.Here++
+			}
 			shares[stg] = sha
 			continue
 		}
@@ -157,30 +163,78 @@
 	for _, stg := range lasting {
 		sha := shares[stg]
 		sha.MayMiss = stg.step.MayMiss
-		sha.Away = stg.away(hos)
+		sha.Away = stg.away(sta.now, hos)
 		can.Lasting = append(can.Lasting, sha)
 	}
 	return can
 }
 
+// relocate stops one task that lasts of each step that has more of them on a
+// machine than may be away at once. It starts again on another machine.
+func (sta *State) relocate(name string) {
+	hos := sta.hosts[sta.machines.byName[name].VM]
+	done := map[*stage]bool{}
+	for _, hel := range hos.list {
+		stg := hel.stage
+		if stg == nil || !stg.step.LongRunning || done[stg] || !hel.working() {
+			continue
+		}
+		sha := upkeep.LastingShare{Here: hos.working(stg), Away: stg.away(sta.now, hos), MayMiss: stg.step.MayMiss}
+		if !sha.Relocates() {
+			continue
+		}
+		done[stg] = true
+		sta.note("task_relocated", hel.task.Job, map[string]any{"task": hel.task.String(), "run": hel.run, "vm": hos.vm.ID, "machine": name})
+		sta.stop(hel)
+	}
+}
+
+// tellTime is how long a look takes to reach a VM and to come back at once if a
+// task has ended there.
+const tellTime = 25 * time.Millisecond
+
+// wouldTell reports whether the end of a run would be known by now: a look waits
+// at the VM, which answers as soon as a run ends.
+func (hos *host) wouldTell(now time.Time) bool {
+	return hos.looking && now.Sub(hos.lastLook) >= tellTime
+}
+
+// working reports whether the run is at work and has not been told to stop.
+func (hel *held) working() bool { return hel.state == runRunning && hel.percent >= atWork }
+
+// working counts the tasks of a stage that are at work on a VM.
+func (hos *host) working(stg *stage) int {
+	n := 0
+	for _, hel := range hos.list {
+		if hel.stage == stg && hel.working() {
+			n++
+		}
+	}
+	return n
+}
+
 // atWork is the percent of a task that lasts and is at work.
 const atWork = 100
 
-// away returns how many tasks of a stage that lasts are not at work on other
-// VMs than one.
-func (stg *stage) away(but *host) int {
+// away returns how many tasks of a stage that lasts are not at work. Those that
+// are at work on one VM are left out.
+func (stg *stage) away(now time.Time, but *host) int {
 	n := 0
 	for i := range stg.tasks {
 		hos := stg.tasks[i].host
 		if hos == but {
+			name := job.Task{Job: stg.live.spec.ID, Occurrence: stg.occ, Step: stg.index, Index: i}
+			if hel := hos.runs[name]; hel != nil && !hel.working() {
+				n++
+			}
 			continue
 		}
-		if hos == nil || hos.failedLooks > 0 || hos.vm.Leaving || hos.goingDown {
+		if hos == nil || hos.failedLooks > 0 || hos.vm.Leaving || hos.goingDown || !hos.wouldTell(now) {
 			n++
 			continue
 		}
 		for _, hel := range hos.list {
-			if hel.stage == stg && hel.task.Index == i && (hel.state != runRunning || hel.percent < atWork) {
+			if hel.stage == stg && hel.task.Index == i && !hel.working() {
 				n++
 			}
 		}
--- a/internal/core/upkeep/wave.go
+++ b/internal/core/upkeep/wave.go
@@ -61,6 +61,12 @@
 	return sha.MayMiss > 0 && sha.Here > 0 && sha.Away+sha.Here > sha.MayMiss
 }
 
+// Relocates reports whether one of the tasks here should go elsewhere first, for
+// the machine holds more of them than may be away at once.
+func (sha LastingShare) Relocates() bool {
+	return sha.MayMiss > 0 && sha.Here > sha.MayMiss && sha.Away < sha.MayMiss
+}
+
 // Candidate is a machine that may go down.
 type Candidate struct {
 	Machine string
@@ -89,6 +95,8 @@
 type Step struct {
 	// Cordon lists the machines that get no new tasks.
 	Cordon []string
+	// Relocate lists the machines from which tasks that last go elsewhere.
+	Relocate []string
 	// Begin lists the machines whose upkeep begins now.
 	Begin []string
 }
@@ -127,6 +135,9 @@
 		}
 		free--
 		stp.Cordon = append(stp.Cordon, can.Machine)
+		if slices.ContainsFunc(can.Lasting, LastingShare.Relocates) {
+			stp.Relocate = append(stp.Relocate, can.Machine)
+		}
 		if !can.Breaks() && (can.Lost == 0 || late) {
 			stp.Begin = append(stp.Begin, can.Machine)
 		}
