standin/site: the platform on loopback; tests of the whole path

Change: a stand-in of the platform's store, VMs and list of machines speaks the published protocol; tests run processes against it: jobs to their end, refusals, a withdrawn key, cancelling, each process shut down in turn, a store that loses answers and history, a silent VM. VMs whose state a wave waits for are looked at next.

--- a/internal/core/scheduler/waves.go
+++ b/internal/core/scheduler/waves.go
@@ -195,7 +195,11 @@
 
 // wouldTell reports whether the end of a run would be known by now: a look waits
 // at the VM, which answers as soon as a run ends.
+// A VM that is not being looked at is looked at next.
 func (hos *host) wouldTell(now time.Time) bool {
+	if !hos.looking {
+		hos.nextLook = now
+	}
 	return hos.looking && now.Sub(hos.lastLook) >= tellTime
 }
 
--- /dev/null
+++ b/internal/manager/manager_test.go
@@ -0,0 +1,273 @@
+package manager
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/balsamgauge/balsamgauge/internal/standin/site"
+	"github.com/balsamgauge/balsamgauge/platform"
+	"gotest.tools/v3/assert"
+)
+
+// rig is a stand-in of the platform with processes of ours.
+type rig struct {
+	t     *testing.T
+	sit   *site.Site
+	nodes []*process
+}
+
+type process struct {
+	callers string
+	ready   string
+	stop    context.CancelFunc
+	done    chan error
+}
+
+func freeAddress(t *testing.T) string {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, lis.Close()) }()
+	return lis.Addr().String()
+}
+
+func newRig(t *testing.T, nodes, workers int, work time.Duration) *rig {
+	sit, err := site.Start(site.Options{Pool: "lots", Workers: workers, Work: work})
+	assert.NilError(t, err)
+	t.Cleanup(sit.Stop)
+	sit.Store.Put("op/config", testConfig(1, "k1"))
+	rg := &rig{t: t, sit: sit}
+	for i := range nodes {
+		rg.nodes = append(rg.nodes, rg.startNode(fmt.Sprintf("entry-%d", i)))
+	}
+	t.Cleanup(func() {
+		for _, pro := range rg.nodes {
+			pro.stop()
+			assert.NilError(t, <-pro.done)
+		}
+	})
+	for _, pro := range rg.nodes {
+		rg.await("ready", func() bool { return rg.status(http.MethodGet, "http://"+pro.ready+"/readyz", "", "") == http.StatusOK })
+	}
+	return rg
+}
+
+// testConfig has one queue with a key and one open to all.
+func testConfig(version int, key string) map[string]any {
+	route := func(name, prefix string, public bool) map[string]any {
+		return map[string]any{
+			"name": name, "host": "lots.example", "prefix": prefix, "kind": "non_idempotent", "timeout-ms": 3000,
+			"target-duration-ms": 600, "priority": 0, "service": "lots", "max-attempts": 4, "slack-factor": 1.6, "public": public,
+		}
+	}
+	return map[string]any{
+		"version": version, "routes": []any{route("gate", "/gate/", false), route("open", "/open/", true)},
+		"services": []any{map[string]any{"name": "lots", "health-path": "/healthz", "rejects-overload": true}},
+		"tenants":  []any{map[string]any{"name": "city", "api-keys": []string{key}, "weight": 1, "cap": map[string]int{"cpu": 0}}},
+	}
+}
+
+func (rg *rig) startNode(name string) *process {
+	t := rg.t
+	pro := &process{callers: freeAddress(t), ready: freeAddress(t), done: make(chan error, 1)}
+	_, port, err := net.SplitHostPort(freeAddress(t))
+	assert.NilError(t, err)
+	path := filepath.Join(t.TempDir(), "node.toml")
+	text := fmt.Sprintf("node-name = %q\nip = \"127.0.0.1\"\nzone = \"az0\"\ninternal-ports = [%s,%s]\n"+
+		"[listen-addrs]\nfront = %q\nready = %q\n[platform]\naddress = %q\n[cloud]\naddress = %q\n[bounds]\ngrace-s = 2\n",
+		name, port, port, pro.callers, pro.ready, rg.sit.StoreAddress, rg.sit.MachinesAddress)
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	set, err := platform.LoadSettings(path)
+	assert.NilError(t, err)
+	nod, err := New(set, io.Discard)
+	assert.NilError(t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	pro.stop = stop
+	go func() { pro.done <- nod.Run(ctx) }()
+	return pro
+}
+
+const awaitLimit = 15 * time.Second
+
+func (rg *rig) await(what string, holds func() bool) {
+	rg.t.Helper()
+	for end := time.Now().Add(awaitLimit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	rg.t.Fatalf("%s did not come about within %s", what, awaitLimit)
+}
+
+func (rg *rig) call(method, url, key, body string) (status int, text string) {
+	rg.t.Helper()
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	assert.NilError(rg.t, err)
+	req.Host = "lots.example"
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	rsp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = rsp.Body.Close() }()
+	raw, err := io.ReadAll(rsp.Body)
+	assert.NilError(rg.t, err)
+	return rsp.StatusCode, strings.TrimSpace(string(raw))
+}
+
+func (rg *rig) status(method, url, key, body string) int {
+	status, _ := rg.call(method, url, key, body)
+	return status
+}
+
+// job is one of two steps of two tasks each.
+const jobBody = `{"spec":"x","steps":[{"count":2,"cpu":500,"mem-mb":64,"estimate-ms":100},{"count":2,"cpu":500,"mem-mb":64,"estimate-ms":100,"after":[0]}]}`
+
+func (rg *rig) jobURL(node int, prefix string, num int) string {
+	return fmt.Sprintf("http://%s%s%016x", rg.nodes[node].callers, prefix, num)
+}
+
+// TestJobsRunToTheirEnd hands jobs in at every process and asks for them at
+// others.
+func TestJobsRunToTheirEnd(t *testing.T) {
+	rg := newRig(t, 3, 3, 60*time.Millisecond)
+	for i := range 30 {
+		assert.Equal(t, rg.status(http.MethodPost, rg.jobURL(i%3, "/gate/", i), "k1", jobBody), http.StatusOK)
+	}
+	for i := range 30 {
+		rg.await(fmt.Sprintf("end of job %d", i), func() bool {
+			status, text := rg.call(http.MethodGet, rg.jobURL((i+1)%3, "/gate/", i), "k1", "")
+			return status == http.StatusOK && text == `{"state":"completed"}`
+		})
+	}
+	assert.Equal(t, rg.sit.Done(), 30*4)
+	assert.Equal(t, rg.status(http.MethodPost, rg.jobURL(0, "/gate/", 3), "k1", jobBody), http.StatusOK)
+	assert.Equal(t, rg.status(http.MethodGet, rg.jobURL(0, "/gate/", 99), "k1", ""), http.StatusGone)
+	assert.Equal(t, rg.sit.Started(fmt.Sprintf("%016x", 3)), 4)
+	assert.DeepEqual(t, rg.sit.Faults(), []string(nil))
+}
+
+// TestCallsThatAreNotAllowed get a true refusal, and nothing is stored.
+func TestCallsThatAreNotAllowed(t *testing.T) {
+	rg := newRig(t, 1, 1, 20*time.Millisecond)
+	assert.Equal(t, rg.status(http.MethodPost, rg.jobURL(0, "/gate/", 1), "", jobBody), http.StatusUnauthorized)
+	assert.Equal(t, rg.status(http.MethodPost, rg.jobURL(0, "/gate/", 1), "other", jobBody), http.StatusUnauthorized)
+	assert.Equal(t, rg.status(http.MethodPost, rg.jobURL(0, "/none/", 1), "k1", jobBody), http.StatusNotFound)
+	assert.Equal(t, rg.status(http.MethodPost, rg.jobURL(0, "/gate/", 1), "k1", "{"), http.StatusBadRequest)
+	assert.Equal(t, rg.status(http.MethodPost, rg.jobURL(0, "/gate/", 1), "k1", `{"spec":"x","steps":[]}`), http.StatusBadRequest)
+	assert.Equal(t, rg.status(http.MethodPost, rg.jobURL(0, "/open/", 2), "", jobBody), http.StatusOK)
+	assert.Equal(t, rg.status(http.MethodGet, rg.jobURL(0, "/gate/", 2), "k1", ""), http.StatusGone)
+	assert.Equal(t, string(rg.sit.Store.Value("live/0000000000000001")), "")
+}
+
+// TestKeyIsWithdrawn stops a key that a new version no longer has.
+func TestKeyIsWithdrawn(t *testing.T) {
+	rg := newRig(t, 2, 1, 20*time.Millisecond)
+	assert.Equal(t, rg.status(http.MethodPost, rg.jobURL(0, "/gate/", 1), "k1", jobBody), http.StatusOK)
+	rg.sit.Store.Put("op/config", testConfig(4, "k2"))
+	// A submission is conditional on the newest configuration, so that the old
+	// key fails at once, whatever a process has heard.
+	assert.Equal(t, rg.status(http.MethodPost, rg.jobURL(1, "/gate/", 2), "k1", jobBody) != http.StatusOK, true)
+	rg.await("new key", func() bool {
+		return rg.status(http.MethodPost, rg.jobURL(1, "/gate/", 3), "k2", jobBody) == http.StatusOK
+	})
+}
+
+// TestCancel stops a job's tasks and tells its state.
+func TestCancel(t *testing.T) {
+	rg := newRig(t, 2, 1, time.Hour)
+	url := rg.jobURL(0, "/gate/", 1)
+	assert.Equal(t, rg.status(http.MethodPost, url, "k1", jobBody), http.StatusOK)
+	rg.await("start", func() bool { return rg.sit.Started("0000000000000001") == 2 })
+	assert.Equal(t, rg.status(http.MethodDelete, rg.jobURL(1, "/gate/", 1), "k1", ""), http.StatusOK)
+	_, text := rg.call(http.MethodGet, url, "k1", "")
+	assert.Equal(t, text, `{"state":"cancelled"}`)
+	rg.await("record", func() bool { return rg.sit.Store.Value("ended/0000000000000001") != nil })
+	_, text = rg.call(http.MethodGet, url, "k1", "")
+	assert.Equal(t, text, `{"state":"cancelled"}`)
+	assert.Equal(t, rg.status(http.MethodDelete, rg.jobURL(0, "/gate/", 77), "k1", ""), http.StatusGone)
+}
+
+// TestDispatcherLeaves shuts each process down in turn while jobs run. Another
+// one goes on; nothing runs twice and nothing is lost.
+func TestDispatcherLeaves(t *testing.T) {
+	rg := newRig(t, 3, 3, 150*time.Millisecond)
+	for i := range 3 {
+		for j := range 8 {
+			assert.Equal(t, rg.status(http.MethodPost, rg.jobURL(i, "/gate/", i*8+j), "k1", jobBody), http.StatusOK)
+		}
+		rg.nodes[i].stop()
+		assert.NilError(t, <-rg.nodes[i].done)
+		rg.nodes[i] = rg.startNode(fmt.Sprintf("again-%d", i))
+		rg.await("ready", func() bool {
+			return rg.status(http.MethodGet, "http://"+rg.nodes[i].ready+"/readyz", "", "") == http.StatusOK
+		})
+	}
+	for i := range 24 {
+		rg.await(fmt.Sprintf("end of job %d", i), func() bool {
+			_, text := rg.call(http.MethodGet, rg.jobURL(0, "/gate/", i), "k1", "")
+			return text == `{"state":"completed"}`
+		})
+	}
+	assert.DeepEqual(t, rg.sit.Faults(), []string(nil))
+}
+
+// TestStoreMisbehaves loses answers of writes, drops the history and refuses
+// calls for a while.
+func TestStoreMisbehaves(t *testing.T) {
+	rg := newRig(t, 2, 2, 50*time.Millisecond)
+	accepted := 0
+	for i := range 12 {
+		switch i {
+		case 3:
+			rg.sit.Store.LoseAnswers(2)
+		case 6:
+			rg.sit.Store.Compact()
+		case 9:
+			rg.sit.Store.SetDown(true)
+			assert.Equal(t, rg.status(http.MethodPost, rg.jobURL(0, "/gate/", 100), "k1", jobBody), http.StatusServiceUnavailable)
+			time.Sleep(500 * time.Millisecond)
+			rg.sit.Store.SetDown(false)
+		}
+		rg.await("acceptance", func() bool {
+			return rg.status(http.MethodPost, rg.jobURL(i%2, "/gate/", i), "k1", jobBody) == http.StatusOK
+		})
+		accepted++
+	}
+	for i := range accepted {
+		rg.await(fmt.Sprintf("end of job %d", i), func() bool {
+			_, text := rg.call(http.MethodGet, rg.jobURL(0, "/gate/", i), "k1", "")
+			return text == `{"state":"completed"}`
+		})
+	}
+	assert.Equal(t, rg.sit.Started(fmt.Sprintf("%016x", 100)), 0)
+	assert.DeepEqual(t, rg.sit.Faults(), []string(nil))
+}
+
+// TestSilentVM leaves a VM without answers. Its tasks go elsewhere once its
+// lease has surely ended.
+func TestSilentVM(t *testing.T) {
+	rg := newRig(t, 1, 2, 400*time.Millisecond)
+	for i := range 4 {
+		assert.Equal(t, rg.status(http.MethodPost, rg.jobURL(0, "/gate/", i), "k1", jobBody), http.StatusOK)
+	}
+	rg.await("start", func() bool { return rg.sit.Started(fmt.Sprintf("%016x", 0)) > 0 })
+	rg.sit.Workers[0].SetSilent(true)
+	for i := range 4 {
+		rg.await(fmt.Sprintf("end of job %d", i), func() bool {
+			_, text := rg.call(http.MethodGet, rg.jobURL(0, "/gate/", i), "k1", "")
+			return text == `{"state":"completed"}`
+		})
+	}
+	rg.sit.Workers[0].SetSilent(false)
+	assert.DeepEqual(t, rg.sit.Faults(), []string(nil))
+}
