--- a/internal/core/scheduler/waves.go
+++ b/internal/core/scheduler/waves.go
@@ -163,7 +163,7 @@
 	for _, stg := range lasting {
 		sha := shares[stg]
 		sha.MayMiss = stg.step.MayMiss
-		sha.Away = stg.away(sta.now, hos)
+		sha.Away = stg.away(hos)
 		can.Lasting = append(can.Lasting, sha)
 	}
 	return can
@@ -179,7 +179,7 @@
 		if stg == nil || !stg.step.LongRunning || done[stg] || !hel.working() {
 			continue
 		}
-		sha := upkeep.LastingShare{Here: hos.working(stg), Away: stg.away(sta.now, hos), MayMiss: stg.step.MayMiss}
+		sha := upkeep.LastingShare{Here: hos.working(stg), Away: stg.away(hos), MayMiss: stg.step.MayMiss}
 		if !sha.Relocates() {
 			continue
 		}
@@ -189,20 +189,6 @@
 	}
 }
 
-// tellTime is how long a look takes to reach a VM and to come back at once if a
-// task has ended there.
-const tellTime = 25 * time.Millisecond
-
-// wouldTell reports whether the end of a run would be known by now: a look waits
-// at the VM, which answers as soon as a run ends.
-// A VM that is not being looked at is looked at next.
-func (hos *host) wouldTell(now time.Time) bool {
-	if !hos.looking {
-		hos.nextLook = now
-	}
-	return hos.looking && now.Sub(hos.lastLook) >= tellTime
-}
-
 // working reports whether the run is at work and has not been told to stop.
 func (hel *held) working() bool { return hel.state == runRunning && hel.percent >= atWork }
 
@@ -222,7 +208,7 @@
 
 // away returns how many tasks of a stage that lasts are not at work. Those that
 // are at work on one VM are left out.
-func (stg *stage) away(now time.Time, but *host) int {
+func (stg *stage) away(but *host) int {
 	n := 0
 	for i := range stg.tasks {
 		hos := stg.tasks[i].host
@@ -233,7 +219,7 @@
 			}
 			continue
 		}
-		if hos == nil || hos.failedLooks > 0 || hos.vm.Leaving || hos.goingDown || !hos.wouldTell(now) {
+		if hos == nil || hos.failedLooks > 0 || hos.vm.Leaving || hos.goingDown {
 			n++
 			continue
 		}
