scheduler: machines that a former dispatcher took down count; intake: no writes to a store out of reach

Change: machines that the list shows in upkeep count, and a list asked for after the takeover is awaited; claims that fail are tried again after 0.3 s; a submission is refused unsent when the configuration was not confirmed for 1.3 s.

--- a/internal/core/scheduler/emulator_test.go
+++ b/internal/core/scheduler/emulator_test.go
@@ -442,7 +442,7 @@
 			if down >= emu.wave.Cap {
 				emu.fail("upkeep of %s begins while %d are down", eff.Machine, down)
 			}
-			emu.end(vm, 2*time.Second)
+			emu.end(vm, 4*time.Second)
 			answer(worker.MachineOK)
 		}
 	})
--- a/internal/core/scheduler/waves.go
+++ b/internal/core/scheduler/waves.go
@@ -98,8 +98,17 @@
 const steerDelay = 600 * time.Millisecond
 
 // maySteer reports whether orders for machines may be given.
+// After a takeover they wait for a list of machines that shows what the former
+// dispatcher ordered last.
 func (sta *State) maySteer() bool {
-	return sta.opt.Term == 1 || !sta.now.Before(sta.opt.Since.Add(steerDelay))
+	if sta.opt.Term == 1 {
+		return true
+	}
+	if sta.machines.listed.Before(sta.opt.Since.Add(steerDelay)) {
+		sta.machines.wanted = !sta.now.Before(sta.opt.Since.Add(steerDelay))
+		return false
+	}
+	return true
 }
 
 func (wav *wave) begun() (names []string) {
@@ -110,8 +119,9 @@
 	return names
 }
 
-// downOf returns how many machines of a wave are down for upkeep. A machine is
-// back once the list shows it up with another VM.
+// downOf returns how many machines of a wave are down for upkeep: those that the
+// list shows so, and those ordered since. A machine is back once the list shows
+// it up with another VM.
 func (sta *State) downOf(wav *wave) int {
 	for name, dow := range wav.down {
 		mac, ok := sta.machines.byName[name]
@@ -120,7 +130,14 @@
 			delete(wav.down, name)
 		}
 	}
-	return len(wav.down)
+	n := len(wav.down)
+	for _, name := range wav.plan.Wave.Machines {
+		_, counted := wav.down[name]
+		if !counted && !wav.ordered[name] && sta.machines.byName[name].State == worker.MachineUpkeep {
+			n++
+		}
+	}
+	return n
 }
 
 // candidate describes a machine that a wave may take down.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -77,6 +77,10 @@
 	// Denied bounds it for answers that deny a queue or a key, which a newer
 	// configuration may have added.
 	Denied time.Duration
+	// Write bounds it for writes: beyond it the store is out of reach, and a
+	// call that is refused unsent can be sent elsewhere, unlike one whose
+	// outcome is unknown.
+	Write time.Duration
 }
 
 // Desk takes calls. It is safe for concurrent use.
@@ -145,6 +149,9 @@
 		if err := spe.Check(); err != nil {
 			return Answer{Verdict: VerdictInvalid, Reason: err.Error()}
 		}
+		if age := now.Sub(vie.Confirmed); age > des.Freshness.Write {
+			return unavailable("the store is out of reach")
+		}
 		spe.Queue, spe.Account, spe.Accepted = que.Name, account, now
 		ans, conflict := des.store(ctx, now, que, vie, spe)
 		if !conflict {
--- a/internal/manager/keeper.go
+++ b/internal/manager/keeper.go
@@ -32,6 +32,8 @@
 	// claimCheck is how often a process that doesn't hold the duty checks
 	// whether it is free, if no watch tells.
 	claimCheck = 2 * time.Second
+	// claimRetry is the pause after a claim that the store didn't answer.
+	claimRetry = 300 * time.Millisecond
 )
 
 // keeper contends for the duty and keeps it.
@@ -81,6 +83,10 @@
 		if err != nil {
 			kee.log.Event("duty_not_taken", decisionlog.Fields{"error": err.Error()})
 		}
+		if err != nil {
+			pause(ctx, claimRetry)
+			continue
+		}
 		if ten == nil {
 			kee.await(ctx)
 			continue
--- a/internal/manager/node.go
+++ b/internal/manager/node.go
@@ -30,6 +30,9 @@
 	// deniedAge bounds the age of a configuration that denies a call: a version
 	// must be in force 2 s after it was written.
 	deniedAge = 1500 * time.Millisecond
+	// writeAge is a little longer than a watch of the operator's keys takes to
+	// confirm the configuration.
+	writeAge = 1300 * time.Millisecond
 	// readyShare is when the balancer is told to look elsewhere.
 	readyShare = 0.45
 )
@@ -159,7 +162,7 @@
 func (nod *Node) ingress() http.Handler {
 	desk := &intake.Desk{
 		Store: nod.store, ConfigKey: platform.ConfigKey,
-		Freshness: intake.Freshness{Keyed: time.Duration(float64(nod.set.Bounds.Revoke) * keyedShare), Denied: deniedAge},
+		Freshness: intake.Freshness{Keyed: time.Duration(float64(nod.set.Bounds.Revoke) * keyedShare), Denied: deniedAge, Write: writeAge},
 		View:      nod.operator.current, Admit: nod.load.admit, Pending: nod.load.pending,
 	}
 	return &platform.Ingress{Desk: desk, Now: nod.now, Done: nod.called}
