--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -67,6 +67,9 @@
 	// Confirmed is when the catalog was last known to be the newest; zero if
 	// there is none.
 	Confirmed time.Time
+	// Heard is when the store last answered about it, which is later than
+	// Confirmed by as long as a watch waits.
+	Heard time.Time
 }
 
 // Freshness bounds how old a view may be.
@@ -77,7 +80,8 @@
 	// Denied bounds it for answers that deny a queue or a key, which a newer
 	// configuration may have added.
 	Denied time.Duration
-	// Write bounds it for writes: beyond it the store is out of reach, and a
+	// Write bounds how long the store may have been silent for writes: beyond it
+	// the store is out of reach, and a
 	// call that is refused unsent can be sent elsewhere, unlike one whose
 	// outcome is unknown.
 	Write time.Duration
@@ -149,7 +153,7 @@
 		if err := spe.Check(); err != nil {
 			return Answer{Verdict: VerdictInvalid, Reason: err.Error()}
 		}
-		if age := now.Sub(vie.Confirmed); age > des.Freshness.Write {
+		if age := now.Sub(vie.Heard); age > des.Freshness.Write {
 			return unavailable("the store is out of reach")
 		}
 		spe.Queue, spe.Account, spe.Accepted = que.Name, account, now
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -49,7 +49,7 @@
 	return &Desk{
 		Store: sto, ConfigKey: "config",
 		Freshness: Freshness{Keyed: 3 * time.Second, Denied: 1500 * time.Millisecond, Write: 1300 * time.Millisecond},
-		View:      func() View { return View{Catalog: cat, Confirmed: noon.Add(-age)} },
+		View:      func() View { return View{Catalog: cat, Confirmed: noon.Add(-age), Heard: noon.Add(-age)} },
 	}
 }
 
@@ -128,3 +128,14 @@
 		assert.Equal(t, ans.Verdict, tst.want)
 	}
 }
+
+// TestWatchThatWaits accepts jobs while the store has answered of late, however
+// long its watch has waited.
+func TestWatchThatWaits(t *testing.T) {
+	des := newDesk(&scriptedStore{}, 1400*time.Millisecond)
+	vie := des.View()
+	vie.Heard = noon.Add(-700 * time.Millisecond)
+	des.View = func() View { return vie }
+	ans := des.Submit(context.Background(), noon, Call{Host: "h", Path: "/g/1", Key: "k"}, oneStep())
+	assert.Equal(t, ans.Verdict, VerdictOK)
+}
--- a/internal/manager/node.go
+++ b/internal/manager/node.go
@@ -30,8 +30,7 @@
 	// deniedAge bounds the age of a configuration that denies a call: a version
 	// must be in force 2 s after it was written.
 	deniedAge = 1500 * time.Millisecond
-	// writeAge is a little longer than a watch of the operator's keys takes to
-	// confirm the configuration.
+	// writeAge is a little longer than a watch of the operator's keys takes.
 	writeAge = 1300 * time.Millisecond
 	// readyShare is when the balancer is told to look elsewhere.
 	readyShare = 0.45
