scheduler: registrations of ended lives do not hold up a takeover

Change: a life that is not yet looked at and that no machine has any more, by a list asked for since, is given up. TestTakeoverAfterMoves fails without.

--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -60,7 +60,7 @@
 		lapse = sta.opt.Since.Add(sta.leaseEnd())
 	}
 	sta.hosts[one.ID] = &host{
-		vm: one, runs: map[job.Task]*held{}, stored: map[int64]bool{}, lapse: lapse, nextLook: sta.now, emptySince: sta.now,
+		vm: one, runs: map[job.Task]*held{}, stored: map[int64]bool{}, lapse: lapse, nextLook: sta.now, emptySince: sta.now, found: sta.now,
 		pace: pace.NewControl(),
 	}
 	sta.indexPools()
--- a/internal/core/scheduler/schedule_test.go
+++ b/internal/core/scheduler/schedule_test.go
@@ -157,3 +157,22 @@
 	assert.Equal(t, fewest, 3)
 	assert.Equal(t, len(emu.broken), 0, "%s", strings.Join(emu.broken, "\n"))
 }
+
+// TestTakeoverAfterMoves takes the duty over while the registrations of lives
+// that moves have ended are still there. Jobs that wait start at once.
+func TestTakeoverAfterMoves(t *testing.T) {
+	emu := newEmulator(1, testCatalog())
+	emu.addVMs("lots", 3, 3, job.Size{CPU: 16_000, Memory: 32_768})
+	emu.takeOver(testOptions())
+	emu.run(time.Second)
+	gone := emu.vms["lots-0"].vm
+	emu.end(emu.vms["lots-0"], 1500*time.Millisecond)
+	emu.down = true
+	emu.submit(fanOut(1, "large", 2, 500, 200*time.Millisecond))
+	emu.run(2 * time.Second)
+	emu.takeOver(testOptions())
+	emu.tell(VMRegistered{VM: gone})
+	emu.run(3 * time.Second)
+	assert.Equal(t, len(emu.finished), 1)
+	assert.Equal(t, len(emu.broken), 0, "%s", strings.Join(emu.broken, "\n"))
+}
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -169,6 +169,8 @@
 // host is one life of a VM with what may be running there.
 type host struct {
 	vm worker.VM
+	// found is when the registration was first seen.
+	found time.Time
 	// fenced says that the VM has answered a look of this term.
 	fenced bool
 	// clock is the VM's clock at clockAt.
--- a/internal/core/scheduler/waves.go
+++ b/internal/core/scheduler/waves.go
@@ -330,6 +330,9 @@
 		}
 	case ordered:
 		sta.lose(hos, "its machine went down as ordered")
+	case (!ok || mac.State != worker.MachineUp) && !hos.fenced && !asked.Before(hos.found):
+		// Registrations outlast the life of a VM by some seconds.
+		sta.lose(hos, "no machine has this life any more")
 	case hos.failedLooks > 0 && (!ok || mac.State == worker.MachineDown):
 		sta.lose(hos, "the list of machines says that it is down")
 	}
