scheduler: a job is pending until a VM runs one of its tasks

Change: a job has begun once a VM is known to run a task. TestPendingWhileOrdersAreLost fails without.

--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -122,8 +122,8 @@
 			stg.waiting--
 		}
 		stg.live.held++
-		stg.live.begun = true
 	}
+	hel.confirm(state, sta.now)
 	hos.runs[name] = hel
 	hos.list = append(hos.list, hel)
 	hos.used = hos.used.Plus(hel.room)
@@ -131,6 +131,14 @@
 	return hel
 }
 
+// confirm enters a state. A job has begun once a VM is known to run a task.
+func (hel *held) confirm(state runState, now time.Time) {
+	hel.state, hel.since = state, now
+	if state == runRunning && hel.stage != nil {
+		hel.stage.live.begun = true
+	}
+}
+
 // deadline returns the end of a lease that begins now, on the VM's clock, and
 // notes how long what runs there may go on.
 func (sta *State) deadline(hos *host) time.Duration {
@@ -259,7 +267,7 @@
 		return
 	}
 	if hel.state == runOrdered || hel.state == runUnknown {
-		hel.state, hel.since = runRunning, sta.now
+		hel.confirm(runRunning, sta.now)
 	}
 	hel.percent, hel.load, hel.checkpoint = row.Percent, row.Load, row.Checkpoint
 	if stg != nil && row.Checkpoint != "" {
--- a/internal/core/scheduler/jobs.go
+++ b/internal/core/scheduler/jobs.go
@@ -212,6 +212,7 @@
 		sta.store(stg.live, hos, end.Number)
 		return
 	}
+	stg.live.begun = true
 	tas := &stg.tasks[end.Task.Index]
 	tas.run = max(tas.run, end.Run)
 	if end.Checkpoint != "" {
--- a/internal/core/scheduler/orders.go
+++ b/internal/core/scheduler/orders.go
@@ -72,7 +72,7 @@
 	}
 	switch evt.Result {
 	case worker.ResultOK:
-		hel.state, hel.since = runRunning, sta.now
+		hel.confirm(runRunning, sta.now)
 	case worker.ResultUnknown:
 		hel.state, hel.since = runUnknown, sta.now
 		hos.nextLook = sta.now
--- a/internal/core/scheduler/schedule_test.go
+++ b/internal/core/scheduler/schedule_test.go
@@ -176,3 +176,20 @@
 	assert.Equal(t, len(emu.finished), 1)
 	assert.Equal(t, len(emu.broken), 0, "%s", strings.Join(emu.broken, "\n"))
 }
+
+// TestPendingWhileOrdersAreLost counts a job as pending until a VM has started
+// one of its tasks, not when one was ordered.
+func TestPendingWhileOrdersAreLost(t *testing.T) {
+	emu := newEmulator(1, testCatalog())
+	emu.addVMs("lots", 3, 3, job.Size{CPU: 16_000, Memory: 32_768})
+	emu.takeOver(testOptions())
+	emu.run(time.Second)
+	emu.loseOrder = 1
+	emu.submit(fanOut(1, "large", 2, 500, 200*time.Millisecond))
+	emu.run(3 * time.Second)
+	assert.Equal(t, emu.sched.Load().Pending["gate"], 1)
+	emu.loseOrder = 0
+	emu.run(8 * time.Second)
+	assert.Equal(t, emu.sched.Load().Pending["gate"], 0)
+	assert.Equal(t, len(emu.finished), 1)
+}
