scheduler: what is remembered of ended jobs and lives is bounded; settings: only what is used

Cause: read as a newcomer: two maps grew for ever, and fields that nothing reads stood in the settings, bids and events. Change: entries are kept for one to two minutes; unused fields are gone. Behaviour is otherwise the same.

--- a/internal/core/priority/priority.go
+++ b/internal/core/priority/priority.go
@@ -18,9 +18,6 @@
 	Remaining time.Duration
 	// Work is the core-seconds that the job needs yet.
 	Work float64
-	// Usage is the account's share of the pool divided by its weight.
-	Usage    float64
-	Accepted time.Time
 	// Job breaks ties.
 	Job string
 }
--- a/internal/core/scheduler/assign.go
+++ b/internal/core/scheduler/assign.go
@@ -56,7 +56,7 @@
 func (sta *State) bid(stg *stage) priority.Bid {
 	liv := stg.live
 	occ := liv.occs[stg.occ]
-	bid := priority.Bid{Lasts: stg.step.LongRunning, Accepted: liv.spec.Accepted, Job: string(liv.spec.ID)}
+	bid := priority.Bid{Lasts: stg.step.LongRunning, Job: string(liv.spec.ID)}
 	if que := sta.catalog.Queue(liv.spec.Queue); que != nil {
 		bid.Priority = que.Priority
 	}
@@ -163,7 +163,6 @@
 func (sta *State) start(hos *host, stg *stage, index, run int) {
 	name := job.Task{Job: stg.live.spec.ID, Occurrence: stg.occ, Step: stg.index, Index: index}
 	tas := &stg.tasks[index]
-	tas.ordered = sta.now
 	if len(hos.runs) == 0 {
 		hos.nextLook = sta.now.Add(lookPause)
 	}
--- a/internal/core/scheduler/event.go
+++ b/internal/core/scheduler/event.go
@@ -93,7 +93,6 @@
 	Occurrence int
 	Step       int
 	Sent       time.Time
-	Asked      []string
 	Tickets    map[string]string
 	Valid      time.Duration
 }
--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -37,7 +37,7 @@
 
 // register takes in a VM's registration.
 func (sta *State) register(one worker.VM) {
-	if old, ok := sta.lost[one.ID]; ok && old.SameLife(one) {
+	if old, ok := sta.lost.get(one.ID); ok && old.SameLife(one) {
 		return
 	}
 	hos := sta.hosts[one.ID]
@@ -83,7 +83,7 @@
 		sta.drop(hos, hel)
 	}
 	delete(sta.hosts, hos.vm.ID)
-	sta.lost[hos.vm.ID] = hos.vm
+	sta.lost.put(sta.now, hos.vm.ID, hos.vm)
 	sta.indexPools()
 }
 
@@ -330,7 +330,7 @@
 		if hos.unregistered && !hos.looking {
 			sta.lose(hos, "its registration is gone and it does not answer")
 			// It may be alive behind a partition, and register again.
-			delete(sta.lost, hos.vm.ID)
+			sta.lost.remove(hos.vm.ID)
 		}
 	}
 }
--- a/internal/core/scheduler/jobs.go
+++ b/internal/core/scheduler/jobs.go
@@ -10,7 +10,7 @@
 // accept takes in a job that is stored.
 func (sta *State) accept(evt JobAccepted) {
 	id := evt.Spec.ID
-	if sta.jobs[id] != nil || sta.ended[id] {
+	if _, ended := sta.ended.get(id); ended || sta.jobs[id] != nil {
 		return
 	}
 	liv := &live{
--- a/internal/core/scheduler/save.go
+++ b/internal/core/scheduler/save.go
@@ -161,5 +161,5 @@
 	id := liv.spec.ID
 	delete(sta.jobs, id)
 	sta.jobList = slices.DeleteFunc(sta.jobList, func(oth *live) bool { return oth == liv })
-	sta.ended[id] = true
+	sta.ended.put(sta.now, id, true)
 }
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -59,8 +59,6 @@
 	host *host
 	// notBefore delays the next start after an order was refused.
 	notBefore time.Time
-	// ordered is when the present run was ordered.
-	ordered time.Time
 }
 
 // stage is a step of one occurrence.
@@ -241,10 +239,10 @@
 	loaded   bool
 	// ended remembers jobs that are stored as ended, so that an event that comes
 	// late doesn't bring them back.
-	ended map[job.ID]bool
+	ended *recent[job.ID, bool]
 	// lost holds the lives of VMs that have ended, by ID: their registrations
 	// last for some seconds more.
-	lost map[string]worker.VM
+	lost *recent[string, worker.VM]
 	// learned holds, by queue, how run times compare with the estimates.
 	learned map[string]*ratio
 	gaveUp  bool
@@ -284,7 +282,7 @@
 	down map[string]downMachine
 	// ordered holds machines whose answer is awaited.
 	ordered map[string]bool
-	// saved says that the status is stored as completed.
+	// completed says that all of it has begun.
 	completed bool
 }
 
@@ -312,7 +310,7 @@
 		opt: opt, zonesOut: map[string]bool{}, jobs: map[job.ID]*live{}, hosts: map[string]*host{},
 		pools: map[string][]*host{}, usage: map[string]job.Size{}, waves: map[int64]*wave{},
 		machines: machines{byName: map[string]worker.Machine{}, byVM: map[string]string{}},
-		ended:    map[job.ID]bool{}, lost: map[string]worker.VM{}, learned: map[string]*ratio{},
+		ended:    newRecent[job.ID, bool](), lost: newRecent[string, worker.VM](), learned: map[string]*ratio{},
 		demands: map[string]*demand{}, moves: map[string]moving{}, barred: map[string]bool{},
 	}
 }
--- a/internal/manager/effects.go
+++ b/internal/manager/effects.go
@@ -126,7 +126,7 @@
 }
 
 func (dis *dispatcher) advise(ctx context.Context, now time.Time, eff scheduler.Advise) {
-	evt := scheduler.Advised{Job: eff.Job, Occurrence: eff.Occurrence, Step: eff.Step, Sent: now, Asked: eff.VMs}
+	evt := scheduler.Advised{Job: eff.Job, Occurrence: eff.Occurrence, Step: eff.Step, Sent: now}
 	ask, cancel := context.WithTimeout(ctx, adviceTimeout)
 	defer cancel()
 	vms := eff.VMs[:min(len(eff.VMs), platform.MaxAdvised)]
