scheduler: remaining work in one place; options and a counter that nothing reads are gone

Cause: the last reading found the core-seconds a stage has yet to do worked out in two places, and a count of runs and two options (with their settings) that nothing read. Change: stage.work serves the order and the moves; the unused ones are removed.

--- a/internal/core/scheduler/assign.go
+++ b/internal/core/scheduler/assign.go
@@ -63,8 +63,7 @@
 	bid.Remaining = sta.chain(liv.spec, func(step int) bool { return occ.stages[step].left > 0 })
 	factor := sta.learned[liv.spec.Queue].factor()
 	for i := range occ.stages {
-		rest := &occ.stages[i]
-		bid.Work += rest.step.Size.Cores() * float64(rest.left) * rest.step.Estimate.Seconds() * factor
+		bid.Work += occ.stages[i].work(factor)
 	}
 	bid.Deadline = liv.deadline
 	if liv.spec.Occurrences > 0 {
@@ -73,6 +72,12 @@
 	return bid
 }
 
+// work returns the core-seconds that a stage has yet to do, by its estimates
+// times a factor.
+func (stg *stage) work(factor float64) float64 {
+	return stg.step.Size.Cores() * float64(stg.left) * stg.step.Estimate.Seconds() * factor
+}
+
 func (sta *State) usableHosts(pool string) (hosts []*host) {
 	for _, hos := range sta.pools[pool] {
 		if hos.usable(sta.now) && !sta.zonesOut[hos.vm.AZ] {
--- a/internal/core/scheduler/fleet.go
+++ b/internal/core/scheduler/fleet.go
@@ -277,7 +277,7 @@
 		for _, occ := range liv.occs {
 			for i := range occ.stages {
 				stg := &occ.stages[i]
-				sum += stg.step.Size.Cores() * float64(stg.left) * stg.step.Estimate.Seconds() * factor
+				sum += stg.work(factor)
 				if stg.blockers == 0 {
 					usable[pool] += stg.step.Room().Cores() * float64(stg.left)
 				}
--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -98,7 +98,6 @@
 	if stg == nil {
 		return
 	}
-	stg.live.held--
 	tas := &stg.tasks[hel.task.Index]
 	if tas.host != hos {
 		return
@@ -121,7 +120,6 @@
 			tas.phase, tas.host = phaseHeld, hos
 			stg.waiting--
 		}
-		stg.live.held++
 	}
 	hel.confirm(state, sta.now)
 	hos.runs[name] = hel
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -23,11 +23,8 @@
 	Lease time.Duration
 	// StopTime is how long a task takes to stop.
 	StopTime time.Duration
-	// MoveTime and UpkeepTime are how long a machine is away for either.
-	MoveTime   time.Duration
+	// UpkeepTime is how long a machine is away for its upkeep.
 	UpkeepTime time.Duration
-	// RemoteFactor is how many times longer a task takes away from its data.
-	RemoteFactor float64
 	// MovesPerSecond is how many orders for machines the platform takes.
 	MovesPerSecond float64
 }
@@ -106,8 +103,6 @@
 	begun bool
 	// final is the state to be stored, once it is known.
 	final job.State
-	// held counts the runs that may be running.
-	held int
 	// dirtySince is when something changed that is not stored yet; zero if all
 	// is stored.
 	dirtySince  time.Time
--- a/internal/manager/dispatcher.go
+++ b/internal/manager/dispatcher.go
@@ -54,8 +54,8 @@
 	dis.sta = scheduler.New(scheduler.Options{
 		Since: cur.Since, Revision: cur.Revision, Term: cur.Holder.Term,
 		Lease:    min(maxLease, time.Duration(float64(bnd.MaxHold)*leaseShare)),
-		StopTime: bnd.StopTime, MoveTime: bnd.Move, UpkeepTime: bnd.Upkeep,
-		RemoteFactor: bnd.RemoteFactor, MovesPerSecond: nod.set.MachineOrders,
+		StopTime: bnd.StopTime, UpkeepTime: bnd.Upkeep,
+		MovesPerSecond: nod.set.MachineOrders,
 	})
 	go dis.bring(ctx)
 	dis.loop(ctx)
