scheduler: failed runs are counted by number, in whatever order VMs are heard

A dispatcher saw two runs of a task fail and lost the store before it stored either. Its successor heard of the later run first and then took the earlier one for one that was already counted, since only the highest counted run was kept. Ruled out: a VM that was silent past its lease, as the rule does not count ends whose lease lapsed before they were acknowledged.

Change: a task's record lists the runs that failed.

--- a/internal/core/job/progress.go
+++ b/internal/core/job/progress.go
@@ -24,11 +24,9 @@
 	Step       int  `msgpack:"s,omitempty"`
 	Index      int  `msgpack:"i,omitempty"`
 	Done       bool `msgpack:"d,omitempty"`
-	// Failed counts the runs that ended failed.
-	Failed int `msgpack:"f,omitempty"`
-	// FailedRun is the highest run that Failed counts. The VM lists its end
-	// again until it is acknowledged.
-	FailedRun int `msgpack:"fr,omitempty"`
+	// FailedRuns lists the runs that ended failed, in the order in which they
+	// were heard of. A VM lists an end again until it is acknowledged.
+	FailedRuns []int `msgpack:"fr,omitempty"`
 	// Run is the highest run that was known when the record was written.
 	Run        int    `msgpack:"r,omitempty"`
 	Checkpoint string `msgpack:"c,omitempty"`
--- a/internal/core/scheduler/emulator_test.go
+++ b/internal/core/scheduler/emulator_test.go
@@ -65,6 +65,9 @@
 	done      bool
 	acked     bool
 	failedEnd int
+	// starts holds when its runs started; failedAcked holds when those runs ended
+	// that failed and whose ends were acknowledged within the lease.
+	starts, failedAcked []time.Time
 }
 
 type timer struct {
@@ -93,13 +96,17 @@
 
 // emulatedVM is one machine with its present life.
 type emulatedVM struct {
-	vm       worker.VM
-	up       bool
-	cut      bool
-	born     time.Time
-	fence    int64
-	runs     map[job.Task]*emulatedRun
-	ends     []worker.End
+	vm    worker.VM
+	up    bool
+	cut   bool
+	born  time.Time
+	fence int64
+	runs  map[job.Task]*emulatedRun
+	ends  []worker.End
+	// endTimes holds when each end of this life happened, by its number; lapsed is
+	// when the lease last ended.
+	endTimes map[int64]time.Time
+	lapsed   time.Time
 	number   int64
 	tomb     map[job.Task]int
 	deadline time.Duration
@@ -189,6 +196,7 @@
 	vm.vm.Born = emu.now.UnixMilli()
 	vm.fence, vm.number, vm.deadline = 0, 0, 0
 	vm.runs, vm.ends, vm.tomb = map[job.Task]*emulatedRun{}, nil, map[job.Task]int{}
+	vm.endTimes, vm.lapsed = map[int64]time.Time{}, time.Time{}
 	one := vm.vm
 	emu.after(emulatedLatency, func() { emu.tell(VMRegistered{VM: one}) })
 }
@@ -530,6 +538,7 @@
 		if vm.vm.ID != id || !vm.up || emu.clock(vm) < vm.deadline {
 			return
 		}
+		vm.lapsed = emu.now
 		for _, name := range vm.sorted() {
 			emu.endOn(vm, name, vm.runs[name], worker.EndLapsed)
 		}
@@ -564,6 +573,8 @@
 	run := &emulatedRun{run: ord.Run, since: emu.now, size: ste.Room(), owner: spe.Account}
 	vm.runs[ord.Task] = run
 	emu.truthOf(ord.Task).running++
+	emu.truthOf(ord.Task).starts = append(emu.truthOf(ord.Task).starts, emu.now)
+	emu.checkAttempts(ord.Task)
 	if ste.LongRunning {
 		return worker.ResultOK
 	}
@@ -613,11 +624,33 @@
 	}
 }
 
+// checkAttempts checks that no run of a task started after as many acknowledged
+// failures as its queue allows.
+func (emu *emulator) checkAttempts(name job.Task) {
+	spe := emu.specs[name.Job]
+	if spe.Steps[name.Step].LongRunning {
+		return
+	}
+	tru := emu.truthOf(name)
+	for _, start := range tru.starts {
+		failed := 0
+		for _, end := range tru.failedAcked {
+			if end.Before(start) {
+				failed++
+			}
+		}
+		if failed >= emu.catalog.Queue(spe.Queue).MaxAttempts {
+			emu.fail("%s was started after %d failed runs", name, failed)
+		}
+	}
+}
+
 func (emu *emulator) endOn(vm *emulatedVM, name job.Task, run *emulatedRun, kind worker.EndKind) {
 	emu.endTruth(name, run)
 	delete(vm.runs, name)
 	vm.tomb[name] = max(vm.tomb[name], run.run)
 	vm.number++
+	vm.endTimes[vm.number] = emu.now
 	vm.ends = append(vm.ends, worker.End{Number: vm.number, Task: name, Run: run.run, Kind: kind})
 	switch kind {
 	case worker.EndDone:
@@ -704,6 +737,11 @@
 			kept = append(kept, end)
 			continue
 		}
+		if end.Kind == worker.EndFailed && vm.lapsed.Before(vm.endTimes[end.Number]) {
+			tru := emu.truthOf(end.Task)
+			tru.failedAcked = append(tru.failedAcked, vm.endTimes[end.Number])
+			emu.checkAttempts(end.Task)
+		}
 		if end.Kind == worker.EndDone {
 			emu.truthOf(end.Task).acked = true
 			if !emu.store.knowsDone(end.Task) {
--- a/internal/core/scheduler/jobs.go
+++ b/internal/core/scheduler/jobs.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
@@ -96,7 +97,7 @@
 	liv.begun = true
 	stg := &liv.occs[rec.Occurrence].stages[rec.Step]
 	tas := &stg.tasks[rec.Index]
-	tas.failed, tas.failedRun = rec.Failed, rec.FailedRun
+	tas.failedRuns = rec.FailedRuns
 	tas.checkpoint, tas.run = rec.Checkpoint, max(tas.run, rec.Run)
 	if rec.Done && tas.phase != phaseDone {
 		sta.markDone(stg, rec.Index)
@@ -258,9 +259,8 @@
 func (sta *State) taskFailed(stg *stage, hos *host, end worker.End) {
 	tas := &stg.tasks[end.Task.Index]
 	// A former dispatcher may have counted the run and not acknowledged its end.
-	if end.Run > tas.failedRun {
-		tas.failed++
-		tas.failedRun = end.Run
+	if !slices.Contains(tas.failedRuns, end.Run) {
+		tas.failedRuns = append(slices.Clip(tas.failedRuns), end.Run)
 		sta.suspect(hos)
 	}
 	sta.store(stg.live, hos, end.Number)
@@ -268,8 +268,8 @@
 	if que := sta.catalog.Queue(stg.live.spec.Queue); que != nil {
 		attempts = que.MaxAttempts
 	}
-	sta.note("task_failed", end.Task.Job, map[string]any{"task": end.Task.String(), "run": end.Run, "vm": hos.vm.ID, "failed": tas.failed, "attempts": attempts})
-	if tas.failed >= attempts {
+	sta.note("task_failed", end.Task.Job, map[string]any{"task": end.Task.String(), "run": end.Run, "vm": hos.vm.ID, "failed": len(tas.failedRuns), "attempts": attempts})
+	if len(tas.failedRuns) >= attempts {
 		sta.finish(stg.live, job.StateFailed)
 	}
 }
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -49,9 +49,10 @@
 	phase phase
 	// run is the highest run that was ordered or seen.
 	run int
-	// failed counts the runs that ended failed, up to failedRun.
-	failed, failedRun int
-	checkpoint        string
+	// failedRuns lists the runs that ended failed. VMs are heard in any order, so
+	// that a lower run may come after a higher one.
+	failedRuns []int
+	checkpoint string
 	// host is set while the phase is phaseHeld.
 	host *host
 	// notBefore delays the next start after an order was refused.
