scheduler: gangs within a VM's limit, on one rack, never left incomplete

By the emulator besides: gangs that are slow on several racks were spread; members whose sibling was refused waited alone; a VM that refused for want of room was never looked at while it seemed idle; runs of unknown jobs took no room on VMs that don't guard it.

Change: a trial placement counts planned members and tries rack by rack; an incomplete gang is stopped and started anew; a refusal for want of room asks for a report; VMs with runs of unknown jobs get no tasks until these are gone.

--- a/internal/core/scheduler/assign.go
+++ b/internal/core/scheduler/assign.go
@@ -104,7 +104,7 @@
 		if !sta.underCap(stg, 1) {
 			return
 		}
-		hos := sta.choose(stg, hosts)
+		hos := sta.choose(stg, hosts, nil)
 		if hos == nil {
 			return
 		}
@@ -112,46 +112,6 @@
 	}
 }
 
-// placeGang starts all tasks of a gang or none.
-func (sta *State) placeGang(stg *stage, hosts []*host) {
-	if stg.waiting < len(stg.tasks) || !sta.underCap(stg, len(stg.tasks)) {
-		return
-	}
-	run := 0
-	chosen := make([]*host, len(stg.tasks))
-	for i := range stg.tasks {
-		if sta.now.Before(stg.tasks[i].notBefore) {
-			return
-		}
-		run = max(run, stg.tasks[i].run)
-	}
-	room := stg.step.Room()
-	for i := range chosen {
-		chosen[i] = sta.choose(stg, hosts)
-		if chosen[i] == nil {
-			break
-		}
-		chosen[i].used = chosen[i].used.Plus(room)
-	}
-	complete := chosen[len(chosen)-1] != nil
-	checkpoint := ""
-	for i, hos := range chosen {
-		if hos != nil {
-			hos.used = hos.used.Minus(room)
-		}
-		if checkpoint == "" {
-			checkpoint = stg.tasks[i].checkpoint
-		}
-	}
-	if !complete {
-		return
-	}
-	for i, hos := range chosen {
-		stg.tasks[i].checkpoint = checkpoint
-		sta.start(hos, stg, i, run+1)
-	}
-}
-
 // underCap reports whether a client account may run n more tasks of a stage.
 func (sta *State) underCap(stg *stage, n int) bool {
 	acc := sta.catalog.Account(stg.live.spec.Account)
@@ -178,14 +138,15 @@
 	})
 }
 
-// choose returns the VM where a task of a stage runs best, or nil.
-func (sta *State) choose(stg *stage, hosts []*host) (best *host) {
+// choose returns the VM where another task of a stage runs best beside those of
+// a trial, or nil.
+func (sta *State) choose(stg *stage, hosts []*host, tri trial) (best *host) {
 	var bestScore score
 	for _, hos := range hosts {
-		if !sta.allows(stg, hos) {
+		if !sta.allows(stg, hos, tri[hos]) {
 			continue
 		}
-		sco := sta.score(stg, hos)
+		sco := sta.score(stg, hos, tri[hos])
 		if best == nil || sco.better(bestScore) {
 			best, bestScore = hos, sco
 		}
@@ -193,16 +154,17 @@
 	return best
 }
 
-// allows reports whether a task of a stage may run on a VM.
-func (sta *State) allows(stg *stage, hos *host) bool {
+// allows reports whether a task of a stage may run on a VM beside a number of
+// others of the stage that are to start there.
+func (sta *State) allows(stg *stage, hos *host, planned int) bool {
 	ste := stg.step
-	if !ste.Room().Fits(hos.vm.Capacity.Minus(hos.used)) {
+	if !ste.Room().Times(planned + 1).Fits(hos.vm.Capacity.Minus(hos.used)) {
 		return false
 	}
 	if ste.Label != "" && !hos.vm.HasLabel(ste.Label) {
 		return false
 	}
-	if ste.MaxPerVM > 0 && hos.count(stg) >= ste.MaxPerVM {
+	if ste.MaxPerVM > 0 && hos.count(stg)+planned >= ste.MaxPerVM {
 		return false
 	}
 	if sta.needsTicket(stg) && stg.advice.tickets[hos.vm.ID] == "" {
@@ -248,11 +210,11 @@
 	}
 }
 
-func (sta *State) score(stg *stage, hos *host) score {
+func (sta *State) score(stg *stage, hos *host, planned int) score {
 	ste := stg.step
 	sco := score{remote: ste.DataRack != "" && !hos.vm.HasLabel(ste.DataRack)}
 	if ste.LongRunning {
-		sco.siblings = hos.count(stg)
+		sco.siblings = hos.count(stg) + planned
 	}
 	for _, hel := range hos.list {
 		if hel.stage == nil {
@@ -263,7 +225,7 @@
 		}
 	}
 	if cpu := hos.vm.Capacity.CPU; cpu > 0 {
-		sco.free = float64(cpu-hos.used.CPU-ste.Room().CPU) / float64(cpu)
+		sco.free = float64(cpu-hos.used.CPU-ste.Room().CPU*int64(planned+1)) / float64(cpu)
 	}
 	return sco
 }
--- a/internal/core/scheduler/emulator_test.go
+++ b/internal/core/scheduler/emulator_test.go
@@ -179,7 +179,7 @@
 		name := fmt.Sprintf("%s-%d", pool, i)
 		vm := &emulatedVM{vm: worker.VM{
 			Pool: pool, Address: name, AZ: fmt.Sprintf("az%d", i%3), Capacity: size,
-			Labels: []string{"a", fmt.Sprintf("%s-r%d", pool, i/rack)},
+			Labels: []string{"a", fmt.Sprintf("%s-r%d", pool, i/rack)}, Rack: fmt.Sprintf("%s-r%d", pool, i/rack),
 		}}
 		emu.vms[name] = vm
 		emu.names = append(emu.names, name)
@@ -567,7 +567,10 @@
 		used = used.Plus(run.size)
 	}
 	if !used.Plus(ste.Room()).Fits(vm.vm.Capacity) {
-		return worker.ResultNoRoom
+		if emu.catalog.Pools[0].GuardsRoom {
+			return worker.ResultNoRoom
+		}
+		emu.fail("%s run %d brings %s over its capacity", ord.Task, ord.Run, vm.vm.ID)
 	}
 	emu.checkStart(vm, ord, spe)
 	run := &emulatedRun{run: ord.Run, since: emu.now, size: ste.Room(), owner: spe.Account}
--- /dev/null
+++ b/internal/core/scheduler/gang.go
@@ -0,0 +1,93 @@
+package scheduler
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/balsamgauge/balsamgauge/internal/core/job"
+)
+
+// trial counts the tasks of a stage that are to start on each VM.
+type trial map[*host]int
+
+// placeGang starts all tasks of a gang or none.
+func (sta *State) placeGang(stg *stage, hosts []*host) {
+	if stg.waiting < len(stg.tasks) {
+		sta.breakGang(stg)
+		return
+	}
+	if !sta.underCap(stg, len(stg.tasks)) {
+		return
+	}
+	run, checkpoint := 0, ""
+	for i := range stg.tasks {
+		tas := &stg.tasks[i]
+		if sta.now.Before(tas.notBefore) {
+			return
+		}
+		run = max(run, tas.run)
+		// A checkpoint of any member is valid for the gang.
+		if checkpoint == "" {
+			checkpoint = tas.checkpoint
+		}
+	}
+	for i, hos := range sta.chooseForGang(stg, hosts) {
+		stg.tasks[i].checkpoint = checkpoint
+		sta.start(hos, stg, i, run+1)
+	}
+}
+
+// breakGang stops the members of a gang that lacks some: they would wait for
+// the others until the VMs give them up.
+func (sta *State) breakGang(stg *stage) {
+	for i := range stg.tasks {
+		if hos := stg.tasks[i].host; hos != nil {
+			sta.stop(hos.runs[job.Task{Job: stg.live.spec.ID, Occurrence: stg.occ, Step: stg.index, Index: i}])
+		}
+	}
+}
+
+// chooseForGang returns a VM for each member of a gang, or nothing if they don't
+// all fit. Gangs that are slow on several racks get one rack if one has room.
+func (sta *State) chooseForGang(stg *stage, hosts []*host) (chosen []*host) {
+	if stg.step.SameRack {
+		for _, rack := range racksOf(stg, hosts) {
+			if chosen = sta.chooseAll(stg, rack); chosen != nil {
+				return chosen
+			}
+		}
+	}
+	return sta.chooseAll(stg, hosts)
+}
+
+// racksOf returns the VMs of each rack: first those of the rack where the
+// stage's data lies, the others in the order of their names.
+func racksOf(stg *stage, hosts []*host) (racks [][]*host) {
+	byName := map[string][]*host{}
+	for _, hos := range hosts {
+		byName[hos.vm.Rack] = append(byName[hos.vm.Rack], hos)
+	}
+	if local, ok := byName[stg.step.DataRack]; ok {
+		racks = append(racks, local)
+		delete(byName, stg.step.DataRack)
+	}
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		racks = append(racks, byName[name])
+	}
+	return racks
+}
+
+// chooseAll returns a VM for each task of a stage, or nothing if they don't all
+// fit.
+func (sta *State) chooseAll(stg *stage, hosts []*host) (chosen []*host) {
+	tri := trial{}
+	for range stg.tasks {
+		hos := sta.choose(stg, hosts, tri)
+		if hos == nil {
+			return nil
+		}
+		tri[hos]++
+		chosen = append(chosen, hos)
+	}
+	return chosen
+}
--- /dev/null
+++ b/internal/core/scheduler/gang_test.go
@@ -0,0 +1,134 @@
+package scheduler
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/balsamgauge/balsamgauge/internal/core/job"
+	"github.com/balsamgauge/balsamgauge/internal/core/worker"
+	"gotest.tools/v3/assert"
+)
+
+// gangJob is a job of one step whose tasks work only together.
+func gangJob(n, width int, cpu int64) job.Spec {
+	return job.Spec{ID: jobName(n), Queue: "gate", Account: "large", Payload: "x", Steps: []job.Step{{
+		Count: width, Size: job.Size{CPU: cpu, Memory: 512}, Estimate: time.Second, Gang: true,
+	}}}
+}
+
+// TestGangWithinVMLimit has a gang of which two tasks may run on a VM, though all
+// would fit onto one.
+func TestGangWithinVMLimit(t *testing.T) {
+	emu := newEmulator(1, testCatalog())
+	emu.addVMs("lots", 3, 3, job.Size{CPU: 16_000, Memory: 32_768})
+	emu.takeOver(testOptions())
+	spe := gangJob(1, 6, 500)
+	spe.Steps[0].MaxPerVM = 2
+	emu.after(100*time.Millisecond, func() { emu.submit(spe) })
+	emu.run(600 * time.Millisecond)
+	for _, name := range emu.names {
+		assert.Equal(t, len(emu.vms[name].runs), 2, "tasks on %s", name)
+	}
+}
+
+// TestGangOnOneRack has a gang that is slow when it spans racks. The first VMs
+// with room for a member each lie on two racks.
+func TestGangOnOneRack(t *testing.T) {
+	emu := newEmulator(1, testCatalog())
+	emu.addVMs("lots", 6, 2, job.Size{CPU: 16_000, Memory: 32_768})
+	emu.takeOver(testOptions())
+	filler := fanOut(1, "large", 1, 8000, 20*time.Second)
+	emu.after(100*time.Millisecond, func() { emu.submit(filler) })
+	spe := gangJob(2, 2, 9000)
+	spe.Steps[0].SameRack = true
+	emu.after(200*time.Millisecond, func() { emu.submit(spe) })
+	emu.run(600 * time.Millisecond)
+	racks := map[string]int{}
+	for _, name := range emu.names {
+		for tas := range emu.vms[name].runs {
+			if tas.Job == spe.ID {
+				racks[emu.vms[name].vm.Rack]++
+			}
+		}
+	}
+	assert.Equal(t, len(racks), 1, "racks of the gang: %v", racks)
+}
+
+// TestGangMemberRefused has a VM refuse one member of a gang. The others don't
+// wait alone: they are stopped, and the gang starts again with a higher run.
+func TestGangMemberRefused(t *testing.T) {
+	emu := newEmulator(1, testCatalog())
+	emu.addVMs("lots", 2, 2, job.Size{CPU: 16_000, Memory: 32_768})
+	emu.takeOver(testOptions())
+	emu.run(50 * time.Millisecond)
+	// A run that the dispatcher doesn't know of takes the room of one VM.
+	emu.vms["lots-0"].runs[job.Task{Job: "other"}] = &emulatedRun{run: 1, since: emu.now, size: job.Size{CPU: 12_000}}
+	emu.specs["other"] = job.Spec{}
+	spe := gangJob(1, 2, 9000)
+	emu.submit(spe)
+	members := func() (n int) {
+		for _, name := range emu.names {
+			for tas := range emu.vms[name].runs {
+				if tas.Job == spe.ID {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	alone, longest := time.Duration(0), time.Duration(0)
+	for at := time.Duration(0); at < 9*time.Second; at += 10 * time.Millisecond {
+		emu.after(at, func() {
+			if members() != 1 {
+				alone = 0
+				return
+			}
+			alone += 10 * time.Millisecond
+			longest = max(longest, alone)
+		})
+	}
+	emu.run(10 * time.Second)
+	// VMs give up a member that waits alone for 3 s.
+	assert.Assert(t, longest < 3*time.Second, "a member waited alone for %v", longest)
+	_, ended := emu.finished[spe.ID]
+	assert.Assert(t, ended, "the gang has not run")
+	assert.Equal(t, len(emu.broken), 0, "%s", strings.Join(emu.broken, "\n"))
+}
+
+// TestGangOfOneCheckpoint restarts a gang whose members listed different
+// checkpoints. All members start with the same one.
+func TestGangOfOneCheckpoint(t *testing.T) {
+	sta := New(testOptions())
+	now := time.Date(2026, 1, 2, 3, 0, 0, 0, time.UTC)
+	sta.opt.Since, sta.opt.Term = now, 1
+	spe := gangJob(1, 2, 500)
+	spe.Accepted = now
+	one := vmNamed("vm-1")
+	var starts []Start
+	reduce := func(events ...Event) {
+		now = now.Add(10 * time.Millisecond)
+		for _, eff := range sta.Reduce(now, events) {
+			if sta, ok := eff.(Start); ok {
+				starts = append(starts, sta)
+			}
+		}
+	}
+	name := job.Task{Job: spe.ID}
+	oth := name
+	oth.Index = 1
+	reduce(CatalogChanged{testCatalog()}, VMRegistered{one}, Loaded{})
+	reduce(Looked{VM: one, Sent: now, Report: worker.Report{Born: 1, Clock: time.Second}})
+	reduce(JobAccepted{Spec: spe, Revision: 5})
+	assert.Equal(t, len(starts), 2)
+	reduce(Looked{VM: one, Sent: now.Add(time.Millisecond), Report: worker.Report{Born: 1, Clock: time.Second, Ends: []worker.End{
+		{Number: 1, Task: name, Run: 1, Kind: worker.EndStopped, Checkpoint: "late"},
+		{Number: 2, Task: oth, Run: 1, Kind: worker.EndBroken, Checkpoint: "early"},
+	}}})
+	for range 100 {
+		reduce(Tick{})
+	}
+	assert.Equal(t, len(starts), 4)
+	assert.Equal(t, starts[2].Run, 2)
+	assert.Equal(t, starts[2].Checkpoint, starts[3].Checkpoint)
+}
--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -159,7 +159,7 @@
 		if hos.looking || sta.now.Before(hos.nextLook) {
 			continue
 		}
-		idle := hos.fenced && hos.failedLooks == 0 && len(hos.runs) == 0
+		idle := hos.fenced && hos.failedLooks == 0 && len(hos.runs) == 0 && !hos.reportDue
 		if idle && (!hos.ackDue || sta.now.Sub(hos.lastLook) < idleAckPause) {
 			continue
 		}
@@ -181,7 +181,7 @@
 			}
 		}
 	}
-	hos.ackDue = false
+	hos.ackDue, hos.reportDue = false, false
 	hos.looking, hos.lastLook = true, sta.now
 	sta.emit(loo)
 }
--- a/internal/core/scheduler/orders.go
+++ b/internal/core/scheduler/orders.go
@@ -110,7 +110,7 @@
 	switch res {
 	case worker.ResultNoRoom, worker.ResultLate:
 		hos.quarantine = sta.now.Add(startRetry)
-		hos.nextLook = sta.now
+		hos.nextLook, hos.reportDue = sta.now, true
 	case worker.ResultUnhealthy:
 		hos.quarantine = sta.now.Add(unhealthyPause)
 	case worker.ResultNoTicket:
--- a/internal/core/scheduler/schedule_test.go
+++ b/internal/core/scheduler/schedule_test.go
@@ -52,6 +52,7 @@
 // quarter of a minute after it.
 func faultyDay(seed uint64) *emulator {
 	emu := newEmulator(seed, testCatalog())
+	emu.catalog.Pools[0].GuardsRoom = seed%3 != 0
 	emu.addVMs("lots", 9, 3, job.Size{CPU: 16_000, Memory: 32_768})
 	emu.loseAnswer, emu.loseOrder, emu.lateOrder = 0.03, 0.02, 0.03
 	emu.loseCommit, emu.lateCommit = 0.1, 0.1
@@ -108,7 +109,8 @@
 }
 
 // TestFaultyDays plays many seeds. No task runs twice at once or after its end
-// was acknowledged, none starts before its step or beyond its account's cap,
+// was acknowledged, none starts before its step, beyond its account's cap, beyond
+// a VM's room or beyond its attempts,
 // no end is acknowledged before it is stored, jobs end as they truly did, and
 // none is lost.
 func TestFaultyDays(t *testing.T) {
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/balsamgauge/balsamgauge/internal/core/catalog"
@@ -189,6 +190,9 @@
 	stored      map[int64]bool
 	// ackDue says that acked is higher than the last look told.
 	ackDue bool
+	// reportDue says that the VM holds something else than is known here, since
+	// it refused a task that should fit.
+	reportDue bool
 	// unregistered says that the registration is gone.
 	unregistered bool
 	// cordoned says that the machine goes down soon and gets no new tasks.
@@ -209,7 +213,13 @@
 
 // usable reports whether new tasks may start there.
 func (hos *host) usable(now time.Time) bool {
-	return hos.fenced && !hos.unregistered && !hos.vm.Leaving && !hos.cordoned && !hos.goingDown && hos.failedLooks == 0 && !now.Before(hos.quarantine)
+	return hos.fenced && !hos.unregistered && !hos.vm.Leaving && !hos.cordoned && !hos.goingDown && hos.failedLooks == 0 && !now.Before(hos.quarantine) && !hos.holdsStrangers()
+}
+
+// holdsStrangers reports whether the VM holds runs of jobs that are not known.
+// The room that they take is not known either.
+func (hos *host) holdsStrangers() bool {
+	return slices.ContainsFunc(hos.list, func(hel *held) bool { return hel.stage == nil })
 }
 
 // State is what the dispatcher knows. It belongs to one goroutine.
--- a/internal/core/worker/worker.go
+++ b/internal/core/worker/worker.go
@@ -18,8 +18,10 @@
 	Pool    string
 	Address string
 	AZ      string
-	// Rack and Kind are its labels; Labels holds all of them.
+	// Labels names the VM's kind and its rack.
 	Labels []string
+	// Rack is the rack of the VM's machine; empty if it is not told.
+	Rack string
 	// Capacity is what its tasks may take together.
 	Capacity job.Size
 	// Leaving says that the VM shuts down soon and takes no new work.
