advisory: questions to the advisor by all entries

Besides, VMs that joined a pool after the question, and tickets that expired, were not asked about again until the whole answer had expired.

Change: internal/advisory registers entries as askers and spreads questions over them; the reducer puts as many as there are askers, by priority, and keeps tickets and denials by VM. The objective counts the advisor's time.

--- /dev/null
+++ b/internal/advisory/question.go
@@ -0,0 +1,29 @@
+package advisory
+
+import (
+	"context"
+	"time"
+
+	"github.com/balsamgauge/balsamgauge/internal/core/job"
+)
+
+// Question asks which VMs may run a step of one occurrence of a job.
+type Question struct {
+	Job        job.ID   `msgpack:"j"`
+	Occurrence int      `msgpack:"o"`
+	Step       int      `msgpack:"s"`
+	VMs        []string `msgpack:"v"`
+}
+
+// Tickets are the VMs that may run a step.
+type Tickets struct {
+	// ByVM holds the ticket of each VM that may run the step.
+	ByVM map[string]string `msgpack:"t"`
+	// Valid is how long the tickets hold.
+	Valid time.Duration `msgpack:"v"`
+}
+
+// Asker puts questions to the advisor.
+type Asker interface {
+	Ask(ctx context.Context, que Question) (tks Tickets, err error)
+}
--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -3,6 +3,7 @@
 package catalog
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -130,3 +131,8 @@
 	}
 	return best
 }
+
+// Advised reports whether some queue's steps need advice.
+func (cat Catalog) Advised() bool {
+	return slices.ContainsFunc(cat.Queues, func(que Queue) bool { return que.Advice != nil })
+}
--- a/internal/core/scheduler/assign.go
+++ b/internal/core/scheduler/assign.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"time"
 
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
 	"github.com/balsamgauge/balsamgauge/internal/core/priority"
@@ -19,6 +18,7 @@
 func (sta *State) assign() {
 	unresolved := sta.unresolved()
 	pools := map[string][]waitingStage{}
+	var upcoming []*stage
 	for _, liv := range sta.jobList {
 		if liv.final != "" || liv.restored && unresolved {
 			continue
@@ -27,7 +27,13 @@
 		for _, occ := range liv.occs {
 			for i := range occ.stages {
 				stg := &occ.stages[i]
-				if stg.waiting == 0 || stg.blockers > 0 {
+				if stg.waiting == 0 {
+					continue
+				}
+				if stg.blockers > 0 {
+					if sta.adviceFor(liv.spec.Queue) != nil && stg.isNext() {
+						upcoming = append(upcoming, stg)
+					}
 					continue
 				}
 				pools[pool] = append(pools[pool], waitingStage{stg, sta.bid(stg)})
@@ -42,6 +48,10 @@
 			sta.place(wai.stage, hosts)
 		}
 	}
+	for _, stg := range upcoming {
+		sta.wantAdvice(stg, sta.usableHosts(sta.poolOf(stg.live)))
+	}
+	sta.ask()
 }
 
 // poolOf returns the pool that runs a job's tasks. It outlasts the removal of
@@ -89,13 +99,18 @@
 
 // place starts as many of a stage's waiting tasks as fit.
 func (sta *State) place(stg *stage, hosts []*host) {
-	if !sta.haveTickets(stg, hosts) {
-		return
-	}
 	if stg.step.Gang {
 		sta.placeGang(stg, hosts)
-		return
+	} else {
+		sta.placeEach(stg, hosts)
+	}
+	if stg.waiting > 0 {
+		sta.wantAdvice(stg, hosts)
 	}
+}
+
+// placeEach starts those waiting tasks of a stage that fit.
+func (sta *State) placeEach(stg *stage, hosts []*host) {
 	for i := range stg.tasks {
 		tas := &stg.tasks[i]
 		if tas.phase != phaseWaiting || sta.now.Before(tas.notBefore) {
@@ -134,7 +149,7 @@
 	sta.hold(hos, stg, name, run, runOrdered)
 	sta.emit(Start{
 		VM: hos.vm, Task: name, Run: run, Payload: stg.live.spec.Payload, Deadline: sta.deadline(hos),
-		Checkpoint: tas.checkpoint, Ticket: stg.advice.tickets[hos.vm.ID],
+		Checkpoint: tas.checkpoint, Ticket: stg.advice.valid(hos.vm.ID, sta.now),
 	})
 }
 
@@ -167,7 +182,7 @@
 	if ste.MaxPerVM > 0 && hos.count(stg)+planned >= ste.MaxPerVM {
 		return false
 	}
-	if sta.needsTicket(stg) && stg.advice.tickets[hos.vm.ID] == "" {
+	if sta.adviceFor(stg.live.spec.Queue) != nil && stg.advice.valid(hos.vm.ID, sta.now) == "" {
 		return false
 	}
 	return true
@@ -229,47 +244,3 @@
 	}
 	return sco
 }
-
-// adviceRetry is the time between two questions about a step.
-const adviceRetry = 300 * time.Millisecond
-
-func (sta *State) needsTicket(stg *stage) bool {
-	que := sta.catalog.Queue(stg.live.spec.Queue)
-	return que != nil && que.Advice != nil
-}
-
-// haveTickets reports whether a stage's tasks may start as far as the advisor
-// is concerned, and asks it where needed.
-func (sta *State) haveTickets(stg *stage, hosts []*host) bool {
-	if !sta.needsTicket(stg) {
-		return true
-	}
-	adv := &stg.advice
-	if sta.now.Before(adv.until) {
-		return true
-	}
-	if adv.asked || len(hosts) == 0 || sta.now.Sub(adv.askedAt) < adviceRetry {
-		return false
-	}
-	adv.asked, adv.askedAt = true, sta.now
-	ask := Advise{Job: stg.live.spec.ID, Occurrence: stg.occ, Step: stg.index}
-	for _, hos := range hosts {
-		ask.VMs = append(ask.VMs, hos.vm.ID)
-	}
-	sta.emit(ask)
-	return false
-}
-
-// advised takes in the advisor's answer.
-func (sta *State) advised(evt Advised) {
-	stg := sta.stageOf(job.Task{Job: evt.Job, Occurrence: evt.Occurrence, Step: evt.Step})
-	if stg == nil {
-		return
-	}
-	stg.advice.asked = false
-	if evt.Tickets == nil {
-		return
-	}
-	stg.advice.tickets = evt.Tickets
-	stg.advice.until = evt.Sent.Add(evt.Valid)
-}
--- a/internal/core/scheduler/effect.go
+++ b/internal/core/scheduler/effect.go
@@ -59,6 +59,8 @@
 	Occurrence int
 	Step       int
 	VMs        []string
+	// Decision is how long the advisor takes.
+	Decision time.Duration
 }
 
 // ListMachines asks for the list of machines.
--- a/internal/core/scheduler/emulator_test.go
+++ b/internal/core/scheduler/emulator_test.go
@@ -44,6 +44,9 @@
 	// killOnUpkeep is how often the dispatcher is killed as it orders upkeep.
 	killOnUpkeep float64
 
+	// advisor answers questions about steps; nil if there is none.
+	advisor *emulatedAdvisor
+
 	// wave is the one that was asked for, with what is stored of it.
 	wave  *upkeep.Wave
 	begun []string
@@ -278,6 +281,10 @@
 	emu.opt = opt
 	emu.sched, emu.inbox, emu.down, emu.waiting = New(opt), nil, false, false
 	emu.tell(CatalogChanged{Catalog: emu.catalog})
+	if emu.advisor != nil {
+		emu.advisor.busy = 0
+		emu.tell(AskersChanged{Count: emu.advisor.askers})
+	}
 	for _, name := range emu.names {
 		if vm := emu.vms[name]; vm.up {
 			emu.tell(VMRegistered{VM: vm.vm})
@@ -362,6 +369,8 @@
 		})
 	case Commit:
 		emu.performCommit(eff)
+	case Advise:
+		emu.performAdvise(eff)
 	case ListMachines:
 		asked := emu.now
 		emu.after(emulatedLatency, func() { emu.tell(MachinesListed{Asked: asked, Machines: emu.machines()}) })
@@ -572,6 +581,10 @@
 		}
 		emu.fail("%s run %d brings %s over its capacity", ord.Task, ord.Run, vm.vm.ID)
 	}
+	if emu.advisor != nil && !emu.advisor.allows(emu.now, ord) {
+		emu.advisor.rejected++
+		return worker.ResultNoTicket
+	}
 	emu.checkStart(vm, ord, spe)
 	run := &emulatedRun{run: ord.Run, since: emu.now, size: ste.Room(), owner: spe.Account}
 	vm.runs[ord.Task] = run
--- a/internal/core/scheduler/event.go
+++ b/internal/core/scheduler/event.go
@@ -93,10 +93,15 @@
 	Occurrence int
 	Step       int
 	Sent       time.Time
-	Tickets    map[string]string
-	Valid      time.Duration
+	// VMs are those that were asked about.
+	VMs     []string
+	Tickets map[string]string
+	Valid   time.Duration
 }
 
+// AskersChanged says how many questions may be put to the advisor at once.
+type AskersChanged struct{ Count int }
+
 // WaveAsked brings a wave of upkeep, with the machines whose upkeep a former
 // dispatcher began.
 type WaveAsked struct {
@@ -133,6 +138,7 @@
 func (PaceAnswered) event()    {}
 func (Committed) event()       {}
 func (Advised) event()         {}
+func (AskersChanged) event()   {}
 func (WaveAsked) event()       {}
 func (WaveWithdrawn) event()   {}
 func (MachineAnswered) event() {}
--- a/internal/core/scheduler/jobs.go
+++ b/internal/core/scheduler/jobs.go
@@ -53,7 +53,7 @@
 			ends[i] = max(ends[i], ends[dep])
 		}
 		if counts(i) {
-			ends[i] += time.Duration(float64(ste.Estimate) * factor)
+			ends[i] += time.Duration(float64(ste.Estimate)*factor) + sta.adviceTime(spe.Queue)
 		}
 		longest = max(longest, ends[i])
 	}
--- a/internal/core/scheduler/orders.go
+++ b/internal/core/scheduler/orders.go
@@ -115,6 +115,7 @@
 		hos.quarantine = sta.now.Add(unhealthyPause)
 	case worker.ResultNoTicket:
 		if stg != nil {
+			// The VM may not have been asked about, or the ticket has expired.
 			delete(stg.advice.tickets, hos.vm.ID)
 		}
 	}
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -74,14 +74,6 @@
 	advice        advice
 }
 
-// advice is what the advisor said of a stage.
-type advice struct {
-	asked   bool
-	askedAt time.Time
-	tickets map[string]string
-	until   time.Time
-}
-
 type occurrence struct {
 	stages []stage
 	// left counts the stages that are not done.
@@ -263,6 +255,10 @@
 	fleetAt time.Time
 	// poolsNoted is when the log was last told of the pools.
 	poolsNoted time.Time
+	// askers is how many questions may be put to the advisor at once, asking how
+	// many wait for their answer. questions are those noted in this round.
+	askers, asking int
+	questions      []question
 	// barred holds the moves that the platform doesn't allow, as machine and
 	// pool.
 	barred map[string]bool
--- /dev/null
+++ b/internal/follow/follow.go
@@ -0,0 +1,102 @@
+// Package follow keeps up with the keys of a store under a prefix.
+package follow
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/balsamgauge/balsamgauge/internal/clock"
+	"github.com/balsamgauge/balsamgauge/internal/decisionlog"
+	"github.com/balsamgauge/balsamgauge/internal/kv"
+)
+
+// Times of watches.
+const (
+	// Retry is the pause after a read of the store that failed.
+	Retry = 100 * time.Millisecond
+	// ReadTimeout bounds a read of the store.
+	ReadTimeout = 1200 * time.Millisecond
+)
+
+// Follower keeps up with the keys of a prefix.
+type Follower struct {
+	Store  kv.Store
+	Prefix string
+	// Wait is how long a watch waits for changes. It bounds for how long a
+	// connection that went silent goes unnoticed.
+	Wait time.Duration
+	Log  *decisionlog.Log
+	Now  func() time.Time
+	// Reset is told of all items at the start, and whenever changes were lost.
+	Reset func(items []kv.Item)
+	// Change is told of each change in turn.
+	Change func(cha kv.Change)
+	// Confirmed is told when a read was sent that showed the present state. It
+	// may be nil.
+	Confirmed func(sent time.Time)
+}
+
+// Run follows until the context is done.
+func (fol *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		rev, ok := fol.list(ctx)
+		if !ok {
+			clock.Pause(ctx, Retry)
+			continue
+		}
+		fol.watch(ctx, rev)
+	}
+}
+
+func (fol *Follower) list(ctx context.Context) (rev kv.Revision, ok bool) {
+	sent := fol.Now()
+	ask, cancel := context.WithTimeout(ctx, ReadTimeout)
+	defer cancel()
+	items, rev, err := kv.List(ask, fol.Store, fol.Prefix)
+	if err != nil {
+		if ctx.Err() == nil {
+			fol.Log.Event("store_read_failed", decisionlog.Fields{"prefix": fol.Prefix, "error": err.Error()})
+		}
+		return 0, false
+	}
+	fol.Reset(items)
+	fol.confirm(sent)
+	return rev, true
+}
+
+// watch follows from a revision until changes are lost.
+func (fol *Follower) watch(ctx context.Context, rev kv.Revision) {
+	failed := false
+	for ctx.Err() == nil {
+		sent := fol.Now()
+		bat, err := fol.Store.Watch(ctx, fol.Prefix, rev, fol.Wait)
+		if errors.Is(err, kv.ErrCompacted) {
+			fol.Log.Event("store_history_gone", decisionlog.Fields{"prefix": fol.Prefix, "revision": rev})
+			return
+		}
+		if err != nil {
+			if ctx.Err() == nil && !failed {
+				fol.Log.Event("store_lost", decisionlog.Fields{"prefix": fol.Prefix, "error": err.Error()})
+			}
+			failed = true
+			clock.Pause(ctx, Retry)
+			continue
+		}
+		if failed {
+			failed = false
+			fol.Log.Event("store_regained", decisionlog.Fields{"prefix": fol.Prefix, "revision": bat.Revision})
+		}
+		rev = bat.Revision
+		for _, cha := range bat.Changes {
+			fol.Change(cha)
+		}
+		fol.confirm(sent)
+	}
+}
+
+func (fol *Follower) confirm(sent time.Time) {
+	if fol.Confirmed != nil {
+		fol.Confirmed(sent)
+	}
+}
--- a/internal/manager/dispatcher.go
+++ b/internal/manager/dispatcher.go
@@ -7,10 +7,14 @@
 	"sync"
 	"time"
 
+	"github.com/balsamgauge/balsamgauge/internal/advisory"
+	"github.com/balsamgauge/balsamgauge/internal/clock"
 	"github.com/balsamgauge/balsamgauge/internal/core/duty"
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
 	"github.com/balsamgauge/balsamgauge/internal/core/scheduler"
 	"github.com/balsamgauge/balsamgauge/internal/decisionlog"
+	"github.com/balsamgauge/balsamgauge/internal/follow"
+	"github.com/balsamgauge/balsamgauge/internal/keeper"
 	"github.com/balsamgauge/balsamgauge/internal/kv"
 	"github.com/balsamgauge/balsamgauge/platform"
 )
@@ -36,7 +40,7 @@
 // dispatcher runs the scheduler for the time of one tenure.
 type dispatcher struct {
 	nod    *Node
-	ten    *tenure
+	ten    *keeper.Tenure
 	sta    *scheduler.State
 	events chan scheduler.Event
 	// load is what was last written.
@@ -44,13 +48,16 @@
 	loadSent time.Time
 	// waves orders the writes about waves.
 	waves sync.Mutex
+	// askers put questions to the advisor; asked is how many the reducer knows of.
+	askers *advisory.Pool
+	asked  int
 }
 
 // dispatch runs the dispatcher until the context is done.
-func (nod *Node) dispatch(ctx context.Context, ten *tenure) {
-	cur := ten.current()
+func (nod *Node) dispatch(ctx context.Context, ten *keeper.Tenure) {
+	cur := ten.Current()
 	bnd := nod.set.Bounds
-	dis := &dispatcher{nod: nod, ten: ten, events: make(chan scheduler.Event, eventQueue)}
+	dis := &dispatcher{nod: nod, ten: ten, events: make(chan scheduler.Event, eventQueue), askers: advisory.NewPool(nod.now)}
 	dis.sta = scheduler.New(scheduler.Options{
 		Since: cur.Since, Revision: cur.Revision, Term: cur.Holder.Term,
 		Lease:    min(maxLease, time.Duration(float64(bnd.MaxHold)*leaseShare)),
@@ -58,6 +65,7 @@
 		MovesPerSecond: nod.set.MachineOrders,
 	})
 	go dis.bring(ctx)
+	go dis.followAskers(ctx)
 	dis.loop(ctx)
 }
 
@@ -85,10 +93,14 @@
 		}
 		batch = dis.drain(batch)
 		now := dis.nod.now()
-		if !dis.ten.holds(now) {
+		if !dis.ten.Holds(now) {
 			// The answers that came are kept until the duty is sure again.
 			continue
 		}
+		if size := dis.askers.Size(); size != dis.asked {
+			dis.asked = size
+			batch = append(batch, scheduler.AskersChanged{Count: size})
+		}
 		effects := dis.sta.Reduce(now, batch)
 		batch = batch[:0]
 		for _, eff := range effects {
@@ -98,6 +110,25 @@
 	}
 }
 
+// askersWatch is how long a watch of the askers waits: they change rarely.
+const askersWatch = 2 * time.Second
+
+// followAskers keeps up with the entries that put questions to the advisor, once
+// some queue needs advice.
+func (dis *dispatcher) followAskers(ctx context.Context) {
+	for !dis.nod.needsAdvice() {
+		clock.Pause(ctx, time.Second)
+		if ctx.Err() != nil {
+			return
+		}
+	}
+	wat := &advisory.Watch{
+		Store: dis.nod.store, Pool: dis.askers, Name: dis.nod.set.Name, Own: dis.nod.relay, Wait: askersWatch,
+		Log: dis.nod.log, Now: dis.nod.now,
+	}
+	wat.Run(ctx)
+}
+
 func (dis *dispatcher) drain(batch []scheduler.Event) []scheduler.Event {
 	for {
 		select {
@@ -132,11 +163,11 @@
 }
 
 func (dis *dispatcher) follow(ctx context.Context, prefix string, reset func([]kv.Item), change func(kv.Change)) {
-	fol := &follower{
-		store: dis.nod.store, prefix: prefix, wait: dispatchWatch, log: dis.nod.log, now: dis.nod.now,
-		reset: reset, change: change,
+	fol := &follow.Follower{
+		Store: dis.nod.store, Prefix: prefix, Wait: dispatchWatch, Log: dis.nod.log, Now: dis.nod.now,
+		Reset: reset, Change: change,
 	}
-	fol.run(ctx)
+	fol.Run(ctx)
 }
 
 // dispatchWatch is how long a watch of jobs or VMs waits. A connection that
@@ -152,12 +183,12 @@
 // progress reads the progress of all live jobs.
 func (dis *dispatcher) progress(ctx context.Context) (all map[job.ID]stored, ok bool) {
 	for ctx.Err() == nil {
-		ask, cancel := context.WithTimeout(ctx, readTimeout)
+		ask, cancel := context.WithTimeout(ctx, follow.ReadTimeout)
 		items, _, err := kv.List(ask, dis.nod.store, job.ProgressPrefix)
 		cancel()
 		if err != nil {
 			dis.nod.log.Event("store_read_failed", decisionlog.Fields{"prefix": job.ProgressPrefix, "error": err.Error()})
-			pause(ctx, followRetry)
+			clock.Pause(ctx, follow.Retry)
 			continue
 		}
 		all = make(map[job.ID]stored, len(items))
@@ -301,14 +332,14 @@
 
 // commit writes on the condition that this process holds the duty.
 func (dis *dispatcher) commit(ctx context.Context, txn kv.Txn) (rev kv.Revision, err error) {
-	held := kv.Condition{Key: duty.HolderKey, Revision: dis.ten.current().Revision}
+	held := kv.Condition{Key: duty.HolderKey, Revision: dis.ten.Current().Revision}
 	txn.Conditions = append([]kv.Condition{held}, txn.Conditions...)
 	ask, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	rev, err = dis.nod.store.Commit(ask, txn)
 	var con *kv.ConflictError
 	if errors.As(err, &con) && con.Item(duty.HolderKey).Revision != held.Revision {
-		dis.ten.lose()
+		dis.ten.Lose()
 		return 0, errDutyLost
 	}
 	return rev, err
--- a/internal/manager/effects.go
+++ b/internal/manager/effects.go
@@ -6,9 +6,12 @@
 	"fmt"
 	"time"
 
+	"github.com/balsamgauge/balsamgauge/internal/advisory"
+	"github.com/balsamgauge/balsamgauge/internal/clock"
 	"github.com/balsamgauge/balsamgauge/internal/core/scheduler"
 	"github.com/balsamgauge/balsamgauge/internal/core/worker"
 	"github.com/balsamgauge/balsamgauge/internal/decisionlog"
+	"github.com/balsamgauge/balsamgauge/internal/follow"
 	"github.com/balsamgauge/balsamgauge/internal/kv"
 	"github.com/balsamgauge/balsamgauge/platform"
 	"github.com/vmihailenco/msgpack/v5"
@@ -24,9 +27,6 @@
 	commitTimeout = 1500 * time.Millisecond
 	// listTimeout bounds a list of machines, and an order for one.
 	listTimeout = 2 * time.Second
-	// adviceTimeout bounds a question to the advisor, which takes a while for
-	// each VM named.
-	adviceTimeout = 4 * time.Second
 )
 
 // perform carries out an effect. Effects that wait for others run in a
@@ -47,7 +47,7 @@
 			dis.send(ctx, scheduler.Committed{Revision: rev, Err: err})
 		}()
 	case scheduler.Advise:
-		go dis.advise(ctx, now, eff)
+		go dis.advise(ctx, eff)
 	case scheduler.ListMachines:
 		go dis.listMachines(ctx, now)
 	case scheduler.Upkeep:
@@ -62,7 +62,7 @@
 		go dis.saveWave(ctx, eff)
 	case scheduler.GiveUp:
 		dis.nod.log.Event("duty_given_up", decisionlog.Fields{"reason": eff.Reason})
-		dis.ten.lose()
+		dis.ten.Lose()
 	case scheduler.Note:
 		dis.note(eff)
 	default:
@@ -88,7 +88,7 @@
 }
 
 // term returns the dispatcher's term.
-func (dis *dispatcher) term() int64 { return dis.ten.current().Holder.Term }
+func (dis *dispatcher) term() int64 { return dis.ten.Current().Holder.Term }
 
 func (dis *dispatcher) look(ctx context.Context, now time.Time, eff scheduler.Look) {
 	ask, cancel := context.WithTimeout(ctx, eff.Wait+lookSlack)
@@ -125,16 +125,15 @@
 	dis.send(ctx, scheduler.PaceAnswered{VM: eff.VM, Task: eff.Task, Percent: eff.Percent, Result: res})
 }
 
-func (dis *dispatcher) advise(ctx context.Context, now time.Time, eff scheduler.Advise) {
-	evt := scheduler.Advised{Job: eff.Job, Occurrence: eff.Occurrence, Step: eff.Step, Sent: now}
-	ask, cancel := context.WithTimeout(ctx, adviceTimeout)
+func (dis *dispatcher) advise(ctx context.Context, eff scheduler.Advise) {
+	evt := scheduler.Advised{Job: eff.Job, Occurrence: eff.Occurrence, Step: eff.Step, VMs: eff.VMs}
+	ask, cancel := context.WithTimeout(ctx, advisory.Timeout(eff.Decision))
 	defer cancel()
-	vms := eff.VMs[:min(len(eff.VMs), platform.MaxAdvised)]
-	tks, err := dis.nod.advisor.Advise(ask, eff.Job, eff.Occurrence, eff.Step, vms)
+	ans, err := dis.askers.Ask(ask, advisory.Question{Job: eff.Job, Occurrence: eff.Occurrence, Step: eff.Step, VMs: eff.VMs})
 	if err != nil {
 		dis.nod.log.Event("no_advice", decisionlog.Fields{"job": string(eff.Job), "step": eff.Step, "error": err.Error()})
 	} else {
-		evt.Tickets, evt.Valid = tks.ByVM, tks.Valid
+		evt.Sent, evt.Tickets, evt.Valid = ans.Sent, ans.Tickets.ByVM, ans.Tickets.Valid
 	}
 	dis.send(ctx, evt)
 }
@@ -159,7 +158,7 @@
 	ask, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	res, err := worker.MachineRefused, errNotHeld
-	if cur := dis.ten.current(); cur.Holds(dis.nod.now()) {
+	if cur := dis.ten.Current(); cur.Holds(dis.nod.now()) {
 		res, err = order(ask, platform.MachineOrder{Holder: cur.Holder.Name, Term: cur.Holder.Term})
 	}
 	if err != nil {
@@ -192,14 +191,14 @@
 			return
 		}
 		dis.nod.log.Event("wave_not_saved", decisionlog.Fields{"wave": eff.Number, "error": err.Error()})
-		pause(ctx, followRetry)
+		clock.Pause(ctx, follow.Retry)
 	}
 }
 
 // waveBegun reads the machines whose upkeep a former dispatcher began.
 func (dis *dispatcher) waveBegun(ctx context.Context, number int64) (begun []string, ok bool) {
 	for ctx.Err() == nil {
-		ask, cancel := context.WithTimeout(ctx, readTimeout)
+		ask, cancel := context.WithTimeout(ctx, follow.ReadTimeout)
 		itm, err := dis.nod.store.Get(ask, waveKey(number))
 		cancel()
 		switch {
@@ -212,7 +211,7 @@
 			return begun, true
 		}
 		dis.nod.log.Event("store_read_failed", decisionlog.Fields{"prefix": wavePrefix, "error": err.Error()})
-		pause(ctx, followRetry)
+		clock.Pause(ctx, follow.Retry)
 	}
 	return nil, false
 }
--- a/internal/manager/load.go
+++ b/internal/manager/load.go
@@ -20,8 +20,6 @@
 	dutyPrefix = "duty/"
 	// loadKey holds the dispatcher's load.
 	loadKey = "duty/load"
-	// largestKey holds the processors of the largest VM, in cores.
-	largestKey = "duty/largest"
 )
 
 func encodeLoad(loa scheduler.Load) (raw []byte, err error) {
--- a/internal/manager/manager_test.go
+++ b/internal/manager/manager_test.go
@@ -39,10 +39,15 @@
 }
 
 func newRig(t *testing.T, nodes, workers int, work time.Duration) *rig {
-	sit, err := site.Start(site.Options{Pool: "lots", Workers: workers, Work: work})
+	return newRigAt(t, nodes, site.Options{Pool: "lots", Workers: workers, Work: work}, testConfig(1, "k1"))
+}
+
+// newRigAt starts processes at a stand-in with a configuration.
+func newRigAt(t *testing.T, nodes int, opt site.Options, config map[string]any) *rig {
+	sit, err := site.Start(opt)
 	assert.NilError(t, err)
 	t.Cleanup(sit.Stop)
-	sit.Store.Put("op/config", testConfig(1, "k1"))
+	sit.Store.Put("op/config", config)
 	rg := &rig{t: t, sit: sit}
 	for i := range nodes {
 		rg.nodes = append(rg.nodes, rg.startNode(fmt.Sprintf("entry-%d", i)))
@@ -81,8 +86,8 @@
 	assert.NilError(t, err)
 	path := filepath.Join(t.TempDir(), "node.toml")
 	text := fmt.Sprintf("node-name = %q\nip = \"127.0.0.1\"\nzone = \"az0\"\ninternal-ports = [%s,%s]\n"+
-		"[listen-addrs]\nfront = %q\nready = %q\n[platform]\naddress = %q\n[cloud]\naddress = %q\n[bounds]\ngrace-s = 2\n",
-		name, port, port, pro.callers, pro.ready, rg.sit.StoreAddress, rg.sit.MachinesAddress)
+		"advice = %q\n[listen-addrs]\nfront = %q\nready = %q\n[platform]\naddress = %q\n[cloud]\naddress = %q\n[bounds]\ngrace-s = 2\n",
+		name, port, port, rg.sit.AdvisorAddress, pro.callers, pro.ready, rg.sit.StoreAddress, rg.sit.MachinesAddress)
 	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
 	set, err := platform.LoadSettings(path)
 	assert.NilError(t, err)
@@ -271,3 +276,26 @@
 	rg.sit.Workers[0].SetSilent(false)
 	assert.DeepEqual(t, rg.sit.Faults(), []string(nil))
 }
+
+// TestAdviceByAllEntries has a queue whose steps may start only with tickets. All
+// entries ask for them, since the advisor answers each in turn.
+func TestAdviceByAllEntries(t *testing.T) {
+	config := testConfig(1, "k1")
+	gate := config["routes"].([]any)[0].(map[string]any)
+	gate["advice"] = map[string]any{"decision-ms": 300, "period-ms": 2, "valid-ms": 3000}
+	rg := newRigAt(t, 3, site.Options{Pool: "lots", Workers: 3, Work: 50 * time.Millisecond, Advice: 300 * time.Millisecond}, config)
+	rg.await("registrations", func() bool {
+		return rg.sit.Store.Value("asker/entry-0") != nil && rg.sit.Store.Value("asker/entry-1") != nil && rg.sit.Store.Value("asker/entry-2") != nil
+	})
+	for i := range 18 {
+		assert.Equal(t, rg.status(http.MethodPost, rg.jobURL(i%3, "/gate/", i), "k1", jobBody), http.StatusOK)
+	}
+	for i := range 18 {
+		rg.await(fmt.Sprintf("end of job %d", i), func() bool {
+			_, text := rg.call(http.MethodGet, rg.jobURL(0, "/gate/", i), "k1", "")
+			return text == `{"state":"completed"}`
+		})
+	}
+	assert.Assert(t, rg.sit.Advisor.Callers() >= 3, "%d entries asked", rg.sit.Advisor.Callers())
+	assert.DeepEqual(t, rg.sit.Faults(), []string(nil))
+}
--- a/internal/manager/node.go
+++ b/internal/manager/node.go
@@ -11,11 +11,14 @@
 	"strconv"
 	"time"
 
+	"github.com/balsamgauge/balsamgauge/internal/advisory"
 	"github.com/balsamgauge/balsamgauge/internal/clock"
 	"github.com/balsamgauge/balsamgauge/internal/core/duty"
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
 	"github.com/balsamgauge/balsamgauge/internal/decisionlog"
+	"github.com/balsamgauge/balsamgauge/internal/follow"
 	"github.com/balsamgauge/balsamgauge/internal/intake"
+	"github.com/balsamgauge/balsamgauge/internal/keeper"
 	"github.com/balsamgauge/balsamgauge/internal/kv"
 	"github.com/balsamgauge/balsamgauge/platform"
 	"github.com/oklog/run"
@@ -51,10 +54,10 @@
 	store     kv.Store
 	executors *platform.Executors
 	machines  *platform.Machines
-	advisor   *platform.Advisor
+	relay     *advisory.Relay
 	operator  *operatorView
 	load      *loadView
-	keeper    *keeper
+	keeper    *keeper.Keeper
 	metrics   metrics.Registry
 }
 
@@ -67,13 +70,10 @@
 	log := decisionlog.New(out, set.Name, clo.Now)
 	nod = &Node{
 		set: set, log: log, now: clo.Now, store: platform.NewStore(set.Store), executors: platform.NewExecutors(),
-		machines: platform.NewMachines(set.Machines), advisor: platform.NewAdvisor(set.Advisor),
+		machines: platform.NewMachines(set.Machines), relay: advisory.NewRelay(platform.NewAdvisor(set.Advisor), log),
 		operator: newOperatorView(log, clo.Now), load: &loadView{log: log, now: clo.Now}, metrics: metrics.NewRegistry(),
 	}
-	nod.keeper = &keeper{
-		store: nod.store, name: set.Name, cpuShare: set.CPUShare, log: log, now: clo.Now,
-		dispatch: nod.dispatch, freed: make(chan struct{}, 1),
-	}
+	nod.keeper = keeper.New(keeper.Options{Store: nod.store, Name: set.Name, CPUShare: set.CPUShare, Log: log, Now: clo.Now, Dispatch: nod.dispatch})
 	return nod, nil
 }
 
@@ -92,7 +92,7 @@
 	defer handOver()
 	var group run.Group
 	kept := make(chan struct{})
-	group.Add(func() error { defer close(kept); nod.keeper.run(held); return nil }, func(error) { handOver() })
+	group.Add(func() error { defer close(kept); nod.keeper.Run(held); return nil }, func(error) { handOver() })
 	nod.addFollowers(work, &group, stop)
 	for _, srv := range []struct {
 		address string
@@ -100,25 +100,27 @@
 	}{
 		{nod.set.Callers, nod.ingress()},
 		{nod.set.Ready, http.HandlerFunc(nod.ready(ctx))},
-		{net.JoinHostPort(nod.set.IP, strconv.Itoa(nod.set.FirstPort)), http.HandlerFunc(nod.serveMetrics)},
+		{nod.internalAddress(), nod.internal()},
 	} {
 		if err := nod.addServer(&group, srv.address, srv.handler, kept); err != nil {
 			return err
 		}
 	}
+	registration := &advisory.Registration{Store: nod.store, Name: nod.set.Name, Address: nod.internalAddress(), Needed: nod.needsAdvice, Log: nod.log}
+	group.Add(func() error { registration.Run(held); return nil }, func(error) {})
 	group.Add(func() error { <-ctx.Done(); return nil }, func(error) {})
 	return group.Run()
 }
 
 func (nod *Node) addFollowers(ctx context.Context, group *run.Group, stop context.CancelFunc) {
-	for _, fol := range []*follower{
+	for _, fol := range []*follow.Follower{
 		{
-			store: nod.store, prefix: platform.OperatorPrefix, wait: configWatch, log: nod.log, now: nod.now,
-			reset: nod.operator.reset, change: nod.operator.change, confirmed: nod.operator.confirm,
+			Store: nod.store, Prefix: platform.OperatorPrefix, Wait: configWatch, Log: nod.log, Now: nod.now,
+			Reset: nod.operator.reset, Change: nod.operator.change, Confirmed: nod.operator.confirm,
 		},
-		{store: nod.store, prefix: dutyPrefix, wait: dutyWatch, log: nod.log, now: nod.now, reset: nod.dutyReset, change: nod.dutyChanged},
+		{Store: nod.store, Prefix: dutyPrefix, Wait: dutyWatch, Log: nod.log, Now: nod.now, Reset: nod.dutyReset, Change: nod.dutyChanged},
 	} {
-		group.Add(func() error { fol.run(ctx); return nil }, func(error) { stop() })
+		group.Add(func() error { fol.Run(ctx); return nil }, func(error) { stop() })
 	}
 }
 
@@ -196,23 +198,38 @@
 	}
 }
 
+// internalAddress is where other entries and the operators' tools call.
+func (nod *Node) internalAddress() string {
+	return net.JoinHostPort(nod.set.IP, strconv.Itoa(nod.set.FirstPort))
+}
+
+func (nod *Node) internal() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/metrics", nod.serveMetrics)
+	mux.Handle("POST "+advisory.Path, nod.relay)
+	return mux
+}
+
+// needsAdvice reports whether some queue needs advice.
+func (nod *Node) needsAdvice() bool { return nod.operator.current().Catalog.Advised() }
+
 func (nod *Node) serveMetrics(wri http.ResponseWriter, _ *http.Request) {
 	metrics.WriteOnce(nod.metrics, wri)
 }
 
 func (nod *Node) dutyReset(items []kv.Item) {
 	held := false
-	largest := kv.Item{Key: largestKey}
+	largest := kv.Item{Key: keeper.LargestKey}
 	for _, itm := range items {
-		if itm.Key == largestKey {
+		if itm.Key == keeper.LargestKey {
 			largest = itm
 		}
 		nod.dutyChanged(kv.Change{Item: itm})
 		held = held || itm.Key == duty.HolderKey
 	}
-	nod.keeper.sawLargest(largest)
+	nod.keeper.SawLargest(largest)
 	if !held {
-		nod.dutyFreed()
+		nod.keeper.Freed()
 	}
 }
 
@@ -220,20 +237,13 @@
 	switch cha.Item.Key {
 	case duty.HolderKey:
 		if cha.Deleted {
-			nod.dutyFreed()
+			nod.keeper.Freed()
 		}
-	case largestKey:
-		nod.keeper.sawLargest(cha.Item)
+	case keeper.LargestKey:
+		nod.keeper.SawLargest(cha.Item)
 	case loadKey:
 		if !cha.Deleted {
 			nod.load.change(cha.Item)
 		}
 	}
 }
-
-func (nod *Node) dutyFreed() {
-	select {
-	case nod.keeper.freed <- struct{}{}:
-	default:
-	}
-}
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -16,9 +16,12 @@
 type Site struct {
 	Store   *Store
 	Workers []*Worker
-	// StoreAddress and MachinesAddress are where they listen.
+	// Advisor is nil unless it is asked for.
+	Advisor *Advisor
+	// StoreAddress, MachinesAddress and AdvisorAddress are where they listen.
 	StoreAddress    string
 	MachinesAddress string
+	AdvisorAddress  string
 	servers         []*http.Server
 
 	mu      sync.Mutex
@@ -36,6 +39,9 @@
 	Workers int
 	// Work is how long each task takes.
 	Work time.Duration
+	// Advice is how long the advisor takes for an answer; 0 for no advisor. VMs
+	// start only tasks with its tickets.
+	Advice time.Duration
 }
 
 // Start starts a stand-in on loopback addresses.
@@ -53,6 +59,12 @@
 	if sit.MachinesAddress, err = sit.serve(http.HandlerFunc(sit.serveMachines)); err != nil {
 		return nil, err
 	}
+	if opt.Advice > 0 {
+		sit.Advisor = &Advisor{decision: opt.Advice, turns: map[string]chan struct{}{}, tickets: map[string]bool{}}
+		if sit.AdvisorAddress, err = sit.serve(sit.Advisor); err != nil {
+			return nil, err
+		}
+	}
 	for i := range opt.Workers {
 		wor := &Worker{
 			sit: sit, id: fmt.Sprintf("vm-%d", i), work: opt.Work, born: time.Now(), runs: map[string]*workerRun{},
--- a/internal/standin/site/worker.go
+++ b/internal/standin/site/worker.go
@@ -69,6 +69,7 @@
 	Deadline int64  `json:"deadline-ms"`
 	Acked    int64  `json:"acked"`
 	Wait     int64  `json:"wait-ms"`
+	Ticket   string `json:"ticket"`
 }
 
 // ServeHTTP serves orders.
@@ -127,6 +128,9 @@
 	case time.Duration(ord.Deadline)*time.Millisecond < wor.clock():
 		wor.refuse(wri, "late")
 		return
+	case wor.sit.Advisor != nil && !wor.sit.Advisor.admits(ord.Ticket, ord.Task, wor.id):
+		wor.refuse(wri, "ticket")
+		return
 	default:
 		wor.sit.began(ord.Task, wor.id)
 		run = &workerRun{run: ord.Run, stop: make(chan struct{})}
