manager: SIGHUP and changes of the settings file are taken up

Cause: the signal was not handled, and Go ends a process at SIGHUP.

Change: the process reads its settings again at SIGHUP and every 5 s. Bounds and rates apply at once; names and addresses stay until a restart, which the log says. A file with faults changes nothing.

Test: TestSettingsAreReloaded; the signal ended the test's process before.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -92,7 +92,8 @@
 	Store kv.Store
 	// ConfigKey is the key of the configuration.
 	ConfigKey string
-	Freshness Freshness
+	// Freshness returns the present bounds.
+	Freshness func() Freshness
 	// View returns the present view.
 	View func() View
 	// Admit decides whether a queue takes another job; nil takes all.
@@ -115,23 +116,23 @@
 	if vie.Confirmed.IsZero() {
 		return nil, "", unavailable("no configuration yet")
 	}
-	age := now.Sub(vie.Confirmed)
+	age, bounds := now.Sub(vie.Confirmed), des.Freshness()
 	que = vie.Catalog.Match(cal.Host, cal.Path)
 	if que == nil {
-		if age > des.Freshness.Denied {
+		if age > bounds.Denied {
 			return nil, "", unavailable("no such queue in a configuration that may be old")
 		}
 		return nil, "", Answer{Verdict: VerdictNoQueue, Reason: "no such queue"}
 	}
 	acc := vie.Catalog.AccountOf(cal.Key)
 	switch {
-	case acc != nil && age > des.Freshness.Keyed:
+	case acc != nil && age > bounds.Keyed:
 		return nil, "", unavailable("the configuration may be too old to trust a key")
 	case acc != nil:
 		return que, acc.Name, Answer{}
 	case que.Public:
 		return que, "", Answer{}
-	case age > des.Freshness.Denied:
+	case age > bounds.Denied:
 		return nil, "", unavailable("no such key in a configuration that may be old")
 	default:
 		return nil, "", Answer{Verdict: VerdictNoKey, Reason: "no such key"}
@@ -153,7 +154,7 @@
 		if err := spe.Check(); err != nil {
 			return Answer{Verdict: VerdictInvalid, Reason: err.Error()}
 		}
-		if age := now.Sub(vie.Heard); age > des.Freshness.Write {
+		if age := now.Sub(vie.Heard); age > des.Freshness().Write {
 			return unavailable("the store is out of reach")
 		}
 		spe.Queue, spe.Account, spe.Accepted = que.Name, account, now
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -48,7 +48,9 @@
 	})
 	return &Desk{
 		Store: sto, ConfigKey: "config",
-		Freshness: Freshness{Keyed: 3 * time.Second, Denied: 1500 * time.Millisecond, Write: 1300 * time.Millisecond},
+		Freshness: func() Freshness {
+			return Freshness{Keyed: 3 * time.Second, Denied: 1500 * time.Millisecond, Write: 1300 * time.Millisecond}
+		},
 		View:      func() View { return View{Catalog: cat, Confirmed: noon.Add(-age), Heard: noon.Add(-age)} },
 	}
 }
--- a/internal/manager/dispatcher.go
+++ b/internal/manager/dispatcher.go
@@ -56,13 +56,14 @@
 // dispatch runs the dispatcher until the context is done.
 func (nod *Node) dispatch(ctx context.Context, ten *keeper.Tenure) {
 	cur := ten.Current()
-	bnd := nod.set.Bounds
+	set := nod.settings()
+	bnd := set.Bounds
 	dis := &dispatcher{nod: nod, ten: ten, events: make(chan scheduler.Event, eventQueue), askers: advisory.NewPool(nod.now)}
 	dis.sta = scheduler.New(scheduler.Options{
 		Since: cur.Since, Revision: cur.Revision, Term: cur.Holder.Term,
 		Lease:    min(maxLease, time.Duration(float64(bnd.MaxHold)*leaseShare)),
 		StopTime: bnd.StopTime, UpkeepTime: bnd.Upkeep,
-		MovesPerSecond: nod.set.MachineOrders,
+		MovesPerSecond: set.MachineOrders,
 	})
 	go dis.bring(ctx)
 	go dis.followAskers(ctx)
@@ -123,7 +124,7 @@
 		}
 	}
 	wat := &advisory.Watch{
-		Store: dis.nod.store, Pool: dis.askers, Name: dis.nod.set.Name, Own: dis.nod.relay, Wait: askersWatch,
+		Store: dis.nod.store, Pool: dis.askers, Name: dis.nod.settings().Name, Own: dis.nod.relay, Wait: askersWatch,
 		Log: dis.nod.log, Now: dis.nod.now,
 	}
 	wat.Run(ctx)
--- a/internal/manager/manager_test.go
+++ b/internal/manager/manager_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -27,8 +28,11 @@
 type process struct {
 	callers string
 	ready   string
-	stop    context.CancelFunc
-	done    chan error
+	// settings is the path of its settings file.
+	settings string
+	nod      *Node
+	stop     context.CancelFunc
+	done     chan error
 }
 
 func freeAddress(t *testing.T) string {
@@ -94,7 +98,7 @@
 	nod, err := New(set, io.Discard)
 	assert.NilError(t, err)
 	ctx, stop := context.WithCancel(context.Background())
-	pro.stop = stop
+	pro.stop, pro.settings, pro.nod = stop, path, nod
 	go func() { pro.done <- nod.Run(ctx) }()
 	return pro
 }
@@ -299,3 +303,21 @@
 	assert.Assert(t, rg.sit.Advisor.Callers() >= 3, "%d entries asked", rg.sit.Advisor.Callers())
 	assert.DeepEqual(t, rg.sit.Faults(), []string(nil))
 }
+
+// TestSettingsAreReloaded changes the settings file and sends SIGHUP. The process
+// goes on with the new bounds, and with the old ones while the file has faults.
+func TestSettingsAreReloaded(t *testing.T) {
+	rg := newRig(t, 1, 1, 20*time.Millisecond)
+	pro := rg.nodes[0]
+	text, err := os.ReadFile(pro.settings)
+	assert.NilError(t, err)
+	changed := strings.Replace(string(text), "[bounds]", "[bounds]\nrevoke-ms = 4000", 1)
+	assert.NilError(t, os.WriteFile(pro.settings, []byte(changed), 0o600))
+	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	rg.await("new bound", func() bool { return pro.nod.settings().Bounds.Revoke == 4*time.Second })
+	assert.NilError(t, os.WriteFile(pro.settings, []byte("node-name = 7"), 0o600))
+	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	time.Sleep(200 * time.Millisecond)
+	assert.Equal(t, pro.nod.settings().Bounds.Revoke, 4*time.Second)
+	assert.Equal(t, rg.status(http.MethodPost, rg.jobURL(0, "/gate/", 1), "k1", jobBody), http.StatusOK)
+}
--- a/internal/manager/node.go
+++ b/internal/manager/node.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/balsamgauge/balsamgauge/internal/advisory"
@@ -48,7 +49,7 @@
 
 // Node is a process on an entry VM.
 type Node struct {
-	set       platform.Settings
+	set       atomic.Pointer[platform.Settings]
 	log       *decisionlog.Log
 	now       func() time.Time
 	store     kv.Store
@@ -69,10 +70,11 @@
 	}
 	log := decisionlog.New(out, set.Name, clo.Now)
 	nod = &Node{
-		set: set, log: log, now: clo.Now, store: platform.NewStore(set.Store), executors: platform.NewExecutors(),
+		log: log, now: clo.Now, store: platform.NewStore(set.Store), executors: platform.NewExecutors(),
 		machines: platform.NewMachines(set.Machines), relay: advisory.NewRelay(platform.NewAdvisor(set.Advisor), log),
 		operator: newOperatorView(log, clo.Now), load: &loadView{log: log, now: clo.Now}, metrics: metrics.NewRegistry(),
 	}
+	nod.set.Store(&set)
 	nod.keeper = keeper.New(keeper.Options{Store: nod.store, Name: set.Name, CPUShare: set.CPUShare, Log: log, Now: clo.Now, Dispatch: nod.dispatch})
 	return nod, nil
 }
@@ -83,7 +85,7 @@
 	defer func() {
 		nod.log.Event("stopped", decisionlog.Fields{"error": fmt.Sprint(err)})
 	}()
-	nod.log.Event("started", decisionlog.Fields{"az": nod.set.AZ, "callers": nod.set.Callers, "store": nod.set.Store, "pid": os.Getpid()})
+	nod.log.Event("started", decisionlog.Fields{"az": nod.settings().AZ, "callers": nod.settings().Callers, "store": nod.set.Store, "pid": os.Getpid()})
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	// The duty is given up first, so that another process takes it while this
@@ -98,16 +100,17 @@
 		address string
 		handler http.Handler
 	}{
-		{nod.set.Callers, nod.ingress()},
-		{nod.set.Ready, http.HandlerFunc(nod.ready(ctx))},
+		{nod.settings().Callers, nod.ingress()},
+		{nod.settings().Ready, http.HandlerFunc(nod.ready(ctx))},
 		{nod.internalAddress(), nod.internal()},
 	} {
 		if err := nod.addServer(&group, srv.address, srv.handler, kept); err != nil {
 			return err
 		}
 	}
-	registration := &advisory.Registration{Store: nod.store, Name: nod.set.Name, Address: nod.internalAddress(), Needed: nod.needsAdvice, Log: nod.log}
+	registration := &advisory.Registration{Store: nod.store, Name: nod.settings().Name, Address: nod.internalAddress(), Needed: nod.needsAdvice, Log: nod.log}
 	group.Add(func() error { registration.Run(held); return nil }, func(error) {})
+	group.Add(func() error { nod.reloads(work); return nil }, func(error) { stop() })
 	group.Add(func() error { <-ctx.Done(); return nil }, func(error) {})
 	return group.Run()
 }
@@ -141,7 +144,7 @@
 		}
 		return fmt.Errorf("serve on %s: %w", address, err)
 	}, func(error) {
-		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(float64(nod.set.Bounds.Grace)*shutdownShare))
+		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(float64(nod.settings().Bounds.Grace)*shutdownShare))
 		defer cancel()
 		select {
 		case <-kept:
@@ -163,12 +166,17 @@
 func (nod *Node) ingress() http.Handler {
 	desk := &intake.Desk{
 		Store: nod.store, ConfigKey: platform.ConfigKey,
-		Freshness: intake.Freshness{Keyed: time.Duration(float64(nod.set.Bounds.Revoke) * keyedShare), Denied: deniedAge, Write: writeAge},
+		Freshness: nod.freshness,
 		View:      nod.operator.current, Admit: nod.load.admit, Pending: nod.load.pending,
 	}
 	return &platform.Ingress{Desk: desk, Now: nod.now, Done: nod.called}
 }
 
+func (nod *Node) freshness() intake.Freshness {
+	keyed := time.Duration(float64(nod.settings().Bounds.Revoke) * keyedShare)
+	return intake.Freshness{Keyed: keyed, Denied: deniedAge, Write: writeAge}
+}
+
 // called counts and logs a call. Reads of states that went well are only
 // counted.
 func (nod *Node) called(req *http.Request, id job.ID, ans intake.Answer, took time.Duration) {
@@ -187,8 +195,8 @@
 // ready answers the balancer: a process that shuts down, or that can't confirm
 // its configuration, takes no new connections.
 func (nod *Node) ready(ctx context.Context) http.HandlerFunc {
-	bound := time.Duration(float64(nod.set.Bounds.Revoke) * readyShare)
 	return func(wri http.ResponseWriter, _ *http.Request) {
+		bound := time.Duration(float64(nod.settings().Bounds.Revoke) * readyShare)
 		vie := nod.operator.current()
 		if ctx.Err() != nil || vie.Confirmed.IsZero() || nod.now().Sub(vie.Confirmed) > bound {
 			wri.WriteHeader(http.StatusServiceUnavailable)
@@ -200,7 +208,7 @@
 
 // internalAddress is where other entries and the operators' tools call.
 func (nod *Node) internalAddress() string {
-	return net.JoinHostPort(nod.set.IP, strconv.Itoa(nod.set.FirstPort))
+	return net.JoinHostPort(nod.settings().IP, strconv.Itoa(nod.settings().FirstPort))
 }
 
 func (nod *Node) internal() http.Handler {
--- /dev/null
+++ b/internal/manager/reload.go
@@ -0,0 +1,58 @@
+package manager
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/balsamgauge/balsamgauge/internal/decisionlog"
+	"github.com/balsamgauge/balsamgauge/platform"
+)
+
+// reloadEvery is how often the settings file is read again: it may change
+// without a signal.
+const reloadEvery = 5 * time.Second
+
+// reloads reads the settings again whenever the process is told so by SIGHUP,
+// and from time to time, until the context is done.
+func (nod *Node) reloads(ctx context.Context) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	tick := time.NewTicker(reloadEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			nod.reload("signal")
+		case <-tick.C:
+			nod.reload("check")
+		}
+	}
+}
+
+// reload applies the settings file. Settings that are fixed for the life of the
+// process keep their values; a file with faults changes nothing.
+func (nod *Node) reload(cause string) {
+	old := nod.settings()
+	set, err := platform.LoadSettings(old.Path)
+	if err != nil {
+		nod.log.Event("settings_not_reloaded", decisionlog.Fields{"cause": cause, "error": err.Error()})
+		return
+	}
+	fixed := set.WithAddressesOf(old)
+	if cause == "check" && fixed == old {
+		return
+	}
+	nod.set.Store(&fixed)
+	nod.log.Event("settings_reloaded", decisionlog.Fields{
+		"cause": cause, "changed": fixed != old, "restart_needed": fixed != set,
+		"revoke_ms": fixed.Bounds.Revoke.Milliseconds(), "grace_ms": fixed.Bounds.Grace.Milliseconds(), "machine_orders": fixed.MachineOrders,
+	})
+}
+
+func (nod *Node) settings() platform.Settings { return *nod.set.Load() }
