scheduler: jobs beyond a client account's rate come after those within it

Change: internal/core/allowance counts jobs over the platform's quota window; what is beyond comes after what can be in time, and among the late ones last.

--- /dev/null
+++ b/internal/core/allowance/bucket_test.go
@@ -0,0 +1,48 @@
+package allowance
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+const window = 5 * time.Second
+
+// TestWithinTheRate never counts a job as beyond the rate while the account keeps
+// to it.
+func TestWithinTheRate(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var buc Bucket
+	for range 200 {
+		var within bool
+		buc, within = buc.WithJob(now, 4, window)
+		assert.Assert(t, within)
+		now = now.Add(250 * time.Millisecond)
+	}
+	_, within := buc.WithJob(now, 0, window)
+	assert.Assert(t, within, "an account without a rate has no bound")
+}
+
+// TestBeyondTheRate lets no more jobs through than the rate allows over a span and
+// one window, whatever their times.
+func TestBeyondTheRate(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		rate := float64(rapid.IntRange(1, 20).Draw(rt, "rate"))
+		now := time.Unix(1000, 0)
+		var buc Bucket
+		count, span := 0, time.Duration(0)
+		for range rapid.IntRange(1, 300).Draw(rt, "jobs") {
+			pause := time.Duration(rapid.IntRange(0, 400).Draw(rt, "pause")) * time.Millisecond
+			now, span = now.Add(pause), span+pause
+			var within bool
+			if buc, within = buc.WithJob(now, rate, window); within {
+				count++
+			}
+		}
+		if most := rate*(span+window).Seconds() + 1; float64(count) > most {
+			rt.Fatalf("%d jobs within the rate, at most %v", count, most)
+		}
+	})
+}
--- a/internal/core/priority/priority.go
+++ b/internal/core/priority/priority.go
@@ -10,6 +10,8 @@
 type Bid struct {
 	// Lasts says that the tasks run until their job is cancelled.
 	Lasts bool
+	// Excess says that the job lies beyond what its client account is entitled to.
+	Excess bool
 	// Priority is the queue's; 0 comes first.
 	Priority int
 	// Deadline is when the job must have ended to be of full worth.
@@ -27,24 +29,41 @@
 	return !now.Add(bid.Remaining).After(bid.Deadline)
 }
 
-// class groups bids: what lasts, what can be in time, and what is late.
-func (bid Bid) class(now time.Time) int {
-	switch {
+// class groups bids.
+type class int
+
+const (
+	classLasting class = iota
+	classTimely
+	// classExcess is timely beyond an account's entitlement.
+	classExcess
+	classLate
+	classLateExcess
+)
+
+func (bid Bid) class(now time.Time) class {
+	switch timely := bid.Timely(now); {
 	case bid.Lasts:
-		return 0
-	case bid.Timely(now):
-		return 1
+		return classLasting
+	case timely && !bid.Excess:
+		return classTimely
+	case timely:
+		return classExcess
+	case !bid.Excess:
+		return classLate
 	default:
-		return 2
+		return classLateExcess
 	}
 }
 
-// Compare is negative if a bid comes before another one.
+// Compare is negative if a bid comes before another one. What lasts comes first,
+// then what can be in time by its deadline, then what is late by its work.
 func Compare(now time.Time, one, oth Bid) int {
-	if ord := cmp.Or(cmp.Compare(one.class(now), oth.class(now)), cmp.Compare(one.Priority, oth.Priority)); ord != 0 {
+	kind := one.class(now)
+	if ord := cmp.Or(cmp.Compare(kind, oth.class(now)), cmp.Compare(one.Priority, oth.Priority)); ord != 0 {
 		return ord
 	}
-	if one.class(now) == 2 {
+	if kind >= classLate {
 		if ord := cmp.Compare(one.Work, oth.Work); ord != 0 {
 			return ord
 		}
--- a/internal/core/scheduler/assign.go
+++ b/internal/core/scheduler/assign.go
@@ -66,7 +66,7 @@
 func (sta *State) bid(stg *stage) priority.Bid {
 	liv := stg.live
 	occ := liv.occs[stg.occ]
-	bid := priority.Bid{Lasts: stg.step.LongRunning, Job: string(liv.spec.ID)}
+	bid := priority.Bid{Lasts: stg.step.LongRunning, Excess: liv.excess, Job: string(liv.spec.ID)}
 	if que := sta.catalog.Queue(liv.spec.Queue); que != nil {
 		bid.Priority = que.Priority
 	}
--- a/internal/core/scheduler/jobs.go
+++ b/internal/core/scheduler/jobs.go
@@ -29,7 +29,19 @@
 		sta.restore(liv, rec)
 	}
 	sta.arrive(liv)
-	sta.note("job_taken", id, map[string]any{"queue": evt.Spec.Queue, "revision": evt.Revision, "age_ms": sta.now.Sub(evt.Spec.Accepted).Milliseconds()})
+	sta.countAllowance(liv)
+	sta.note("job_taken", id, map[string]any{"queue": evt.Spec.Queue, "account": evt.Spec.Account, "excess": liv.excess, "revision": evt.Revision, "age_ms": sta.now.Sub(evt.Spec.Accepted).Milliseconds()})
+}
+
+// countAllowance counts a job against what its account is entitled to.
+func (sta *State) countAllowance(liv *live) {
+	acc := sta.catalog.Account(liv.spec.Account)
+	if acc == nil || liv.spec.Lasts() || liv.restored {
+		return
+	}
+	buc, within := sta.allowances[acc.Name].WithJob(sta.now, acc.Weight, sta.opt.ShareWindow)
+	sta.allowances[acc.Name] = buc
+	liv.excess = !within
 }
 
 // setDeadline works out the latency objective: the queue's slack times the
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/balsamgauge/balsamgauge/internal/core/allowance"
 	"github.com/balsamgauge/balsamgauge/internal/core/catalog"
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
 	"github.com/balsamgauge/balsamgauge/internal/core/pace"
@@ -26,6 +27,8 @@
 	StopTime time.Duration
 	// UpkeepTime is how long a machine is away for its upkeep.
 	UpkeepTime time.Duration
+	// ShareWindow is over what time an account's rate of jobs is averaged.
+	ShareWindow time.Duration
 	// KeepEnded is how long callers may ask for a job that has ended.
 	KeepEnded time.Duration
 	// MovesPerSecond is how many orders for machines the platform takes.
@@ -97,6 +100,8 @@
 	cancelled bool
 	// begun says that some task has started.
 	begun bool
+	// excess says that it lies beyond what its account is entitled to.
+	excess bool
 	// final is the state to be stored, once it is known.
 	final job.State
 	// dirtySince is when something changed that is not stored yet; zero if all
@@ -231,12 +236,14 @@
 	hostList []*host
 	// pools holds the hosts of each pool in the order of their IDs.
 	pools map[string][]*host
-	// usage is what each client account may have running.
-	usage    map[string]job.Size
-	machines machines
-	waves    map[int64]*wave
-	commit   commit
-	loaded   bool
+	// usage is what each client account may have running, allowances what each is
+	// entitled to submit yet.
+	usage      map[string]job.Size
+	allowances map[string]allowance.Bucket
+	machines   machines
+	waves      map[int64]*wave
+	commit     commit
+	loaded     bool
 	// ended remembers jobs that are stored as ended, so that an event that comes
 	// late doesn't bring them back.
 	ended *recent[job.ID, bool]
@@ -316,7 +323,7 @@
 func New(opt Options) *State {
 	return &State{
 		opt: opt, zonesOut: map[string]bool{}, jobs: map[job.ID]*live{}, hosts: map[string]*host{},
-		pools: map[string][]*host{}, usage: map[string]job.Size{}, waves: map[int64]*wave{},
+		pools: map[string][]*host{}, usage: map[string]job.Size{}, allowances: map[string]allowance.Bucket{}, waves: map[int64]*wave{},
 		machines: machines{byName: map[string]worker.Machine{}, byVM: map[string]string{}},
 		ended:    newRecent[job.ID, bool](), lost: newRecent[string, worker.VM](), learned: map[string]*ratio{},
 		demands: map[string]*demand{}, moves: map[string]moving{}, barred: map[string]bool{},
--- a/internal/manager/dispatcher.go
+++ b/internal/manager/dispatcher.go
@@ -64,6 +64,7 @@
 		Lease:    min(maxLease, time.Duration(float64(bnd.MaxHold)*leaseShare)),
 		StopTime: bnd.StopTime, UpkeepTime: bnd.Upkeep,
 		KeepEnded:      bnd.KeepEnded,
+		ShareWindow:    bnd.ShareWindow,
 		MovesPerSecond: set.MachineOrders,
 	})
 	go dis.bring(ctx)
