scheduler: no end of a run is left without its acknowledgement

A VM lists 500 ends at a time. Ends that came while the last record of their job was being written were forgotten with the job, and a new dispatcher counted from end 1 on VMs whose first ends a former one had acknowledged. Either way the count of acknowledged ends stood still, and after 500 ends the VM's results were not seen any more: its tasks ran again and again. Ruled out: gangs and occurrences themselves; a VM that is born again.

Besides, a run that was being stopped on a VM was overwritten by a new run of the same task there, after which its room was never given back (TestStaleRunOnAVM).

Change: what came during the write is acknowledged with it; the lowest end that a VM lists tells what was acknowledged before; a VM that holds a run of a task is not chosen for it again.

Wire words of the soak and of manager's tests move into the stand-in.

--- a/internal/core/scheduler/assign.go
+++ b/internal/core/scheduler/assign.go
@@ -4,7 +4,6 @@
 	"maps"
 	"slices"
 
-	"github.com/balsamgauge/balsamgauge/internal/core/job"
 	"github.com/balsamgauge/balsamgauge/internal/core/priority"
 )
 
@@ -119,7 +118,7 @@
 		if !sta.underCap(stg, 1) {
 			return
 		}
-		hos := sta.choose(stg, hosts, nil)
+		hos := sta.choose(stg, i, hosts, nil)
 		if hos == nil {
 			return
 		}
@@ -141,7 +140,7 @@
 
 // start orders a VM to start a run of a task.
 func (sta *State) start(hos *host, stg *stage, index, run int) {
-	name := job.Task{Job: stg.live.spec.ID, Occurrence: stg.occ, Step: stg.index, Index: index}
+	name := stg.task(index)
 	tas := &stg.tasks[index]
 	if len(hos.runs) == 0 {
 		hos.nextLook = sta.now.Add(lookPause)
@@ -153,12 +152,14 @@
 	})
 }
 
-// choose returns the VM where another task of a stage runs best beside those of
-// a trial, or nil.
-func (sta *State) choose(stg *stage, hosts []*host, tri trial) (best *host) {
+// choose returns the VM where a task of a stage runs best beside those of a
+// trial, or nil.
+func (sta *State) choose(stg *stage, index int, hosts []*host, tri trial) (best *host) {
 	var bestScore score
+	name := stg.task(index)
 	for _, hos := range hosts {
-		if !sta.allows(stg, hos, tri[hos]) {
+		// A former run that is being stopped there would be taken for the new one.
+		if hos.runs[name] != nil || !sta.allows(stg, hos, tri[hos]) {
 			continue
 		}
 		sco := sta.score(stg, hos, tri[hos])
--- a/internal/core/scheduler/emulator_test.go
+++ b/internal/core/scheduler/emulator_test.go
@@ -604,19 +604,64 @@
 		return worker.ResultOK
 	}
 	id := vm.vm.ID
+	if ste.Gang {
+		emu.after(emulatedGangTimeout, func() {
+			if vm.vm.ID == id && vm.runs[ord.Task] == run && len(emu.gang(ord.Task, ord.Run, ste.Count)) < ste.Count {
+				emu.endOn(vm, ord.Task, run, worker.EndAlone)
+			}
+		})
+	}
 	emu.after(emu.duration(ord.Task, ste), func() {
 		if vm.vm.ID != id || vm.runs[ord.Task] != run {
 			return
 		}
+		if ste.Gang && len(emu.gang(ord.Task, ord.Run, ste.Count)) < ste.Count {
+			// It works only with all others; the last one to come ends the gang.
+			return
+		}
 		kind := worker.EndDone
 		if emu.failing(ord.Task) || vm.fails {
 			kind = worker.EndFailed
 		}
 		emu.endOn(vm, ord.Task, run, kind)
+		if ste.Gang {
+			emu.endGangOf(ord.Task, ord.Run, ste.Count, kind)
+		}
 	})
 	return worker.ResultOK
 }
 
+// emulatedGangTimeout is how long a member of a gang waits for the others.
+const emulatedGangTimeout = 3 * time.Second
+
+// gang returns the VMs of the members of a gang that run, by member.
+func (emu *emulator) gang(name job.Task, run, count int) map[job.Task]*emulatedVM {
+	members := map[job.Task]*emulatedVM{}
+	for i := range count {
+		name.Index = i
+		for _, vm := range emu.vms {
+			if oth := vm.runs[name]; oth != nil && oth.run == run {
+				members[name] = vm
+			}
+		}
+	}
+	return members
+}
+
+// endGangOf ends the other members of a gang of which one has ended.
+func (emu *emulator) endGangOf(name job.Task, run, count int, kind worker.EndKind) {
+	if kind != worker.EndDone {
+		kind = worker.EndBroken
+	}
+	members := emu.gang(name, run, count)
+	for i := range count {
+		name.Index = i
+		if vm := members[name]; vm != nil {
+			emu.endOn(vm, name, vm.runs[name], kind)
+		}
+	}
+}
+
 // checkStart checks what must hold when a task starts.
 func (emu *emulator) checkStart(vm *emulatedVM, ord Start, spe job.Spec) {
 	tru := emu.truthOf(ord.Task)
@@ -634,6 +679,9 @@
 			}
 		}
 	}
+	if due := spe.Due(ord.Task.Occurrence); spe.Occurrences > 0 && emu.now.Before(due) {
+		emu.fail("%s starts %v before it is due", ord.Task, due.Sub(emu.now))
+	}
 	if acc := emu.catalog.Account(spe.Account); acc != nil && acc.Cap.CPU > 0 {
 		sum := spe.Steps[ord.Task.Step].Size.CPU
 		for _, oth := range emu.vms {
@@ -850,12 +898,19 @@
 	}
 	worst := 0
 	spe := emu.specs[id]
-	for i, ste := range spe.Steps {
-		for j := range ste.Count {
-			tru := emu.truthOf(job.Task{Job: id, Step: i, Index: j})
-			worst = max(worst, tru.failedEnd)
-			if out.State == job.StateCompleted && !tru.done {
-				emu.fail("job %s is completed while task %d.%d is not done", id, i, j)
+	for occ := range spe.Runs() {
+		for i, ste := range spe.Steps {
+			failed := 0
+			for j := range ste.Count {
+				name := job.Task{Job: id, Occurrence: occ, Step: i, Index: j}
+				tru := emu.truthOf(name)
+				worst, failed = max(worst, tru.failedEnd), failed+tru.failedEnd
+				if out.State == job.StateCompleted && !tru.done {
+					emu.fail("job %s is completed while %s is not done", id, name)
+				}
+			}
+			if ste.Gang {
+				worst = max(worst, failed)
 			}
 		}
 	}
--- a/internal/core/scheduler/gang.go
+++ b/internal/core/scheduler/gang.go
@@ -3,8 +3,6 @@
 import (
 	"maps"
 	"slices"
-
-	"github.com/balsamgauge/balsamgauge/internal/core/job"
 )
 
 // trial counts the tasks of a stage that are to start on each VM.
@@ -42,7 +40,7 @@
 func (sta *State) breakGang(stg *stage) {
 	for i := range stg.tasks {
 		if hos := stg.tasks[i].host; hos != nil {
-			sta.stop(hos.runs[job.Task{Job: stg.live.spec.ID, Occurrence: stg.occ, Step: stg.index, Index: i}])
+			sta.stop(hos.runs[stg.task(i)])
 		}
 	}
 }
@@ -81,8 +79,8 @@
 // fit.
 func (sta *State) chooseAll(stg *stage, hosts []*host) (chosen []*host) {
 	tri := trial{}
-	for range stg.tasks {
-		hos := sta.choose(stg, hosts, tri)
+	for i := range stg.tasks {
+		hos := sta.choose(stg, i, hosts, tri)
 		if hos == nil {
 			return nil
 		}
--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -232,6 +233,9 @@
 	hos.failedLooks = 0
 	hos.fenced = true
 	hos.clock, hos.clockAt = evt.Report.Clock, sta.now
+	if len(evt.Report.Ends) > 0 {
+		hos.acknowledgedBefore(evt.Report.Ends[0].Number)
+	}
 	for _, end := range evt.Report.Ends {
 		if end.Number > hos.seen {
 			hos.seen = end.Number
@@ -300,6 +304,16 @@
 	}
 }
 
+// acknowledgedBefore takes in the lowest end that a VM lists: a dispatcher has
+// acknowledged all before it, maybe a former one.
+func (hos *host) acknowledgedBefore(lowest int64) {
+	if lowest-1 <= hos.acked {
+		return
+	}
+	hos.acked = lowest - 1
+	maps.DeleteFunc(hos.stored, func(number int64, _ bool) bool { return number <= hos.acked })
+}
+
 // ackable notes that an end needs no store before it is acknowledged.
 func (sta *State) ackable(hos *host, number int64) {
 	if number <= hos.acked {
--- a/internal/core/scheduler/jobs.go
+++ b/internal/core/scheduler/jobs.go
@@ -194,7 +194,7 @@
 			stg := &occ.stages[i]
 			for j := range stg.tasks {
 				if hos := stg.tasks[j].host; hos != nil {
-					sta.stop(hos.runs[job.Task{Job: liv.spec.ID, Occurrence: stg.occ, Step: i, Index: j}])
+					sta.stop(hos.runs[stg.task(j)])
 				}
 			}
 		}
--- a/internal/core/scheduler/save.go
+++ b/internal/core/scheduler/save.go
@@ -135,9 +135,14 @@
 		sta.ackable(ack.host, ack.number)
 	}
 	wri.live.progressRev = rev
-	if wri.final {
-		sta.forget(wri.live)
+	if !wri.final {
+		return
+	}
+	// Ends that came while the record was being written need no other one.
+	for _, ack := range wri.live.acks {
+		sta.ackable(ack.host, ack.number)
 	}
+	sta.forget(wri.live)
 }
 
 // conflicted takes in that a write failed for a condition: a former write of
--- a/internal/core/scheduler/schedule_test.go
+++ b/internal/core/scheduler/schedule_test.go
@@ -67,6 +67,7 @@
 		at := time.Duration(emu.rng.Int64N(int64(28 * time.Second)))
 		spe := fanOut(i+1, account, 1+emu.rng.IntN(6), 500+emu.rng.Int64N(2000), 200*time.Millisecond+time.Duration(emu.rng.Int64N(int64(time.Second))))
 		poisoned[spe.ID] = i%29 == 7
+		emu.vary(&spe, i)
 		emu.after(at, func() { emu.submit(spe) })
 	}
 	for i := range 2 {
@@ -108,6 +109,21 @@
 	return emu
 }
 
+// vary makes some jobs gangs, some bounded on each VM and some due at times.
+func (emu *emulator) vary(spe *job.Spec, number int) {
+	switch number % 7 {
+	case 1:
+		spe.Steps[0].Gang, spe.Steps[0].SameRack = true, number%2 == 0
+	case 3:
+		spe.Steps[1].Gang, spe.Steps[1].MaxPerVM = true, 2
+	case 4:
+		spe.Steps[0].MaxPerVM = 1
+	case 5:
+		spe.Occurrences, spe.Interval = 3, 1500*time.Millisecond
+		spe.FirstDue = emu.start.Add(time.Duration(number) * 200 * time.Millisecond)
+	}
+}
+
 // TestFaultyDays plays many seeds. No task runs twice at once or after its end
 // was acknowledged, none starts before its step, beyond its account's cap, beyond
 // a VM's room or beyond its attempts,
@@ -125,10 +141,41 @@
 				emu.fail("job %s has not ended", id)
 			}
 		}
+		emu.checkBooks()
 		assert.Equal(t, len(emu.broken), 0, "seed %d: %s", seed, strings.Join(emu.broken, "\n"))
 	}
 }
 
+// checkBooks checks that the dispatcher holds what the VMs run, counts it once, and
+// has acknowledged all ends.
+func (emu *emulator) checkBooks() {
+	usage := map[string]job.Size{}
+	for _, hos := range emu.sched.hostList {
+		if vm := emu.vms[hos.vm.Address]; vm.vm.ID == hos.vm.ID && len(vm.ends) > 0 {
+			emu.fail("%s lists %d ends that are not acknowledged, the first is %v", hos.vm.ID, len(vm.ends), vm.ends[0])
+		}
+		used := job.Size{}
+		for _, hel := range hos.list {
+			used = used.Plus(hel.room)
+			usage[hel.owner] = usage[hel.owner].Plus(hel.size)
+			if hos.runs[hel.task] != hel {
+				emu.fail("%s holds run %d of %s beside another one", hos.vm.ID, hel.run, hel.task)
+			}
+			if emu.vms[hos.vm.Address].runs[hel.task] == nil {
+				emu.fail("%s is thought to hold %s", hos.vm.ID, hel.task)
+			}
+		}
+		if used != hos.used {
+			emu.fail("%s is thought to have %v in use, not %v", hos.vm.ID, hos.used, used)
+		}
+	}
+	for owner, size := range emu.sched.usage {
+		if size != usage[owner] {
+			emu.fail("account %s is thought to use %v, not %v", owner, size, usage[owner])
+		}
+	}
+}
+
 // TestSiblingsOnAMachineDueForUpkeep has a step of which one task may be away and
 // two lie on one machine. They leave it one after the other.
 func TestSiblingsOnAMachineDueForUpkeep(t *testing.T) {
--- /dev/null
+++ b/internal/core/scheduler/stale_test.go
@@ -0,0 +1,64 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/balsamgauge/balsamgauge/internal/core/job"
+	"github.com/balsamgauge/balsamgauge/internal/core/worker"
+	"gotest.tools/v3/assert"
+)
+
+// TestStaleRunOnAVM takes over while two VMs list runs of the same task, of which
+// the newer one fails. The task does not start on the VM where the older one is
+// still being stopped, and the books are right once that has ended.
+func TestStaleRunOnAVM(t *testing.T) {
+	now := time.Date(2026, 1, 2, 3, 0, 0, 0, time.UTC)
+	opt := testOptions()
+	opt.Since, opt.Revision, opt.Term = now, 10, 2
+	sta := New(opt)
+	one, oth := vmNamed("vm-1"), vmNamed("vm-2")
+	spe := fanOut(1, "large", 1, 500, time.Second)
+	spe.Accepted = now
+	name := job.Task{Job: spe.ID}
+	var starts []Start
+	reduce := func(events ...Event) {
+		now = now.Add(10 * time.Millisecond)
+		for _, eff := range sta.Reduce(now, events) {
+			if start, ok := eff.(Start); ok {
+				starts = append(starts, start)
+			}
+		}
+	}
+	lists := func(vm worker.VM, runs ...int) Looked {
+		rep := worker.Report{Born: vm.Born, Clock: time.Second}
+		for _, run := range runs {
+			rep.Running = append(rep.Running, worker.Running{Task: name, Run: run})
+		}
+		return Looked{VM: vm, Sent: now.Add(time.Millisecond), Report: rep}
+	}
+	reduce(CatalogChanged{testCatalog()}, VMRegistered{one}, VMRegistered{oth}, JobAccepted{Spec: spe, Revision: 5}, Loaded{})
+	reduce(MachinesListed{Asked: now, Machines: []worker.Machine{
+		{Name: "m-1", Pool: "lots", State: worker.MachineUp, VM: one.ID}, {Name: "m-2", Pool: "lots", State: worker.MachineUp, VM: oth.ID},
+	}})
+	reduce(lists(oth, 5))
+	reduce(lists(one, 3))
+	// VM 2 is in quarantine for a while, so that VM 1 would be chosen.
+	sta.hosts[oth.ID].failures = maxFailures + 2
+	reduce(Looked{VM: oth, Sent: now, Report: worker.Report{Born: 1, Clock: time.Second, Ends: []worker.End{{Number: 1, Task: name, Run: 5, Kind: worker.EndFailed}}}})
+	reduce(Tick{})
+	for _, start := range starts {
+		assert.Assert(t, start.VM.ID != one.ID, "run %d starts on %s, where run 3 is being stopped", start.Run, start.VM.ID)
+	}
+	reduce(Looked{VM: one, Sent: now, Report: worker.Report{Born: 1, Clock: time.Second, Ends: []worker.End{{Number: 1, Task: name, Run: 3, Kind: worker.EndStopped}}}})
+	for range 300 {
+		reduce(Tick{})
+	}
+	assert.Assert(t, len(starts) > 0, "the task is not started again")
+	held := 0
+	for _, hos := range sta.hostList {
+		held += len(hos.list)
+		assert.Equal(t, len(hos.list), len(hos.runs), "runs on %s", hos.vm.ID)
+	}
+	assert.Equal(t, held, 1)
+}
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -79,6 +79,11 @@
 	advice        advice
 }
 
+// task names a task of the stage.
+func (stg *stage) task(index int) job.Task {
+	return job.Task{Job: stg.live.spec.ID, Occurrence: stg.occ, Step: stg.index, Index: index}
+}
+
 type occurrence struct {
 	stages []stage
 	// left counts the stages that are not done.
--- a/internal/core/scheduler/waves.go
+++ b/internal/core/scheduler/waves.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/balsamgauge/balsamgauge/internal/core/job"
 	"github.com/balsamgauge/balsamgauge/internal/core/upkeep"
 	"github.com/balsamgauge/balsamgauge/internal/core/worker"
 )
@@ -230,7 +229,7 @@
 	for i := range stg.tasks {
 		hos := stg.tasks[i].host
 		if hos == but {
-			name := job.Task{Job: stg.live.spec.ID, Occurrence: stg.occ, Step: stg.index, Index: i}
+			name := stg.task(i)
 			if hel := hos.runs[name]; hel != nil && !hel.working() {
 				n++
 			}
--- a/internal/core/worker/worker.go
+++ b/internal/core/worker/worker.go
@@ -88,7 +88,9 @@
 	Clock   time.Duration
 	Born    int64
 	Running []Running
-	Ends    []End
+	// Ends are in the order of their numbers. All ends below the first have been
+	// acknowledged.
+	Ends []End
 }
 
 // Result is how a VM answered an order.
--- a/internal/manager/manager_test.go
+++ b/internal/manager/manager_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -47,11 +48,11 @@
 }
 
 // newRigAt starts processes at a stand-in with a configuration.
-func newRigAt(t *testing.T, nodes int, opt site.Options, config map[string]any) *rig {
+func newRigAt(t *testing.T, nodes int, opt site.Options, config site.Config) *rig {
 	sit, err := site.Start(opt)
 	assert.NilError(t, err)
 	t.Cleanup(sit.Stop)
-	sit.Store.Put("op/config", config)
+	sit.Configure(config)
 	rg := &rig{t: t, sit: sit}
 	for i := range nodes {
 		rg.nodes = append(rg.nodes, rg.startNode(fmt.Sprintf("entry-%d", i)))
@@ -69,17 +70,13 @@
 }
 
 // testConfig has one queue with a key and one open to all.
-func testConfig(version int, key string) map[string]any {
-	route := func(name, prefix string, public bool) map[string]any {
-		return map[string]any{
-			"name": name, "host": "lots.example", "prefix": prefix, "kind": "non_idempotent", "timeout-ms": 3000,
-			"target-duration-ms": 600, "priority": 0, "service": "lots", "max-attempts": 4, "slack-factor": 1.6, "public": public,
-		}
-	}
-	return map[string]any{
-		"version": version, "routes": []any{route("gate", "/gate/", false), route("open", "/open/", true)},
-		"services": []any{map[string]any{"name": "lots", "health-path": "/healthz", "rejects-overload": true}},
-		"tenants":  []any{map[string]any{"name": "city", "api-keys": []string{key}, "weight": 1, "cap": map[string]int{"cpu": 0}}},
+func testConfig(version int, key string) site.Config {
+	return site.Config{
+		Version: version, Pools: []site.Pool{{Name: "lots"}}, GuardsRoom: true,
+		Queues: []site.Queue{
+			{Name: "gate", Prefix: "/gate/", Pool: "lots", Attempts: 4}, {Name: "open", Prefix: "/open/", Pool: "lots", Attempts: 4, Public: true},
+		},
+		Accounts: []site.Account{{Name: "city", Keys: []string{key}, Weight: 1}},
 	}
 }
 
@@ -89,9 +86,12 @@
 	_, port, err := net.SplitHostPort(freeAddress(t))
 	assert.NilError(t, err)
 	path := filepath.Join(t.TempDir(), "node.toml")
-	text := fmt.Sprintf("node-name = %q\nip = \"127.0.0.1\"\nzone = \"az0\"\ninternal-ports = [%s,%s]\n"+
-		"advice = %q\n[listen-addrs]\nfront = %q\nready = %q\n[platform]\naddress = %q\n[cloud]\naddress = %q\n[bounds]\ngrace-s = 2\n",
-		name, port, port, rg.sit.AdvisorAddress, pro.callers, pro.ready, rg.sit.StoreAddress, rg.sit.MachinesAddress)
+	number, err := strconv.Atoi(port)
+	assert.NilError(t, err)
+	text := site.Process{
+		Name: name, Callers: pro.callers, Ready: pro.ready, Port: number, Store: rg.sit.StoreAddress, Machines: rg.sit.MachinesAddress,
+		Advisor: rg.sit.AdvisorAddress, Grace: 2 * time.Second, Revoke: 5 * time.Second,
+	}.Settings()
 	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
 	set, err := platform.LoadSettings(path)
 	assert.NilError(t, err)
@@ -119,7 +119,7 @@
 	rg.t.Helper()
 	req, err := http.NewRequest(method, url, strings.NewReader(body))
 	assert.NilError(rg.t, err)
-	req.Host = "lots.example"
+	req.Host = site.Host
 	if key != "" {
 		req.Header.Set("Authorization", "Bearer "+key)
 	}
@@ -138,8 +138,10 @@
 	return status
 }
 
-// job is one of two steps of two tasks each.
-const jobBody = `{"spec":"x","steps":[{"count":2,"cpu":500,"mem-mb":64,"estimate-ms":100},{"count":2,"cpu":500,"mem-mb":64,"estimate-ms":100,"after":[0]}]}`
+// jobBody is a job of two steps of two tasks each.
+var jobBody = site.JobBody("x", []site.Step{
+	{Count: 2, CPU: 500, Estimate: 100 * time.Millisecond}, {Count: 2, CPU: 500, Estimate: 100 * time.Millisecond, After: []int{0}},
+})
 
 func (rg *rig) jobURL(node int, prefix string, num int) string {
 	return fmt.Sprintf("http://%s%s%016x", rg.nodes[node].callers, prefix, num)
@@ -182,7 +184,7 @@
 func TestKeyIsWithdrawn(t *testing.T) {
 	rg := newRig(t, 2, 1, 20*time.Millisecond)
 	assert.Equal(t, rg.status(http.MethodPost, rg.jobURL(0, "/gate/", 1), "k1", jobBody), http.StatusOK)
-	rg.sit.Store.Put("op/config", testConfig(4, "k2"))
+	rg.sit.Configure(testConfig(4, "k2"))
 	// A submission is conditional on the newest configuration, so that the old
 	// key fails at once, whatever a process has heard.
 	assert.Equal(t, rg.status(http.MethodPost, rg.jobURL(1, "/gate/", 2), "k1", jobBody) != http.StatusOK, true)
@@ -285,8 +287,7 @@
 // entries ask for them, since the advisor answers each in turn.
 func TestAdviceByAllEntries(t *testing.T) {
 	config := testConfig(1, "k1")
-	gate := config["routes"].([]any)[0].(map[string]any)
-	gate["advice"] = map[string]any{"decision-ms": 300, "period-ms": 2, "valid-ms": 3000}
+	config.Queues[0].Advice = 300 * time.Millisecond
 	rg := newRigAt(t, 3, site.Options{Pool: "lots", Workers: 3, Work: 50 * time.Millisecond, Advice: 300 * time.Millisecond}, config)
 	rg.await("registrations", func() bool {
 		return rg.sit.Store.Value("asker/entry-0") != nil && rg.sit.Store.Value("asker/entry-1") != nil && rg.sit.Store.Value("asker/entry-2") != nil
@@ -311,7 +312,7 @@
 	pro := rg.nodes[0]
 	text, err := os.ReadFile(pro.settings)
 	assert.NilError(t, err)
-	changed := strings.Replace(string(text), "[bounds]", "[bounds]\nrevoke-ms = 4000", 1)
+	changed := strings.Replace(string(text), "revoke-ms = 5000", "revoke-ms = 4000", 1)
 	assert.NilError(t, os.WriteFile(pro.settings, []byte(changed), 0o600))
 	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
 	rg.await("new bound", func() bool { return pro.nod.settings().Bounds.Revoke == 4*time.Second })
--- a/internal/manager/node.go
+++ b/internal/manager/node.go
@@ -85,7 +85,7 @@
 	defer func() {
 		nod.log.Event("stopped", decisionlog.Fields{"error": fmt.Sprint(err)})
 	}()
-	nod.log.Event("started", decisionlog.Fields{"az": nod.settings().AZ, "callers": nod.settings().Callers, "store": nod.set.Store, "pid": os.Getpid()})
+	nod.log.Event("started", decisionlog.Fields{"az": nod.settings().AZ, "callers": nod.settings().Callers, "store": nod.settings().Store, "pid": os.Getpid()})
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	// The duty is given up first, so that another process takes it while this
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/balsamgauge/balsamgauge/internal/clock"
+	"github.com/balsamgauge/balsamgauge/internal/standin/site"
 )
 
 // Times of callers.
@@ -86,24 +87,11 @@
 const taskTime = 300 * time.Millisecond
 
 func body(job Job) string {
-	type step struct {
-		Count    int   `json:"count"`
-		CPU      int64 `json:"cpu"`
-		Memory   int64 `json:"mem-mb"`
-		Estimate int64 `json:"estimate-ms"`
-		After    []int `json:"after,omitempty"`
-		Lasting  bool  `json:"long-running,omitempty"`
-	}
-	steps := make([]step, len(job.Steps))
+	steps := make([]site.Step, len(job.Steps))
 	for i, ste := range job.Steps {
-		steps[i] = step{ste.Count, ste.CPU, 256, taskTime.Milliseconds(), ste.After, ste.Lasting}
-	}
-	raw, err := json.Marshal(map[string]any{"spec": job.Payload, "steps": steps})
-	if err != nil {
-		// Strings and numbers always encode.
-		panic(err)
+		steps[i] = site.Step{Count: ste.Count, CPU: ste.CPU, Estimate: taskTime, After: ste.After, Lasting: ste.Lasting}
 	}
-	return string(raw)
+	return site.JobBody(job.Payload, steps)
 }
 
 // submit sends a job to one process after the other until it is accepted.
@@ -192,11 +180,11 @@
 // call makes a call to some process; status 0 means that no answer came.
 func (cal *caller) call(rng *rand.Rand, method string, job Job, key, text string) (status int, answer string) {
 	nod := cal.run.nodes[rng.IntN(len(cal.run.nodes))]
-	req, err := http.NewRequest(method, "http://"+nod.callers+"/gate/"+job.ID, strings.NewReader(text))
+	req, err := http.NewRequest(method, "http://"+nod.callers+queuePrefix+job.ID, strings.NewReader(text))
 	if err != nil {
 		panic(err)
 	}
-	req.Host = "lots.example"
+	req.Host = site.Host
 	req.Header.Set("Authorization", "Bearer "+key)
 	req.Header.Set("X-Deadline-Ms", fmt.Sprint(callTimeout.Milliseconds()))
 	sent := time.Now()
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -10,6 +10,9 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/balsamgauge/balsamgauge/internal/standin/site"
+	"github.com/balsamgauge/balsamgauge/platform"
 )
 
 // graceTime is the platform's time from SIGTERM to SIGKILL.
@@ -22,7 +25,6 @@
 	dir     string
 	callers string
 	ready   string
-	ports   int
 	store   *Proxy
 
 	mu  sync.Mutex
@@ -63,10 +65,10 @@
 		}
 	}
 	nod.callers, nod.ready = fmt.Sprintf("127.0.0.1:%d", ports[0]), fmt.Sprintf("127.0.0.1:%d", ports[1])
-	text := fmt.Sprintf("node-name = %q\nip = \"127.0.0.1\"\nzone = \"az0\"\ninternal-ports = [%d,%d]\n"+
-		"[listen-addrs]\nfront = %q\nready = %q\n[platform]\naddress = %q\n[cloud]\naddress = %q\nduty-per-s = 64.0\n"+
-		"[bounds]\ngrace-s = %g\nrevoke-ms = %d\nhold-max-ms = 6000\nstop-ms = 400\nmaintenance-s = 2\n",
-		name, ports[2], ports[2], nod.callers, nod.ready, nod.store.Address(), machines, graceTime.Seconds(), platformBounds.Revoke.Milliseconds())
+	text := site.Process{
+		Name: name, Callers: nod.callers, Ready: nod.ready, Port: ports[2], Store: nod.store.Address(), Machines: machines,
+		Grace: graceTime, Revoke: platformBounds.Revoke,
+	}.Settings()
 	return nod, os.WriteFile(nod.settings(), []byte(text), 0o600)
 }
 
@@ -82,7 +84,7 @@
 	}
 	nod.starts++
 	cmd := exec.Command(nod.binary, "manage")
-	cmd.Env = []string{"BALSAMGAUGE_NODE_FILE=" + nod.settings(), "PATH=" + os.Getenv("PATH"), "HOME=" + nod.dir}
+	cmd.Env = []string{platform.SettingsVariable + "=" + nod.settings(), "PATH=" + os.Getenv("PATH"), "HOME=" + nod.dir}
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		return errors.Join(fmt.Errorf("start process %s: %w", nod.name, err), out.Close())
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -122,9 +122,7 @@
 	var mu sync.Mutex
 	rng := rand.New(rand.NewPCG(run.opt.Seed, 3))
 	run.sit, err = site.Start(site.Options{
-		Pools: []site.Pool{
-			{Name: "lots", Workers: run.opt.Machines}, {Name: "kiosk", Workers: run.opt.Machines}, {Name: "spare", Workers: 2, Standby: true},
-		},
+		Pools: run.pools(),
 		Outcome: func(task string, _ int) (time.Duration, string) {
 			if run.ledger.Lasts(task) {
 				return lastingTime, "failed"
@@ -164,6 +162,16 @@
 	return run.awaitReady()
 }
 
+// pools are those of the stand-in; only the first has a queue.
+func (run *Run) pools() []site.Pool {
+	return []site.Pool{
+		{Name: "lots", Workers: run.opt.Machines}, {Name: "kiosk", Workers: run.opt.Machines}, {Name: "spare", Workers: 2, Standby: true},
+	}
+}
+
+// queuePrefix begins the paths of jobs.
+const queuePrefix = "/gate/"
+
 // close ends what is left.
 func (run *Run) close() {
 	for _, nod := range run.nodes {
@@ -210,25 +218,18 @@
 		former[name] = run.keys[name]
 		run.keys[name] = fmt.Sprintf("%s-%d", name, run.version)
 	}
-	tenants := []any{}
+	cfg := site.Config{
+		Version: run.version, Pools: run.pools(),
+		Queues: []site.Queue{{Name: "gate", Prefix: queuePrefix, Pool: "lots", Attempts: platformBounds.Attempts}},
+	}
 	for _, name := range accounts {
-		limit := 0
+		acc := site.Account{Name: name, Keys: []string{run.keys[name]}}
 		if name == accounts[0] {
-			limit = smallCap
+			acc.CPU = smallCap
 		}
-		tenants = append(tenants, map[string]any{"name": name, "api-keys": []string{run.keys[name]}, "weight": 1, "cap": map[string]int{"cpu": limit}})
+		cfg.Accounts = append(cfg.Accounts, acc)
 	}
-	pools := []any{}
-	for _, name := range []string{"lots", "kiosk", "spare"} {
-		pools = append(pools, map[string]any{"name": name, "health-path": "/healthz", "rejects-overload": false, "standby": name == "spare"})
-	}
-	run.sit.Store.Put("op/config", map[string]any{
-		"version": run.version, "services": pools, "tenants": tenants,
-		"routes": []any{map[string]any{
-			"name": "gate", "host": "lots.example", "prefix": "/gate/", "kind": "non_idempotent", "timeout-ms": 3000,
-			"target-duration-ms": 600, "priority": 0, "service": "lots", "max-attempts": platformBounds.Attempts, "slack-factor": 1.6,
-		}},
-	})
+	run.sit.Configure(cfg)
 	for _, key := range former {
 		if key != "" {
 			run.ledger.Withdraw(time.Now(), key)
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -41,10 +41,10 @@
 		run.changeKeys(accounts[fau.Target%len(accounts)])
 	case ZoneOut:
 		zone := run.sit.Zones()[fau.Target]
-		run.sit.Store.Put("op/evacuate/"+zone, map[string]any{})
+		run.sit.SetZoneOut(zone, true)
 		run.ledger.ZoneOut(time.Now(), zone)
 		later(func() {
-			run.sit.Store.Delete("op/evacuate/" + zone)
+			run.sit.SetZoneOut(zone, false)
 			run.ledger.ZoneIn(zone)
 		})
 	case WaveAsked:
@@ -128,9 +128,7 @@
 			machines = append(machines, wor.Machine())
 		}
 	}
-	run.sit.Store.Put(fmt.Sprintf("op/wave/%d", run.waves), map[string]any{
-		"wave": run.waves, "machines": machines, "duration-s": waveTime.Seconds(), "cap": waveCap,
-	})
+	run.sit.AskWave(run.waves, machines, waveTime, waveCap)
 }
 
 // awaitReady waits until all processes take calls.
