scheduler: jobs that would be worthless are refused at once; no load is told before the jobs are loaded

MIXED: a new dispatcher wrote its load, with no job pending, before it had loaded the jobs. Entries refused nothing by load.

Change: the load is known once the jobs are loaded. It tells each queue's backlog, by the pool's own machines or its part of all, or by the advisor's time; entries refuse a job whose objective the backlog exceeds threefold, and one that no machine can hold, with a time to come back.

Tests: TestPendingAfterTakeover, TestSustainedOverload, TestAdmit.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -42,6 +42,11 @@
 	Advice *Advice
 }
 
+// Objective returns the latency objective of a job with a chain of steps.
+func (que *Queue) Objective(chain time.Duration) time.Duration {
+	return que.Target + time.Duration(que.SlackFactor*float64(chain))
+}
+
 // Pool is a group of VMs.
 type Pool struct {
 	Name string
--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -142,6 +142,26 @@
 	return sum
 }
 
+// Chain returns the longest chain of those steps that count, each as long as span
+// says. A nil function counts all steps, or takes the estimates.
+func (spe Spec) Chain(counts func(step int) bool, span func(ste Step) time.Duration) (longest time.Duration) {
+	ends := make([]time.Duration, len(spe.Steps))
+	for i, ste := range spe.Steps {
+		for _, dep := range ste.After {
+			ends[i] = max(ends[i], ends[dep])
+		}
+		switch {
+		case counts != nil && !counts(i):
+		case span != nil:
+			ends[i] += span(ste)
+		default:
+			ends[i] += ste.Estimate
+		}
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
 // MaxTasks bounds the tasks of one step. It keeps a job's progress record
 // below a tenth of the megabyte that the store takes.
 const MaxTasks = 10_000
--- a/internal/core/scheduler/jobs.go
+++ b/internal/core/scheduler/jobs.go
@@ -47,29 +47,20 @@
 // setDeadline works out the latency objective: the queue's slack times the
 // longest chain of steps, and its target.
 func (sta *State) setDeadline(liv *live) {
-	slack, target := 1.0, time.Duration(0)
+	objective := sta.chain(liv.spec, nil)
 	if que := sta.catalog.Queue(liv.spec.Queue); que != nil {
-		slack, target = que.SlackFactor, que.Target
+		objective = que.Objective(objective)
 	}
-	chain := sta.chain(liv.spec, func(int) bool { return true })
-	liv.deadline = liv.spec.Accepted.Add(target + time.Duration(slack*float64(chain)))
+	liv.deadline = liv.spec.Accepted.Add(objective)
 }
 
-// chain returns the longest chain of those steps that count.
+// chain returns the longest chain of those steps that count, by what was learned
+// of the queue's estimates.
 func (sta *State) chain(spe job.Spec, counts func(step int) bool) time.Duration {
 	factor := sta.learned[spe.Queue].factor()
-	ends := make([]time.Duration, len(spe.Steps))
-	longest := time.Duration(0)
-	for i, ste := range spe.Steps {
-		for _, dep := range ste.After {
-			ends[i] = max(ends[i], ends[dep])
-		}
-		if counts(i) {
-			ends[i] += time.Duration(float64(ste.Estimate)*factor) + sta.adviceTime(spe.Queue)
-		}
-		longest = max(longest, ends[i])
-	}
-	return longest
+	return spe.Chain(counts, func(ste job.Step) time.Duration {
+		return time.Duration(float64(ste.Estimate)*factor) + sta.adviceTime(spe.Queue)
+	})
 }
 
 // openOccurrence makes the next occurrence's tasks.
--- /dev/null
+++ b/internal/core/scheduler/overload_test.go
@@ -0,0 +1,93 @@
+package scheduler
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/balsamgauge/balsamgauge/internal/core/job"
+	"gotest.tools/v3/assert"
+)
+
+// overload plays three times what a pool holds for 25 s. Callers that are refused
+// come back when they are told to, once.
+func overload(admit bool) (emu *emulator, inTime, worthless, refused int) {
+	emu = newEmulator(1, testCatalog())
+	emu.addVMs("lots", 6, 3, job.Size{CPU: 16_000, Memory: 32_768})
+	emu.takeOver(testOptions())
+	first := map[job.ID]time.Time{}
+	var submit func(spe job.Spec, tries int)
+	submit = func(spe job.Spec, tries int) {
+		if _, ok := first[spe.ID]; !ok {
+			first[spe.ID] = emu.now
+		}
+		loa, ok := emu.sched.Load()
+		if admit && ok {
+			if after, reason := loa.Admit(emu.catalog.Queue(spe.Queue), spe); reason != "" {
+				refused++
+				if tries > 0 {
+					emu.after(after, func() { submit(spe, tries-1) })
+				}
+				return
+			}
+		}
+		emu.submit(spe)
+	}
+	for i := range 600 {
+		spe := fanOut(i+1, "large", 4, 1500, 500*time.Millisecond)
+		emu.after(time.Second+time.Duration(i)*25*time.Millisecond, func() { submit(spe, 1) })
+	}
+	emu.run(120 * time.Second)
+	objective := 2200 * time.Millisecond
+	for id, spe := range emu.specs {
+		took := emu.finished[id].Sub(first[spe.ID])
+		switch {
+		case took <= objective:
+			inTime++
+		case took > 3*objective:
+			worthless++
+		}
+	}
+	return emu, inTime, worthless, refused
+}
+
+// TestSustainedOverload refuses what would be worthless, at once and with a time
+// to come back. Fewer jobs are accepted in vain, and no fewer are in time.
+func TestSustainedOverload(t *testing.T) {
+	_, inTimeAll, worthlessAll, _ := overload(false)
+	emu, inTime, worthless, refused := overload(true)
+	t.Logf("all taken: %d in time, %d worthless; with refusals: %d in time, %d worthless, %d refused", inTimeAll, worthlessAll, inTime, worthless, refused)
+	assert.Assert(t, refused > 0)
+	assert.Assert(t, worthless < worthlessAll)
+	assert.Assert(t, inTime >= inTimeAll)
+	assert.Equal(t, len(emu.finished), len(emu.specs), "accepted jobs are lost")
+	assert.Equal(t, len(emu.broken), 0, "%s", strings.Join(emu.broken, "\n"))
+}
+
+// TestAdmit takes what can be served, and refuses what no machine can hold or what
+// would be worthless.
+func TestAdmit(t *testing.T) {
+	cat := testCatalog()
+	que := cat.Queue("gate")
+	loa := Load{Backlog: map[string]time.Duration{"gate": 7 * time.Second}, Sizes: []job.Size{{CPU: 16_000, Memory: 1000}, {CPU: 8000, Memory: 64_000}}}
+	step := func(cpu, memory int64, span time.Duration) job.Spec {
+		return job.Spec{Steps: []job.Step{{Count: 1, Size: job.Size{CPU: cpu, Memory: memory}, Estimate: span}}}
+	}
+	lasting := step(1, 1, 0)
+	lasting.Steps[0].LongRunning = true
+	for _, tst := range []struct {
+		name  string
+		spec  job.Spec
+		after time.Duration
+	}{
+		{"long enough to wait", step(1000, 900, 2*time.Second), 0},
+		{"worthless", step(1000, 900, time.Second), 7*time.Second - 2200*time.Millisecond},
+		{"fits the smaller", step(1000, 50_000, 2*time.Second), 0},
+		{"fits neither", step(9000, 50_000, 2*time.Second), unfitRetry},
+		{"lasting", lasting, 0},
+	} {
+		after, reason := loa.Admit(que, tst.spec)
+		assert.Equal(t, after, tst.after, tst.name)
+		assert.Equal(t, reason == "", tst.after == 0, tst.name)
+	}
+}
--- a/internal/core/scheduler/schedule_test.go
+++ b/internal/core/scheduler/schedule_test.go
@@ -236,9 +236,35 @@
 	emu.loseOrder = 1
 	emu.submit(fanOut(1, "large", 2, 500, 200*time.Millisecond))
 	emu.run(3 * time.Second)
-	assert.Equal(t, emu.sched.Load().Pending["gate"], 1)
+	assert.Equal(t, emu.pending("gate"), 1)
 	emu.loseOrder = 0
 	emu.run(8 * time.Second)
-	assert.Equal(t, emu.sched.Load().Pending["gate"], 0)
+	assert.Equal(t, emu.pending("gate"), 0)
 	assert.Equal(t, len(emu.finished), 1)
 }
+
+// pending returns how many jobs of a queue the dispatcher says have not begun; -1
+// if it doesn't know.
+func (emu *emulator) pending(queue string) int {
+	loa, ok := emu.sched.Load()
+	if !ok {
+		return -1
+	}
+	return loa.Pending[queue]
+}
+
+// TestPendingAfterTakeover takes over while jobs wait. The new dispatcher tells no
+// number before it has loaded them.
+func TestPendingAfterTakeover(t *testing.T) {
+	emu := newEmulator(1, testCatalog())
+	emu.takeOver(testOptions())
+	emu.run(time.Second)
+	emu.submit(fanOut(1, "large", 2, 500, 200*time.Millisecond))
+	emu.run(2 * time.Second)
+	assert.Equal(t, emu.pending("gate"), 1)
+	emu.takeOver(testOptions())
+	emu.run(2*time.Second + emulatedLoad/2)
+	assert.Equal(t, emu.pending("gate"), -1)
+	emu.run(3 * time.Second)
+	assert.Equal(t, emu.pending("gate"), 1)
+}
--- a/internal/manager/dispatcher.go
+++ b/internal/manager/dispatcher.go
@@ -348,8 +348,8 @@
 	if now.Sub(dis.loadSent) < loadEvery {
 		return
 	}
-	loa := dis.sta.Load()
-	if reflect.DeepEqual(loa, dis.load) {
+	loa, ok := dis.sta.Load()
+	if !ok || reflect.DeepEqual(loa, dis.load) {
 		return
 	}
 	dis.load, dis.loadSent = loa, now
