intake: calls to the store that have no answer are made again

A try without an answer keeps the outcome unknown unless a later one succeeds or meets a conflict.

explain: follows a job, task or VM through the logs of all processes. decisionlog: the number of lines dropped by a slow reader is written.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -67,6 +67,7 @@
 	cmd.addManage(app, actions)
 	cmd.addStandin(app, actions)
 	cmd.addSoak(app, actions)
+	cmd.addExplain(app, actions)
 	cmd.addRemote(app, actions)
 	selected, err := app.Parse(args)
 	if exit >= 0 {
--- /dev/null
+++ b/internal/cli/explain.go
@@ -0,0 +1,53 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/balsamgauge/balsamgauge/internal/explain"
+)
+
+// addExplain adds the command that follows a job through logs.
+func (cmd *command) addExplain(app *kingpin.Application, actions map[string]action) {
+	clause := app.Command("explain", "Follow a job, a task or a VM through the logs of all processes.")
+	id := clause.Arg("id", "ID of a job, name of a task, or ID of a VM.").Required().String()
+	paths := clause.Arg("log", "Log files.").Required().ExistingFiles()
+	actions[clause.FullCommand()] = func(context.Context) error { return cmd.explain(*id, *paths) }
+}
+
+func (cmd *command) explain(id string, paths []string) (err error) {
+	var lines []explain.Line
+	for _, path := range paths {
+		found, unread, err := collect(path, id)
+		if err != nil {
+			return err
+		}
+		if unread > 0 {
+			_, _ = fmt.Fprintf(cmd.err, "%s: %d lines that name %s are not log lines\n", path, unread, id)
+		}
+		lines = append(lines, found...)
+	}
+	if len(lines) == 0 {
+		return fmt.Errorf("no line names %s: it came to none of these processes, or its lines were left out under load", id)
+	}
+	explain.Sort(lines)
+	for _, lin := range lines {
+		if _, err := fmt.Fprintln(cmd.out, lin); err != nil {
+			return err
+		}
+	}
+	_, err = fmt.Fprintln(cmd.out, explain.Verdict(lines))
+	return err
+}
+
+func collect(path, id string) (lines []explain.Line, unread int, err error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, 0, &usageError{err}
+	}
+	defer func() { err = errors.Join(err, file.Close()) }()
+	return explain.Collect(file, id)
+}
--- a/internal/core/scheduler/reduce.go
+++ b/internal/core/scheduler/reduce.go
@@ -57,18 +57,26 @@
 		sta.machinesListed(evt)
 	case Committed:
 		sta.committed(evt)
-	case Advised:
-		sta.advised(evt)
-	case EndedListed:
-		sta.endedListed(evt)
-	case AskersChanged:
-		sta.askers = evt.Count
 	case WaveAsked:
 		sta.waveAsked(evt)
 	case WaveWithdrawn:
 		delete(sta.waves, evt.Number)
 	case MachineAnswered:
 		sta.machineAnswered(evt)
+	default:
+		sta.handleAdvice(evt)
+	}
+}
+
+// handleAdvice takes in what concerns the advisor, and other events.
+func (sta *State) handleAdvice(evt Event) {
+	switch evt := evt.(type) {
+	case Advised:
+		sta.advised(evt)
+	case AskersChanged:
+		sta.askers = evt.Count
+	case EndedListed:
+		sta.endedListed(evt)
 	default:
 		sta.handleAnswer(evt)
 	}
--- a/internal/decisionlog/log.go
+++ b/internal/decisionlog/log.go
@@ -4,8 +4,10 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -89,13 +91,19 @@
 }
 
 // queue hands lines to a writer in a goroutine of its own, and drops those for
-// which there is no room.
-type queue struct{ lines chan []byte }
+// which there is no room. The next line that has room is preceded by their number.
+type queue struct {
+	lines   chan []byte
+	dropped atomic.Int64
+}
 
 func newQueue(out io.Writer) *queue {
 	que := &queue{lines: make(chan []byte, queueLines)}
 	go func() {
 		for line := range que.lines {
+			if dropped := que.dropped.Swap(0); dropped > 0 {
+				_, _ = fmt.Fprintf(out, "{\"event\":\"lines_dropped\",\"count\":%d}\n", dropped)
+			}
 			// Nobody is left to be told that the log can't be written.
 			_, _ = out.Write(line)
 		}
@@ -108,6 +116,7 @@
 	select {
 	case que.lines <- bytes.Clone(line):
 	default:
+		que.dropped.Add(1)
 	}
 	return len(line), nil
 }
--- /dev/null
+++ b/internal/explain/explain.go
@@ -0,0 +1,128 @@
+// Package explain follows one job or VM through the logs of all processes.
+package explain
+
+import (
+	"bufio"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Line is a line of a log that names what is asked for. Fields holds all of it
+// but the time, the event and the process.
+type Line struct {
+	At      time.Time
+	Event   string
+	Process string
+	Fields  map[string]any
+}
+
+// maxLine bounds a line of a log in bytes.
+const maxLine = 1 << 20
+
+// Collect reads a log and returns the lines that name an ID: a job, a task of it,
+// or a VM. Lines that are not JSON are passed over and counted.
+func Collect(log io.Reader, id string) (lines []Line, unread int, err error) {
+	scn := bufio.NewScanner(log)
+	scn.Buffer(make([]byte, 0, 64<<10), maxLine)
+	for scn.Scan() {
+		text := scn.Text()
+		if !strings.Contains(text, id) {
+			continue
+		}
+		// Lines of some collectors begin with a time and the name of the VM.
+		at := strings.IndexByte(text, '{')
+		if at < 0 {
+			unread++
+			continue
+		}
+		lin, ok := parse([]byte(text[at:]))
+		if !ok {
+			unread++
+			continue
+		}
+		lines = append(lines, lin)
+	}
+	if err := scn.Err(); err != nil {
+		return lines, unread, fmt.Errorf("read log: %w", err)
+	}
+	return lines, unread, nil
+}
+
+func parse(raw []byte) (lin Line, ok bool) {
+	fields := map[string]any{}
+	if json.Unmarshal(raw, &fields) != nil {
+		return Line{}, false
+	}
+	text, _ := fields["at"].(string)
+	at, err := time.Parse(time.RFC3339, text)
+	if err != nil {
+		return Line{}, false
+	}
+	lin = Line{At: at, Fields: fields}
+	lin.Event, _ = fields["event"].(string)
+	lin.Process, _ = fields["process"].(string)
+	for _, name := range []string{"at", "event", "process", "level"} {
+		delete(fields, name)
+	}
+	return lin, lin.Event != ""
+}
+
+// Sort orders lines of several logs by their time.
+func Sort(lines []Line) {
+	slices.SortStableFunc(lines, func(one, oth Line) int { return cmp.Or(one.At.Compare(oth.At), cmp.Compare(one.Process, oth.Process)) })
+}
+
+// String writes the line with its fields in the order of their names.
+func (lin Line) String() string {
+	var out strings.Builder
+	fmt.Fprintf(&out, "%s %-24s %s", lin.At.UTC().Format("15:04:05.000"), lin.Process, lin.Event)
+	for _, name := range slices.Sorted(maps.Keys(lin.Fields)) {
+		switch val := lin.Fields[name].(type) {
+		case string:
+			if strings.ContainsAny(val, " \n\"") {
+				val = strconv.Quote(val)
+			}
+			if val != "" {
+				fmt.Fprintf(&out, " %s=%s", name, val)
+			}
+		default:
+			fmt.Fprintf(&out, " %s=%v", name, val)
+		}
+	}
+	return out.String()
+}
+
+// Verdict says in a sentence what the lines show of a job.
+func Verdict(lines []Line) string {
+	verdict := "No line tells how it ended."
+	for _, lin := range lines {
+		switch {
+		case lin.Event == "job_ended":
+			verdict = fmt.Sprintf("It ended as %v %v ms after it was accepted, %s.", lin.Fields["state"], number(lin.Fields["age_ms"]), lateness(lin.Fields["late_ms"]))
+		case lin.Event == "call" && lin.Fields["method"] == "POST" && lin.Fields["verdict"] == "ok":
+			verdict = fmt.Sprintf("It was accepted by %s; no line tells how it ended.", lin.Process)
+		case lin.Event == "call" && lin.Fields["method"] == "POST":
+			verdict = fmt.Sprintf("The last submission was answered %v by %s: %v.", lin.Fields["verdict"], lin.Process, lin.Fields["reason"])
+		}
+	}
+	return verdict
+}
+
+func number(val any) int64 {
+	num, _ := val.(float64)
+	return int64(num)
+}
+
+func lateness(val any) string {
+	if late := number(val); late > 0 {
+		return fmt.Sprintf("%d ms late", late)
+	}
+	return "in time"
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -186,7 +186,7 @@
 		},
 		Puts: []kv.Put{{Key: job.LiveKey(spe.ID), Value: raw}},
 	}
-	_, err = des.Store.Commit(ctx, txn)
+	err = des.commit(ctx, txn)
 	var con *kv.ConflictError
 	switch {
 	case err == nil:
@@ -203,6 +203,14 @@
 	}
 }
 
+// commit applies a transaction that has the same effect if it is applied twice.
+func (des *Desk) commit(ctx context.Context, txn kv.Txn) error {
+	return attempt(ctx, func(ctx context.Context) error {
+		_, err := des.Store.Commit(ctx, txn)
+		return err
+	})
+}
+
 // refuse answers that a job is not accepted, unless it was accepted before.
 func (des *Desk) refuse(ctx context.Context, spe job.Spec, after time.Duration, reason string) Answer {
 	rec, err := des.find(ctx, spe.ID)
@@ -234,7 +242,11 @@
 			err = fmt.Errorf("find job %s: %w", id, err)
 		}
 	}()
-	pag, err := des.Store.Range(ctx, job.LiveKey(id), "")
+	var pag kv.Page
+	err = attempt(ctx, func(ctx context.Context) (err error) {
+		pag, err = des.Store.Range(ctx, job.LiveKey(id), "")
+		return err
+	})
 	if err != nil {
 		return record{}, err
 	}
@@ -258,7 +270,11 @@
 		}
 		return rec, nil
 	}
-	itm, err := des.Store.Get(ctx, job.EndedKey(id))
+	var itm kv.Item
+	err = attempt(ctx, func(ctx context.Context) (err error) {
+		itm, err = des.Store.Get(ctx, job.EndedKey(id))
+		return err
+	})
 	if err != nil {
 		return record{}, err
 	}
@@ -307,7 +323,7 @@
 		case rec.live.Revision == 0 || rec.state == job.StateCancelled:
 			return Answer{Verdict: VerdictOK, State: rec.state}
 		}
-		_, err = des.Store.Commit(ctx, kv.Txn{
+		err = des.commit(ctx, kv.Txn{
 			Conditions: []kv.Condition{{Key: job.LiveKey(id), Revision: rec.live.Revision}},
 			Puts:       []kv.Put{{Key: job.CancelKey(id), Value: []byte{}}},
 		})
