--- a/internal/core/scheduler/effect.go
+++ b/internal/core/scheduler/effect.go
@@ -85,6 +85,9 @@
 	Pool    string
 }
 
+// Forget says that a life of a VM has ended: no calls are made to it any more.
+type Forget struct{ VM worker.VM }
+
 // GiveUp ends the duty: another dispatcher has taken it.
 type GiveUp struct{ Reason string }
 
@@ -106,5 +109,6 @@
 func (Upkeep) effect()       {}
 func (SaveWave) effect()     {}
 func (Move) effect()         {}
+func (Forget) effect()       {}
 func (GiveUp) effect()       {}
 func (Note) effect()         {}
--- a/internal/core/scheduler/emulator_test.go
+++ b/internal/core/scheduler/emulator_test.go
@@ -57,6 +57,8 @@
 	// finished holds when each job was stored as ended.
 	finished map[job.ID]time.Time
 	specs    map[job.ID]job.Spec
+	// known holds the lives to which connections are kept.
+	known map[string]bool
 	// duration gives a task's true run time; failing says that it always fails.
 	duration func(tas job.Task, ste job.Step) time.Duration
 	failing  func(tas job.Task) bool
@@ -150,7 +152,7 @@
 	return &emulator{
 		rng: rand.New(rand.NewPCG(seed, 1)), now: start, start: start, catalog: cat, vms: map[string]*emulatedVM{},
 		store: &emulatedStore{rev: 1, items: map[string]kv.Item{}}, truth: map[job.Task]*taskTruth{}, notes: map[string]int{},
-		finished: map[job.ID]time.Time{}, specs: map[job.ID]job.Spec{},
+		finished: map[job.ID]time.Time{}, specs: map[job.ID]job.Spec{}, known: map[string]bool{},
 		duration: func(_ job.Task, ste job.Step) time.Duration { return ste.Estimate },
 		failing:  func(job.Task) bool { return false },
 	}
@@ -280,6 +282,7 @@
 	opt.Since, opt.Revision, opt.Term = emu.now, emu.store.rev, emu.term
 	emu.opt = opt
 	emu.sched, emu.inbox, emu.down, emu.waiting = New(opt), nil, false, false
+	emu.known = map[string]bool{}
 	emu.tell(CatalogChanged{Catalog: emu.catalog})
 	if emu.advisor != nil {
 		emu.advisor.busy = 0
@@ -367,6 +370,7 @@
 func (emu *emulator) perform(eff Effect) {
 	switch eff := eff.(type) {
 	case Look:
+		emu.known[eff.VM.ID] = true
 		emu.performLook(eff)
 	case Start:
 		emu.carry(eff.VM, func(vm *emulatedVM, term int64) worker.Result { return emu.startOn(vm, eff, term) }, func(res worker.Result) Event {
@@ -396,6 +400,8 @@
 		})
 	case GiveUp:
 		emu.killDispatcher()
+	case Forget:
+		delete(emu.known, eff.VM.ID)
 	case Note:
 		emu.notes[eff.Name]++
 	}
--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -85,6 +85,7 @@
 	}
 	delete(sta.hosts, hos.vm.ID)
 	sta.lost.put(sta.now, hos.vm.ID, hos.vm)
+	sta.emit(Forget{VM: hos.vm})
 	sta.indexPools()
 }
 
--- a/internal/core/scheduler/schedule_test.go
+++ b/internal/core/scheduler/schedule_test.go
@@ -150,6 +150,11 @@
 // has acknowledged all ends.
 func (emu *emulator) checkBooks() {
 	usage := map[string]job.Size{}
+	for id := range emu.known {
+		if emu.sched.hosts[id] == nil {
+			emu.fail("connections to %s are kept, which is gone", id)
+		}
+	}
 	for _, hos := range emu.sched.hostList {
 		if vm := emu.vms[hos.vm.Address]; vm.vm.ID == hos.vm.ID && len(vm.ends) > 0 {
 			emu.fail("%s lists %d ends that are not acknowledged, the first is %v", hos.vm.ID, len(vm.ends), vm.ends[0])
--- a/internal/manager/effects.go
+++ b/internal/manager/effects.go
@@ -60,6 +60,8 @@
 		})
 	case scheduler.SaveWave:
 		go dis.saveWave(ctx, eff)
+	case scheduler.Forget:
+		dis.nod.executors.Forget(eff.VM.Address)
 	case scheduler.GiveUp:
 		dis.nod.log.Event("duty_given_up", decisionlog.Fields{"reason": eff.Reason})
 		dis.ten.Lose()
