--- /dev/null
+++ b/internal/advisory/fuzz_test.go
@@ -0,0 +1,36 @@
+package advisory
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/balsamgauge/balsamgauge/internal/decisionlog"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+type emptyAsker struct{}
+
+func (emptyAsker) Ask(context.Context, Question) (Tickets, error) { return Tickets{}, nil }
+
+// FuzzQuestion serves questions of other entries. Each is answered or refused.
+func FuzzQuestion(f *testing.F) {
+	raw, err := msgpack.Marshal(&Question{Job: "j", Step: 1, VMs: []string{"vm"}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(raw)
+	f.Add([]byte{0x81, 0xa1, 'v', 0xdd, 0xff, 0xff, 0xff, 0xff})
+	rel := NewRelay(emptyAsker{}, decisionlog.New(io.Discard, "fuzz", time.Now))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		rec := httptest.NewRecorder()
+		rel.ServeHTTP(rec, httptest.NewRequest(http.MethodPost, Path, bytes.NewReader(raw)))
+		if rec.Code != http.StatusOK && rec.Code != http.StatusBadRequest {
+			t.Errorf("status %d", rec.Code)
+		}
+	})
+}
--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -107,7 +107,10 @@
 		acc := &cat.Accounts[i]
 		cat.accounts[acc.Name] = acc
 		for _, key := range acc.Keys {
-			cat.keys[key] = acc
+			// A call without a key belongs to nobody.
+			if key != "" {
+				cat.keys[key] = acc
+			}
 		}
 	}
 	return cat
--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -162,26 +162,54 @@
 	return longest
 }
 
-// MaxTasks bounds the tasks of one step. It keeps a job's progress record
-// below a tenth of the megabyte that the store takes.
-const MaxTasks = 10_000
+// Bounds of a job. They keep its progress record below the megabyte that the store
+// takes, and what its occurrences take in a dispatcher's memory small.
+const (
+	// MaxTasks bounds the tasks of one step.
+	MaxTasks = 10_000
+	// MaxSteps bounds the steps.
+	MaxSteps = 1000
+	// MaxRuns bounds the occurrences.
+	MaxRuns = 10_000
+	// MaxAllTasks bounds the tasks of all steps and occurrences.
+	MaxAllTasks = 50_000
+)
 
 // Check returns what is wrong with a job.
 func (spe Spec) Check() error {
-	if len(spe.Steps) == 0 {
-		return fmt.Errorf("job %s has no steps", spe.ID)
+	if len(spe.Steps) == 0 || len(spe.Steps) > MaxSteps {
+		return fmt.Errorf("job %s has %d steps, not 1 to %d", spe.ID, len(spe.Steps), MaxSteps)
+	}
+	if spe.Occurrences < 0 || spe.Occurrences > MaxRuns || spe.Interval < 0 {
+		return fmt.Errorf("job %s has %d occurrences every %v, not up to %d", spe.ID, spe.Occurrences, spe.Interval, MaxRuns)
 	}
+	all := 0
 	for i, ste := range spe.Steps {
-		if ste.Count < 1 || ste.Count > MaxTasks {
-			return fmt.Errorf("step %d of job %s has %d tasks, not 1 to %d", i, spe.ID, ste.Count, MaxTasks)
-		}
-		if ste.Size.CPU < 0 || ste.Size.Memory < 0 || ste.Size.Accelerators < 0 {
-			return fmt.Errorf("step %d of job %s has a negative size", i, spe.ID)
+		if err := ste.check(i); err != nil {
+			return fmt.Errorf("job %s: %w", spe.ID, err)
 		}
-		for _, dep := range ste.After {
-			if dep < 0 || dep >= i {
-				return fmt.Errorf("step %d of job %s comes after step %d, which is not an earlier one", i, spe.ID, dep)
-			}
+		all += ste.Count
+	}
+	if all*spe.Runs() > MaxAllTasks {
+		return fmt.Errorf("job %s has %d tasks in %d occurrences, more than %d together", spe.ID, all, spe.Runs(), MaxAllTasks)
+	}
+	return nil
+}
+
+// check returns what is wrong with the step of a number.
+func (ste Step) check(num int) error {
+	if ste.Count < 1 || ste.Count > MaxTasks {
+		return fmt.Errorf("step %d has %d tasks, not 1 to %d", num, ste.Count, MaxTasks)
+	}
+	if ste.Size.CPU < 0 || ste.Size.Memory < 0 || ste.Size.Accelerators < 0 {
+		return fmt.Errorf("step %d has a negative size", num)
+	}
+	if ste.Estimate < 0 || ste.TailTarget < 0 {
+		return fmt.Errorf("step %d has an estimate of %v and a target of %v", num, ste.Estimate, ste.TailTarget)
+	}
+	for _, dep := range ste.After {
+		if dep < 0 || dep >= num {
+			return fmt.Errorf("step %d comes after step %d, which is not an earlier one", num, dep)
 		}
 	}
 	return nil
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -98,7 +98,9 @@
 	run.waits.Wait()
 	work.Wait()
 	run.stopNodes()
-	run.ledger.Finish(time.Now())
+	if ctx.Err() == nil {
+		run.ledger.Finish(time.Now())
+	}
 	rep.Accepted, rep.Started = run.ledger.Counts()
 	rep.Broken = run.ledger.Broken()
 	return rep, nil
