scheduler: nothing starts on a view of jobs that is over 1.5 s old

The store's answers to the dispatcher were held back for 3.2 s while its renewals went through, so that it kept the duty, became sure of it again with the first answer, and started a task 3.8 s after its job's cancelling was acknowledged, before its watch of jobs had caught up. Change: the watch of jobs tells the reducer up to when it is confirmed; beyond 1.5 s nothing starts. Looks, stops and leases go on. Before: TestCancelledWhileTheStoreIsSilent starts the second step.

standin/site: ports for processes come from below those of outgoing connections. TestDispatcherLeaves failed once beside a soak: 'bind: address already in use', as another process had taken the port that was free a moment before.

--- a/internal/core/scheduler/assign.go
+++ b/internal/core/scheduler/assign.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/balsamgauge/balsamgauge/internal/core/priority"
 )
@@ -13,8 +14,16 @@
 	bid   priority.Bid
 }
 
+// viewAge bounds how old the view of jobs may be to start tasks by it: a job may
+// have been cancelled since. A watch that went silent is noticed and replaced in
+// less.
+const viewAge = 1500 * time.Millisecond
+
 // assign starts tasks where there is room, in the order of priority.
 func (sta *State) assign() {
+	if sta.now.Sub(sta.confirmed) > viewAge {
+		return
+	}
 	unresolved := sta.unresolved()
 	pools := map[string][]waitingStage{}
 	var upcoming []*stage
--- a/internal/core/scheduler/emulator_test.go
+++ b/internal/core/scheduler/emulator_test.go
@@ -41,6 +41,8 @@
 	// faults
 	loseAnswer, loseOrder, lateOrder float64
 	loseCommit, lateCommit           float64
+	// blind says that changes of jobs do not reach the dispatcher.
+	blind bool
 	// killOnUpkeep is how often the dispatcher is killed as it orders upkeep.
 	killOnUpkeep float64
 
@@ -269,6 +271,9 @@
 func (emu *emulator) reduce() {
 	events := emu.inbox
 	emu.inbox = nil
+	if !emu.blind {
+		events = append(events, ViewConfirmed{At: emu.now})
+	}
 	for _, eff := range emu.sched.Reduce(emu.now, events) {
 		emu.perform(eff)
 	}
@@ -364,7 +369,9 @@
 		return
 	}
 	emu.store.put(job.CancelKey(id), nil)
-	emu.after(emulatedLatency, func() { emu.tell(JobCancelled{ID: id}) })
+	if !emu.blind {
+		emu.after(emulatedLatency, func() { emu.tell(JobCancelled{ID: id}) })
+	}
 }
 
 func (emu *emulator) perform(eff Effect) {
--- a/internal/core/scheduler/event.go
+++ b/internal/core/scheduler/event.go
@@ -123,6 +123,9 @@
 // EndedListed brings the jobs that are stored as ended.
 type EndedListed struct{ Jobs []EndedJob }
 
+// ViewConfirmed says that all changes of jobs up to a time have been brought.
+type ViewConfirmed struct{ At time.Time }
+
 // Loaded says that all jobs, VMs and waves that were stored when the duty was
 // taken have been brought.
 type Loaded struct{}
@@ -146,4 +149,5 @@
 func (WaveWithdrawn) event()   {}
 func (MachineAnswered) event() {}
 func (EndedListed) event()     {}
+func (ViewConfirmed) event()   {}
 func (Loaded) event()          {}
--- a/internal/core/scheduler/gang_test.go
+++ b/internal/core/scheduler/gang_test.go
@@ -108,7 +108,7 @@
 	var starts []Start
 	reduce := func(events ...Event) {
 		now = now.Add(10 * time.Millisecond)
-		for _, eff := range sta.Reduce(now, events) {
+		for _, eff := range sta.Reduce(now, append(events, ViewConfirmed{At: now})) {
 			if sta, ok := eff.(Start); ok {
 				starts = append(starts, sta)
 			}
--- a/internal/core/scheduler/reduce.go
+++ b/internal/core/scheduler/reduce.go
@@ -77,6 +77,8 @@
 		sta.askers = evt.Count
 	case EndedListed:
 		sta.endedListed(evt)
+	case ViewConfirmed:
+		sta.confirmed = evt.At
 	default:
 		sta.handleAnswer(evt)
 	}
--- a/internal/core/scheduler/schedule_test.go
+++ b/internal/core/scheduler/schedule_test.go
@@ -273,3 +273,25 @@
 	emu.run(3 * time.Second)
 	assert.Equal(t, emu.pending("gate"), 1)
 }
+
+// TestCancelledWhileTheStoreIsSilent cancels a job whose second step is to come,
+// while the dispatcher hears nothing of the store and still holds its duty. The
+// step does not start.
+func TestCancelledWhileTheStoreIsSilent(t *testing.T) {
+	emu := newEmulator(1, testCatalog())
+	emu.addVMs("lots", 2, 2, job.Size{CPU: 16_000, Memory: 32_768})
+	emu.takeOver(testOptions())
+	emu.run(time.Second)
+	emu.submit(fanOut(1, "large", 2, 500, 3*time.Second))
+	emu.run(1500 * time.Millisecond)
+	emu.blind = true
+	emu.cancel(jobName(1))
+	emu.run(6 * time.Second)
+	for name := range emu.truth {
+		assert.Equal(t, name.Step, 0, "%s has started", name)
+	}
+	emu.blind = false
+	emu.tell(JobCancelled{ID: jobName(1)})
+	emu.run(8 * time.Second)
+	assert.Equal(t, len(emu.finished), 1)
+}
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -249,6 +249,8 @@
 	waves      map[int64]*wave
 	commit     commit
 	loaded     bool
+	// confirmed is up to when changes of jobs are known.
+	confirmed time.Time
 	// ended remembers jobs that are stored as ended, so that an event that comes
 	// late doesn't bring them back.
 	ended *recent[job.ID, bool]
@@ -327,7 +329,7 @@
 // New returns the state of a dispatcher that has just taken the duty.
 func New(opt Options) *State {
 	return &State{
-		opt: opt, zonesOut: map[string]bool{}, jobs: map[job.ID]*live{}, hosts: map[string]*host{},
+		opt: opt, confirmed: opt.Since, zonesOut: map[string]bool{}, jobs: map[job.ID]*live{}, hosts: map[string]*host{},
 		pools: map[string][]*host{}, usage: map[string]job.Size{}, allowances: map[string]allowance.Bucket{}, waves: map[int64]*wave{},
 		machines: machines{byName: map[string]worker.Machine{}, byVM: map[string]string{}},
 		ended:    newRecent[job.ID, bool](), lost: newRecent[string, worker.VM](), learned: map[string]*ratio{},
--- a/internal/manager/dispatcher.go
+++ b/internal/manager/dispatcher.go
@@ -160,8 +160,9 @@
 	if !ok {
 		return
 	}
-	go dis.follow(ctx, platform.VMPrefix, dis.vmsReset(ctx), func(cha kv.Change) { dis.vmChanged(ctx, cha) })
-	go dis.follow(ctx, job.LivePrefix, dis.jobsReset(ctx, progress), func(cha kv.Change) { dis.jobChanged(ctx, cha, nil) })
+	go dis.follow(ctx, platform.VMPrefix, dis.vmsReset(ctx), func(cha kv.Change) { dis.vmChanged(ctx, cha) }, nil)
+	go dis.follow(ctx, job.LivePrefix, dis.jobsReset(ctx, progress), func(cha kv.Change) { dis.jobChanged(ctx, cha, nil) },
+		func(sent time.Time) { dis.send(ctx, scheduler.ViewConfirmed{At: sent}) })
 	go dis.bringEnded(ctx)
 	dis.followOperator(ctx, sna)
 }
@@ -191,10 +192,10 @@
 	dis.send(ctx, evt)
 }
 
-func (dis *dispatcher) follow(ctx context.Context, prefix string, reset func([]kv.Item), change func(kv.Change)) {
+func (dis *dispatcher) follow(ctx context.Context, prefix string, reset func([]kv.Item), change func(kv.Change), confirmed func(time.Time)) {
 	fol := &follow.Follower{
 		Store: dis.nod.store, Prefix: prefix, Wait: dispatchWatch, Log: dis.nod.log, Now: dis.nod.now,
-		Reset: reset, Change: change,
+		Reset: reset, Change: change, Confirmed: confirmed,
 	}
 	fol.Run(ctx)
 }
--- a/internal/manager/manager_test.go
+++ b/internal/manager/manager_test.go
@@ -37,10 +37,9 @@
 }
 
 func freeAddress(t *testing.T) string {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	port, err := site.FreePort()
 	assert.NilError(t, err)
-	defer func() { assert.NilError(t, lis.Close()) }()
-	return lis.Addr().String()
+	return net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
 }
 
 func newRig(t *testing.T, nodes, workers int, work time.Duration) *rig {
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -38,15 +37,6 @@
 	starts int
 }
 
-func freePort() (port int, err error) {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return 0, err
-	}
-	defer func() { err = errors.Join(err, lis.Close()) }()
-	return lis.Addr().(*net.TCPAddr).Port, nil
-}
-
 // newNode writes the settings of a process.
 func newNode(name, binary, dir, store, machines string) (nod *node, err error) {
 	defer func() {
@@ -60,7 +50,7 @@
 	}
 	var ports [3]int
 	for i := range ports {
-		if ports[i], err = freePort(); err != nil {
+		if ports[i], err = site.FreePort(); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -30,7 +30,12 @@
 	binary := filepath.Join(t.TempDir(), "balsamgauge")
 	out, err := exec.Command("go", "build", "-o", binary, "../../cmd/balsamgauge").CombinedOutput()
 	assert.NilError(t, err, "%s", out)
-	for _, seed := range []uint64{1} {
+	for _, seed := range []uint64{
+		1,
+		// A dispatcher that the store's answers had not reached for 3 s started a
+		// task of a job that was cancelled meanwhile.
+		1102,
+	} {
 		dir := t.TempDir()
 		rep, err := Play(context.Background(), Options{Seed: seed, For: 12 * time.Second, Processes: 3, Machines: 4, Binary: binary, Dir: dir})
 		assert.NilError(t, err)
