soak: a SIGTERM that comes before a program handles signals is no broken promise

Change: an end by the signal is allowed only while the process has written no line. TestTerminate tells the four cases apart.

--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -68,11 +68,11 @@
 func (nod *node) start() (err error) {
 	nod.mu.Lock()
 	defer nod.mu.Unlock()
-	out, err := os.Create(filepath.Join(nod.dir, fmt.Sprintf("%s.%d.log", nod.name, nod.starts)))
+	nod.starts++
+	out, err := os.Create(nod.logPath())
 	if err != nil {
 		return err
 	}
-	nod.starts++
 	cmd := exec.Command(nod.binary, "manage")
 	cmd.Env = []string{platform.SettingsVariable + "=" + nod.settings(), "PATH=" + os.Getenv("PATH"), "HOME=" + nod.dir}
 	cmd.Stdout, cmd.Stderr = out, out
@@ -134,10 +134,25 @@
 		<-done
 		return fmt.Sprintf("process %s has not ended %v after SIGTERM", nod.name, graceTime)
 	}
-	if code := cmd.ProcessState.ExitCode(); code != 0 {
-		return fmt.Sprintf("process %s ended with %v after SIGTERM", nod.name, cmd.ProcessState)
+	if cmd.ProcessState.Success() || nod.unborn() && cmd.ProcessState.ExitCode() < 0 {
+		return ""
 	}
-	return ""
+	return fmt.Sprintf("process %s ended with %v after SIGTERM", nod.name, cmd.ProcessState)
+}
+
+// unborn reports whether the process has not written a line. The signal may come
+// before a program that has just been started can handle signals; it has read
+// nothing then.
+func (nod *node) unborn() bool {
+	nod.mu.Lock()
+	defer nod.mu.Unlock()
+	inf, err := os.Stat(nod.logPath())
+	return err == nil && inf.Size() == 0
+}
+
+// logPath is where the present process writes.
+func (nod *node) logPath() string {
+	return filepath.Join(nod.dir, fmt.Sprintf("%s.%d.log", nod.name, nod.starts))
 }
 
 // kill ends the process at once.
--- /dev/null
+++ b/internal/soak/process_test.go
@@ -0,0 +1,45 @@
+package soak
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// startScript starts a program in place of balsamgauge.
+func startScript(t *testing.T, script string) *node {
+	dir := t.TempDir()
+	binary := filepath.Join(dir, "program")
+	assert.NilError(t, os.WriteFile(binary, []byte("#!/bin/sh\n"+script+"\n"), 0o700))
+	nod := &node{name: "n", binary: binary, dir: dir}
+	assert.NilError(t, nod.start())
+	return nod
+}
+
+// TestTerminate tells ends at SIGTERM apart: handled, not handled, and before the
+// program could handle anything.
+func TestTerminate(t *testing.T) {
+	for _, tst := range []struct{ name, script, want string }{
+		{"handled", "trap 'exit 0' TERM; echo started; while :; do sleep 0.01; done", ""},
+		{"failed", "trap 'exit 3' TERM; echo started; while :; do sleep 0.01; done", "exit status 3"},
+		{"not handled", "echo started; while :; do sleep 0.01; done", "signal: terminated"},
+		{"not yet handled", "while :; do sleep 0.01; done", ""},
+	} {
+		t.Run(tst.name, func(t *testing.T) {
+			nod := startScript(t, tst.script)
+			for end := time.Now().Add(5 * time.Second); strings.Contains(tst.script, "started") && nod.unborn() && time.Now().Before(end); {
+				time.Sleep(5 * time.Millisecond)
+			}
+			wrong := nod.terminate()
+			if tst.want == "" {
+				assert.Equal(t, wrong, "")
+				return
+			}
+			assert.Assert(t, strings.Contains(wrong, tst.want), "%q", wrong)
+		})
+	}
+}
