--- a/cmd/balsamgauge/main_test.go
+++ b/cmd/balsamgauge/main_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -16,6 +15,7 @@
 	"time"
 
 	"github.com/balsamgauge/balsamgauge/internal/core/key"
+	"github.com/balsamgauge/balsamgauge/internal/standin/site"
 	"gotest.tools/v3/assert"
 )
 
@@ -86,10 +86,9 @@
 	t.Helper()
 	var addresses []string
 	for range count {
-		lsn, err := net.Listen("tcp", "127.0.0.1:0")
+		port, err := site.FreePort()
 		assert.NilError(t, err)
-		addresses = append(addresses, lsn.Addr().String())
-		defer func() { _ = lsn.Close() }()
+		addresses = append(addresses, fmt.Sprintf("127.0.0.1:%d", port))
 	}
 	return addresses
 }
