--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/balsamgauge/balsamgauge/internal/clock"
+	"github.com/balsamgauge/balsamgauge/internal/soak/ledger"
 	"github.com/balsamgauge/balsamgauge/internal/standin/site"
 )
 
@@ -63,18 +64,18 @@
 }
 
 // newJob draws a job of up to three steps; some last.
-func (cal *caller) newJob() Job {
+func (cal *caller) newJob() ledger.Job {
 	cal.sent++
-	job := Job{
+	job := ledger.Job{
 		ID: fmt.Sprintf("%08x%08x", cal.number, cal.sent), Account: accounts[cal.rng.IntN(len(accounts))],
 		Payload: fmt.Sprintf("%d-%d", cal.number, cal.sent),
 	}
 	if cal.rng.IntN(20) == 0 {
-		job.Steps = []Step{{Count: 2, CPU: 500, Lasting: true}}
+		job.Steps = []ledger.Step{{Count: 2, CPU: 500, Lasting: true}}
 		return job
 	}
 	for i := range 1 + cal.rng.IntN(3) {
-		ste := Step{Count: 1 + cal.rng.IntN(4), CPU: 500 * (1 + cal.rng.Int64N(4))}
+		ste := ledger.Step{Count: 1 + cal.rng.IntN(4), CPU: 500 * (1 + cal.rng.Int64N(4))}
 		if i > 0 {
 			ste.After = []int{i - 1}
 		}
@@ -86,7 +87,7 @@
 // taskTime is what callers estimate for a task.
 const taskTime = 300 * time.Millisecond
 
-func body(job Job) string {
+func body(job ledger.Job) string {
 	steps := make([]site.Step, len(job.Steps))
 	for i, ste := range job.Steps {
 		steps[i] = site.Step{Count: ste.Count, CPU: ste.CPU, Estimate: taskTime, After: ste.After, Lasting: ste.Lasting}
@@ -95,25 +96,25 @@
 }
 
 // submit sends a job to one process after the other until it is accepted.
-func (cal *caller) submit(ctx context.Context, job Job) bool {
+func (cal *caller) submit(ctx context.Context, job ledger.Job) bool {
 	text := body(job)
 	for end := time.Now().Add(patience); time.Now().Before(end) && ctx.Err() == nil; {
 		key := cal.run.key(job.Account)
 		cal.run.ledger.Send(job)
 		sent := time.Now()
 		status, _ := cal.call(cal.rng, http.MethodPost, job, key, text)
-		out := Unanswered
+		out := ledger.Unanswered
 		switch status {
 		case http.StatusOK:
-			out = Accepted
+			out = ledger.Accepted
 		case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusUnauthorized:
-			out = Refused
+			out = ledger.Refused
 		case 0, http.StatusGatewayTimeout, http.StatusBadGateway:
 		default:
 			cal.run.ledger.Fail(time.Now(), fmt.Sprintf("job %s is answered with status %d", job.ID, status))
 		}
 		cal.run.ledger.Answer(time.Now(), sent, job.ID, key, out)
-		if out == Accepted {
+		if out == ledger.Accepted {
 			return true
 		}
 		clock.Pause(ctx, retryTime)
@@ -123,7 +124,7 @@
 
 // follow asks for a job until it has ended. Some jobs are cancelled on the way;
 // those that last are cancelled at the end.
-func (cal *caller) follow(ctx, over context.Context, job Job, rng *rand.Rand) {
+func (cal *caller) follow(ctx, over context.Context, job ledger.Job, rng *rand.Rand) {
 	cancelAfter := -1
 	if rng.IntN(8) == 0 {
 		cancelAfter = rng.IntN(4)
@@ -158,7 +159,7 @@
 }
 
 // cancel cancels a job; it reports whether that was acknowledged.
-func (cal *caller) cancel(over context.Context, rng *rand.Rand, job Job) bool {
+func (cal *caller) cancel(over context.Context, rng *rand.Rand, job ledger.Job) bool {
 	for over.Err() == nil {
 		status, text := cal.call(rng, http.MethodDelete, job, cal.run.key(job.Account), "")
 		switch {
@@ -178,7 +179,7 @@
 }
 
 // call makes a call to some process; status 0 means that no answer came.
-func (cal *caller) call(rng *rand.Rand, method string, job Job, key, text string) (status int, answer string) {
+func (cal *caller) call(rng *rand.Rand, method string, job ledger.Job, key, text string) (status int, answer string) {
 	nod := cal.run.nodes[rng.IntN(len(cal.run.nodes))]
 	req, err := http.NewRequest(method, "http://"+nod.callers+queuePrefix+job.ID, strings.NewReader(text))
 	if err != nil {
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -3,6 +3,6 @@
 // are killed, paused, restarted and told to reload; connections are delayed,
 // reset, cut one way or silenced by proxies; the store and the VMs misbehave.
 //
-// A Ledger checks what must always hold, from what callers, VMs and the store
+// Package ledger checks what must always hold, from what callers, VMs and the store
 // see. The seed decides the schedule of faults.
 package soak
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger/ledger.go
@@ -1,4 +1,6 @@
-package soak
+// Package ledger checks what must always hold, from what callers, VMs and
+// operators see. The time is an argument of all that it records.
+package ledger
 
 import (
 	"fmt"
@@ -27,6 +29,11 @@
 	Attempts int
 }
 
+// PlatformBounds are those of the platform's pages for the smaller sites.
+var PlatformBounds = Bounds{
+	Revoke: 5 * time.Second, Evacuate: 5 * time.Second, Cancel: 3 * time.Second, Overrun: 0.1, RoomCPU: 16_000, Attempts: 4,
+}
+
 // Step is a step of a job that was sent.
 type Step struct {
 	Count   int
@@ -89,8 +96,8 @@
 	done, acked         bool
 }
 
-// NewLedger returns an empty ledger; caps are those of the accounts.
-func NewLedger(bnd Bounds, caps map[string]int64) *Ledger {
+// New returns an empty ledger; caps are those of the accounts.
+func New(bnd Bounds, caps map[string]int64) *Ledger {
 	return &Ledger{
 		bounds: bnd, jobs: map[string]*jobRecord{}, tasks: map[string]*taskRecord{}, caps: caps,
 		used: map[string]int64{}, room: map[string]int64{}, zones: map[string]time.Time{}, keys: map[string]time.Time{},
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger/ledger_test.go
@@ -1,4 +1,4 @@
-package soak
+package ledger
 
 import (
 	"strings"
@@ -12,7 +12,7 @@
 
 // newTestLedger has a job of two steps that was accepted with key "k".
 func newTestLedger() *Ledger {
-	led := NewLedger(platformBounds, map[string]int64{"small": 12_000})
+	led := New(PlatformBounds, map[string]int64{"small": 12_000})
 	job := Job{ID: "j", Account: "small", Payload: "p", Steps: []Step{{Count: 2, CPU: 2000}, {Count: 1, CPU: 2000, After: []int{0}}}}
 	led.Send(job)
 	led.Answer(noon, noon, "j", "k", Accepted)
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"time"
 
+	"github.com/balsamgauge/balsamgauge/internal/soak/ledger"
+	"github.com/balsamgauge/balsamgauge/internal/soak/proxy"
 	"github.com/balsamgauge/balsamgauge/internal/standin/site"
 	"github.com/balsamgauge/balsamgauge/platform"
 )
@@ -24,7 +26,7 @@
 	dir     string
 	callers string
 	ready   string
-	store   *Proxy
+	store   *proxy.Proxy
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
@@ -45,7 +47,7 @@
 		}
 	}()
 	nod = &node{name: name, binary: binary, dir: dir}
-	if nod.store, err = NewProxy(store); err != nil {
+	if nod.store, err = proxy.New(store); err != nil {
 		return nil, err
 	}
 	var ports [3]int
@@ -57,7 +59,7 @@
 	nod.callers, nod.ready = fmt.Sprintf("127.0.0.1:%d", ports[0]), fmt.Sprintf("127.0.0.1:%d", ports[1])
 	text := site.Process{
 		Name: name, Callers: nod.callers, Ready: nod.ready, Port: ports[2], Store: nod.store.Address(), Machines: machines,
-		Grace: graceTime, Revoke: platformBounds.Revoke,
+		Grace: graceTime, Revoke: ledger.PlatformBounds.Revoke,
 	}.Settings()
 	return nod, os.WriteFile(nod.settings(), []byte(text), 0o600)
 }
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy/proxy.go
@@ -1,4 +1,5 @@
-package soak
+// Package proxy forwards TCP connections and harms them on demand.
+package proxy
 
 import (
 	"fmt"
@@ -33,8 +34,8 @@
 // chunkSize is how much is forwarded at a time, in bytes.
 const chunkSize = 16 << 10
 
-// NewProxy listens on loopback for connections to a target.
-func NewProxy(target string) (pro *Proxy, err error) {
+// New listens on loopback for connections to a target.
+func New(target string) (pro *Proxy, err error) {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("proxy for %s: %w", target, err)
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy/proxy_test.go
@@ -1,4 +1,4 @@
-package soak
+package proxy
 
 import (
 	"errors"
@@ -55,7 +55,7 @@
 
 // TestCutHeals holds bytes back while a way is cut and delivers them after it.
 func TestCutHeals(t *testing.T) {
-	pro, err := NewProxy(echo(t))
+	pro, err := New(echo(t))
 	assert.NilError(t, err)
 	defer pro.Close()
 	con := dial(t, pro)
@@ -72,7 +72,7 @@
 
 // TestSilenceIsForGood silences what is open; new connections work.
 func TestSilenceIsForGood(t *testing.T) {
-	pro, err := NewProxy(echo(t))
+	pro, err := New(echo(t))
 	assert.NilError(t, err)
 	defer pro.Close()
 	con := dial(t, pro)
@@ -84,7 +84,7 @@
 
 // TestReset ends open connections.
 func TestReset(t *testing.T) {
-	pro, err := NewProxy(echo(t))
+	pro, err := New(echo(t))
 	assert.NilError(t, err)
 	defer pro.Close()
 	con := dial(t, pro)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/balsamgauge/balsamgauge/internal/clock"
+	"github.com/balsamgauge/balsamgauge/internal/soak/ledger"
+	"github.com/balsamgauge/balsamgauge/internal/soak/proxy"
 	"github.com/balsamgauge/balsamgauge/internal/standin/site"
 )
 
@@ -35,11 +37,6 @@
 	Broken []string
 }
 
-// platformBounds are those of the platform's pages for the smaller sites.
-var platformBounds = Bounds{
-	Revoke: 5 * time.Second, Evacuate: 5 * time.Second, Cancel: 3 * time.Second, Overrun: 0.1, RoomCPU: 16_000, Attempts: 4,
-}
-
 // Times of a run.
 const (
 	// settleTime is how long after the last fault all jobs must have ended.
@@ -63,11 +60,11 @@
 // Run is a run of the soak.
 type Run struct {
 	opt    Options
-	ledger *Ledger
+	ledger *ledger.Ledger
 	sit    *site.Site
 	nodes  []*node
 	// ways holds the proxy of each VM.
-	ways []*Proxy
+	ways []*proxy.Proxy
 
 	mu      sync.Mutex
 	version int
@@ -79,7 +76,7 @@
 
 // Play plays a run. The error says that it could not be played.
 func Play(ctx context.Context, opt Options) (rep Report, err error) {
-	run := &Run{opt: opt, keys: map[string]string{}, ledger: NewLedger(platformBounds, map[string]int64{accounts[0]: smallCap})}
+	run := &Run{opt: opt, keys: map[string]string{}, ledger: ledger.New(ledger.PlatformBounds, map[string]int64{accounts[0]: smallCap})}
 	defer run.close()
 	if err := run.start(); err != nil {
 		return Report{}, fmt.Errorf("soak with seed %d: %w", opt.Seed, err)
@@ -107,7 +104,7 @@
 }
 
 // observer passes on what the VMs do, with the time.
-type observer struct{ led *Ledger }
+type observer struct{ led *ledger.Ledger }
 
 func (obs observer) Started(vm, zone, task string, run int, payload string) {
 	obs.led.Started(time.Now(), vm, zone, task, run, payload)
@@ -138,7 +135,7 @@
 			return time.Duration(float64(taskTime) * (0.3 + 1.5*rng.Float64())), how
 		},
 		Expose: func(_, address string) (string, error) {
-			pro, err := NewProxy(address)
+			pro, err := proxy.New(address)
 			if err != nil {
 				return "", err
 			}
@@ -222,7 +219,7 @@
 	}
 	cfg := site.Config{
 		Version: run.version, Pools: run.pools(),
-		Queues: []site.Queue{{Name: "gate", Prefix: queuePrefix, Pool: "lots", Attempts: platformBounds.Attempts}},
+		Queues: []site.Queue{{Name: "gate", Prefix: queuePrefix, Pool: "lots", Attempts: ledger.PlatformBounds.Attempts}},
 	}
 	for _, name := range accounts {
 		acc := site.Account{Name: name, Keys: []string{run.keys[name]}}
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"syscall"
 	"time"
+
+	"github.com/balsamgauge/balsamgauge/internal/soak/proxy"
 )
 
 // linkDelay is how much a slow way delays, each way.
@@ -98,7 +100,7 @@
 	nod.setPaused(false)
 }
 
-func strikeWay(fau Fault, way *Proxy, later func(func())) {
+func strikeWay(fau Fault, way *proxy.Proxy, later func(func())) {
 	switch fau.Kind {
 	case LinkReset, VMReset:
 		way.Reset()
