--- a/internal/core/scheduler/load.go
+++ b/internal/core/scheduler/load.go
@@ -83,7 +83,9 @@
 		}
 	}
 	for _, hos := range sta.hostList {
-		if hos.usable(sta.now) && !sta.zonesOut[hos.vm.AZ] {
+		// VMs that were not heard of yet, or go down for their upkeep, count: after a
+		// takeover nothing is refused for what is not known.
+		if !hos.unregistered && !hos.vm.Leaving && !sta.zonesOut[hos.vm.AZ] {
 			free := max(0, hos.vm.Capacity.Cores()-hos.lastingCores())
 			cores[hos.vm.Pool] += free
 			allCores += free
@@ -97,8 +99,11 @@
 		}
 	}
 	waits := map[string]time.Duration{}
+	if allCores == 0 {
+		return waits
+	}
 	for pool, sum := range work {
-		seconds := min(sum/max(cores[pool], math.SmallestNonzeroFloat64), allWork/max(allCores, 1))
+		seconds := min(sum/max(cores[pool], math.SmallestNonzeroFloat64), allWork/allCores)
 		waits[pool] = time.Duration(seconds * float64(time.Second))
 	}
 	return waits
--- a/internal/core/scheduler/overload_test.go
+++ b/internal/core/scheduler/overload_test.go
@@ -91,3 +91,29 @@
 		assert.Equal(t, reason == "", tst.after == 0, tst.name)
 	}
 }
+
+// TestNothingIsRefusedAfterATakeover takes over while jobs wait. Until the VMs
+// have been heard of, what they can carry is not taken for nothing.
+func TestNothingIsRefusedAfterATakeover(t *testing.T) {
+	emu := newEmulator(1, testCatalog())
+	emu.addVMs("lots", 6, 3, job.Size{CPU: 16_000, Memory: 32_768})
+	emu.takeOver(testOptions())
+	emu.run(time.Second)
+	for i := range 24 {
+		emu.submit(fanOut(i+1, "large", 4, 1500, 500*time.Millisecond))
+	}
+	emu.run(1500 * time.Millisecond)
+	emu.takeOver(testOptions())
+	known := 0
+	for at := 1500 * time.Millisecond; at < 3*time.Second; at += 2 * time.Millisecond {
+		emu.run(at)
+		loa, ok := emu.sched.Load()
+		if !ok {
+			continue
+		}
+		known++
+		after, reason := loa.Admit(emu.catalog.Queue("gate"), fanOut(99, "large", 4, 1500, 500*time.Millisecond))
+		assert.Equal(t, reason, "", "%v after the start: come back after %v", at, after)
+	}
+	assert.Assert(t, known > 0)
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -46,6 +46,8 @@
 	// machines it may take down at once.
 	waveTime = 20 * time.Second
 	waveCap  = 2
+	// leaseTime is how long a VM that can't be reached runs on, at most.
+	leaseTime = 4500 * time.Millisecond
 	// lastingTime is longer than a run of the soak.
 	lastingTime = time.Hour
 	// failShare is how often a run of a task fails.
@@ -94,6 +96,9 @@
 	run.inject(submitting, rep.Faults)
 	run.waits.Wait()
 	work.Wait()
+	// What was cancelled last may be stopped yet, and what a fault has cut off ends
+	// with its lease.
+	clock.Pause(ctx, ledger.PlatformBounds.Cancel+leaseTime)
 	run.stopNodes()
 	if ctx.Err() == nil {
 		run.ledger.Finish(time.Now())
