--- a/internal/manager/dispatcher.go
+++ b/internal/manager/dispatcher.go
@@ -147,15 +147,12 @@
 func (dis *dispatcher) bring(ctx context.Context) {
 	sna := dis.nod.operator.snapshot()
 	for sna.view.Confirmed.IsZero() {
-		select {
-		case <-ctx.Done():
+		var ok bool
+		if sna, ok = dis.nextSnapshot(ctx, sna); !ok {
 			return
-		case <-sna.changed:
 		}
-		sna = dis.nod.operator.snapshot()
 	}
-	dis.send(ctx, scheduler.CatalogChanged{Catalog: sna.view.Catalog})
-	dis.send(ctx, scheduler.ZonesChanged{Out: sna.zones})
+	dis.sendOperator(ctx, sna)
 	progress, ok := dis.progress(ctx)
 	if !ok {
 		return
@@ -333,17 +330,30 @@
 				dis.send(ctx, scheduler.WaveWithdrawn{Number: number})
 			}
 		}
-		select {
-		case <-ctx.Done():
+		var ok bool
+		if sna, ok = dis.nextSnapshot(ctx, sna); !ok {
 			return
-		case <-sna.changed:
 		}
-		sna = dis.nod.operator.snapshot()
-		dis.send(ctx, scheduler.CatalogChanged{Catalog: sna.view.Catalog})
-		dis.send(ctx, scheduler.ZonesChanged{Out: sna.zones})
+		dis.sendOperator(ctx, sna)
 	}
 }
 
+// nextSnapshot waits for a change of what the operator wrote.
+func (dis *dispatcher) nextSnapshot(ctx context.Context, sna snapshot) (next snapshot, ok bool) {
+	select {
+	case <-ctx.Done():
+		return snapshot{}, false
+	case <-sna.changed:
+		return dis.nod.operator.snapshot(), true
+	}
+}
+
+// sendOperator brings the configuration and the availability zones that are out.
+func (dis *dispatcher) sendOperator(ctx context.Context, sna snapshot) {
+	dis.send(ctx, scheduler.CatalogChanged{Catalog: sna.view.Catalog})
+	dis.send(ctx, scheduler.ZonesChanged{Out: sna.zones})
+}
+
 // writeLoad writes the load if it has changed.
 func (dis *dispatcher) writeLoad(ctx context.Context, now time.Time) {
 	if now.Sub(dis.loadSent) < loadEvery {
--- a/internal/standin/site/port.go
+++ b/internal/standin/site/port.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"sync"
 )
 
 // Ports below those that the kernel gives to outgoing connections, which could
@@ -14,10 +15,17 @@
 	portTries = 100
 )
 
-// FreePort returns a port of loopback on which nobody listens.
+// given holds the ports that this process was given.
+var given sync.Map
+
+// FreePort returns a port of loopback on which nobody listens. It gives a port to
+// a process only once.
 func FreePort() (port int, err error) {
 	for range portTries {
 		port = firstPort + rand.IntN(lastPort-firstPort)
+		if _, taken := given.LoadOrStore(port, true); taken {
+			continue
+		}
 		lis, listenErr := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if listenErr == nil {
 			return port, lis.Close()
