scheduler: bound the starts in flight, the lists of machines and the patience of polls

Cause: on a narrow link a burst of starts, each with its job's payload, and lists of machines back to back filled the dispatcher's own link.

--- a/internal/core/scheduler/assign.go
+++ b/internal/core/scheduler/assign.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -10,7 +9,9 @@
 
 // waitingStage is a stage with tasks that wait for free capacity.
 type waitingStage struct {
-	stage       *stage
+	stage *stage
+	// pool is the pool in which the tasks run.
+	pool        string
 	priorityKey priority.Key
 }
 
@@ -24,8 +25,10 @@
 	if sta.now.Sub(sta.jobsSyncedAt) > maxJobStaleness {
 		return
 	}
+	sta.starts.prune(sta.now)
 	formerRunsMayExist := sta.formerRunsMayExist()
-	pools := map[string][]waitingStage{}
+	var waiting []waitingStage
+	hosts := map[string][]*host{}
 	var upcoming []*stage
 	for _, liv := range sta.jobList {
 		if liv.final != "" || liv.restored && formerRunsMayExist {
@@ -44,17 +47,18 @@
 					}
 					continue
 				}
-				pools[pool] = append(pools[pool], waitingStage{stg, sta.priorityKey(stg)})
+				if _, ok := hosts[pool]; !ok {
+					hosts[pool] = sta.usableHosts(pool)
+				}
+				waiting = append(waiting, waitingStage{stg, pool, sta.priorityKey(stg)})
 			}
 		}
 	}
-	for _, pool := range slices.Sorted(maps.Keys(pools)) {
-		waiting := pools[pool]
-		hosts := sta.usableHosts(pool)
-		slices.SortFunc(waiting, func(one, oth waitingStage) int { return priority.Compare(sta.now, one.priorityKey, oth.priorityKey) })
-		for _, wai := range waiting {
-			sta.place(wai.stage, hosts)
-		}
+	// The pools share the limit of starts in flight, so their stages are ordered
+	// together.
+	slices.SortFunc(waiting, func(one, oth waitingStage) int { return priority.Compare(sta.now, one.priorityKey, oth.priorityKey) })
+	for _, wai := range waiting {
+		sta.place(wai.stage, hosts[wai.pool])
 	}
 	for _, stg := range upcoming {
 		sta.enqueueAdvisorQuery(stg, sta.usableHosts(sta.poolOf(stg.liveJob)))
@@ -127,7 +131,7 @@
 		if tas.phase != phaseWaiting || sta.now.Before(tas.notBefore) {
 			continue
 		}
-		if !sta.withinCap(stg, 1) {
+		if sta.starts.full() || !sta.withinCap(stg, 1) {
 			return
 		}
 		hos := sta.chooseHost(stg, i, hosts, nil)
@@ -158,7 +162,7 @@
 	if len(hos.runs) == 0 {
 		hos.nextPoll = sta.now.Add(minPollInterval)
 	}
-	sta.reserve(hos, stg, name, run, runOrdered)
+	sta.starts.add(sta.reserve(hos, stg, name, run, runOrdered))
 	sta.emit(Start{
 		VM: hos.vm, Task: name, Run: run, Payload: stg.liveJob.spec.Payload, Deadline: sta.extendLease(hos),
 		Checkpoint: tas.checkpoint, Ticket: stg.advice.ticketFor(hos.vm.ID, sta.now),
--- a/internal/core/scheduler/effect.go
+++ b/internal/core/scheduler/effect.go
@@ -21,6 +21,8 @@
 	Deadline time.Duration
 	// Wait is how long the VM may wait for an end before it answers.
 	Wait time.Duration
+	// Slack is how much longer than Wait the answer may take.
+	Slack time.Duration
 }
 
 // Start orders a VM to start a run.
--- a/internal/core/scheduler/emulator_test.go
+++ b/internal/core/scheduler/emulator_test.go
@@ -48,6 +48,9 @@
 	// upkeep.
 	killOnUpkeep float64
 
+	// link is the dispatcher's network link; nil if its bandwidth is unlimited.
+	link *emulatedLink
+
 	// advisor answers queries about steps; nil if there is none.
 	advisor *emulatedAdvisor
 
@@ -416,7 +419,10 @@
 		emu.performQueryAdvisor(eff)
 	case ListMachines:
 		requestedAt := emu.now
-		emu.after(emulatedLatency, func() { emu.deliver(MachinesListed{RequestedAt: requestedAt, Machines: emu.machines()}) })
+		emu.after(emulatedLatency, func() {
+			all := emu.machines()
+			emu.after(emu.link.receive(emu.now, len(all)*emulatedMachineBytes), func() { emu.deliver(MachinesListed{RequestedAt: requestedAt, Machines: all}) })
+		})
 	case Upkeep:
 		emu.performUpkeep(eff)
 	case Move:
@@ -546,13 +552,18 @@
 // order may be carried out late.
 func (emu *emulator) call(one worker.VM, execute func(*emulatedVM, int64) worker.Result, answer func(worker.Result) Event) {
 	term := emu.term
+	answered := false
 	reply := func(span time.Duration, res worker.Result) {
 		emu.after(span, func() {
-			if term == emu.term {
+			if term == emu.term && !answered {
+				answered = true
 				emu.deliver(answer(res))
 			}
 		})
 	}
+	if emu.link != nil {
+		reply(time.Second, worker.ResultUnknown)
+	}
 	chance := emu.rng.Float64()
 	arrive := func() (worker.Result, bool) {
 		vm := emu.find(one)
@@ -569,7 +580,7 @@
 		emu.after(2*time.Second+time.Duration(emu.rng.Int64N(int64(10*time.Second))), func() { arrive() })
 		return
 	}
-	emu.after(emulatedLatency, func() {
+	emu.after(emu.link.send(emu.now, emulatedOrderBytes), func() {
 		if chance < emu.lateOrder+emu.loseOrder {
 			reply(time.Second, worker.ResultUnknown)
 			return
@@ -579,7 +590,7 @@
 			reply(time.Second, worker.ResultUnknown)
 			return
 		}
-		reply(emulatedLatency, res)
+		reply(emu.link.receive(emu.now, emulatedAnswerBytes), res)
 	})
 }
 
@@ -799,23 +810,27 @@
 	return worker.ResultOK
 }
 
-// performPoll polls a VM. The poll fails after its waiting time and a second.
+// performPoll polls a VM. The poll fails if its answer does not arrive in time.
 func (emu *emulator) performPoll(eff Poll) {
 	sent, term := emu.now, emu.term
 	answered := false
+	finish := func(res worker.Result, rep worker.Report) {
+		if term == emu.term && !answered {
+			answered = true
+			emu.deliver(PollAnswered{VM: eff.VM, Sent: sent, Report: rep, Result: res})
+		}
+	}
+	responded := false
 	answer := func(res worker.Result, rep worker.Report) {
-		if answered {
+		if responded {
 			return
 		}
-		answered = true
-		emu.after(emulatedLatency, func() {
-			if term == emu.term {
-				emu.deliver(PollAnswered{VM: eff.VM, Sent: sent, Report: rep, Result: res})
-			}
-		})
+		responded = true
+		size := emulatedAnswerBytes + emulatedRowBytes*(len(rep.Running)+len(rep.Ends))
+		emu.after(emu.link.receive(emu.now, size), func() { finish(res, rep) })
 	}
-	emu.after(eff.Wait+time.Second, func() { answer(worker.ResultUnknown, worker.Report{}) })
-	emu.after(emulatedLatency, func() {
+	emu.after(eff.Wait+eff.Slack, func() { finish(worker.ResultUnknown, worker.Report{}) })
+	emu.after(emu.link.send(emu.now, emulatedAnswerBytes), func() {
 		vm := emu.find(eff.VM)
 		if vm == nil {
 			return
--- a/internal/core/scheduler/gang.go
+++ b/internal/core/scheduler/gang.go
@@ -15,7 +15,7 @@
 		sta.breakGang(stg)
 		return
 	}
-	if !sta.withinCap(stg, len(stg.tasks)) {
+	if sta.starts.full() || !sta.withinCap(stg, len(stg.tasks)) {
 		return
 	}
 	run, checkpoint := 0, ""
--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -24,6 +24,11 @@
 	// mixedPollWait replaces pollWait on VMs where serving and best-effort tasks
 	// share CPUs: the platform measures tail latencies over half a second.
 	mixedPollWait = 400 * time.Millisecond
+	// pollSlack is how much longer than its wait a poll may take, and
+	// maxPollSlack the limit to which it doubles with each failed poll: the VM
+	// may be slow to reach rather than silent.
+	pollSlack    = 700 * time.Millisecond
+	maxPollSlack = 2800 * time.Millisecond
 	// minPollInterval is the minimum time between two polls of a VM.
 	minPollInterval = 30 * time.Millisecond
 	// pollIntervalAfterEnd replaces minPollInterval after a report with ends. A
@@ -182,7 +187,7 @@
 
 // sendPoll polls a VM and acknowledges its ends.
 func (sta *State) sendPoll(hos *host) {
-	pol := Poll{VM: hos.vm, Acked: hos.ackableUpTo}
+	pol := Poll{VM: hos.vm, Acked: hos.ackableUpTo, Slack: min(maxPollSlack, pollSlack<<min(hos.failedPolls, 4))}
 	// A silent VM may still receive polls. If they extended its lease, its tasks
 	// would have to wait longer to start elsewhere.
 	if hos.termAccepted && hos.failedPolls == 0 {
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -277,6 +277,7 @@
 	machines   machines
 	waves      map[int64]*wave
 	commit     commit
+	starts     startWindow
 	jobsLoaded bool
 	// jobsSyncedAt is the time up to which all changes of jobs have been
 	// received.
@@ -321,6 +322,8 @@
 	// received was requested; zero if none was received.
 	requestedAt, asOf time.Time
 	inFlight          bool
+	// nextRequest is the earliest time of the next request.
+	nextRequest time.Time
 	// refreshDue reports whether a new list is needed to see the effect of an
 	// order.
 	refreshDue bool
--- a/internal/core/scheduler/waves.go
+++ b/internal/core/scheduler/waves.go
@@ -15,6 +15,9 @@
 	listInterval = 500 * time.Millisecond
 	// listDelayAfterOrder is the interval after a machine order.
 	listDelayAfterOrder = 60 * time.Millisecond
+	// listPauseFactor is the minimum ratio of the pause after a list to the time
+	// that it took: long lists must not occupy the dispatcher's link.
+	listPauseFactor = 4
 	// idleListInterval is the interval while nothing is expected to change.
 	idleListInterval = 10 * time.Second
 )
@@ -305,6 +308,7 @@
 // ended.
 func (sta *State) machinesListed(evt MachinesListed) {
 	sta.machines.inFlight = false
+	sta.machines.nextRequest = sta.now.Add(listPauseFactor * sta.now.Sub(evt.RequestedAt))
 	if evt.Machines == nil {
 		return
 	}
@@ -370,7 +374,7 @@
 	if sta.machines.refreshDue {
 		pause = min(pause, listDelayAfterOrder)
 	}
-	if sta.machines.inFlight || sta.now.Sub(sta.machines.requestedAt) < pause {
+	if sta.machines.inFlight || sta.now.Sub(sta.machines.requestedAt) < pause || sta.now.Before(sta.machines.nextRequest) {
 		return
 	}
 	sta.machines.inFlight, sta.machines.refreshDue = true, false
--- a/internal/manager/effects.go
+++ b/internal/manager/effects.go
@@ -21,9 +21,7 @@
 const (
 	// orderTimeout is how long an order waits for its response; a VM responds
 	// within milliseconds.
-	orderTimeout = 900 * time.Millisecond
-	// pollSlack is how much longer than its wait a poll may take.
-	pollSlack     = 700 * time.Millisecond
+	orderTimeout  = 900 * time.Millisecond
 	commitTimeout = 1500 * time.Millisecond
 	// machinesTimeout bounds a list of machines, and an order for a machine.
 	machinesTimeout = 2 * time.Second
@@ -93,7 +91,7 @@
 func (dis *dispatcher) term() int64 { return dis.ten.Current().Holder.Term }
 
 func (dis *dispatcher) poll(ctx context.Context, now time.Time, eff scheduler.Poll) {
-	callCtx, cancel := context.WithTimeout(ctx, eff.Wait+pollSlack)
+	callCtx, cancel := context.WithTimeout(ctx, eff.Wait+eff.Slack)
 	defer cancel()
 	rep, res, err := dis.nod.executors.Poll(callCtx, eff.VM, platform.Poll{Term: dis.term(), Acked: eff.Acked, Deadline: eff.Deadline, Wait: eff.Wait})
 	// The log's name of a poll is "look".
