scheduler: refuse at once what would be late, by the work with earlier deadlines

Cause: jobs were refused only once the backlog was three times their objective, by a figure of whole seconds written once a second. Under sustained overload everything that was accepted ended late. An unchanged high backlog counted as stale after 2.5 s, and everything was accepted; writes of the load could overtake each other, and a failed one was taken for written.

Change: the load holds the backlog by the deadline of the work, leaving out what accounts' caps and allowances hold back; entries refuse a job if the work before it takes more than 0.6 of its objective, and ask its caller to return after twice the backlog. The load is written every 0.25 s while the backlog changes and every second while there is one, one write at a time. Jobs that can earn nothing any more come last.

--- a/internal/core/priority/priority.go
+++ b/internal/core/priority/priority.go
@@ -17,6 +17,8 @@
 	// Deadline is the time by which the job must end to meet its latency
 	// objective.
 	Deadline time.Time
+	// Worthless is the time after which the end of the job has no value.
+	Worthless time.Time
 	// Remaining is the remaining run time of the job if it gets capacity
 	// immediately.
 	Remaining time.Duration
@@ -42,6 +44,8 @@
 	classExcess
 	classLate
 	classLateExcess
+	// classWorthless is for jobs that will end too late to have any value.
+	classWorthless
 )
 
 func (key Key) class(now time.Time) class {
@@ -52,6 +56,8 @@
 		return classOnTime
 	case onTime:
 		return classExcess
+	case !key.Worthless.IsZero() && now.Add(key.Remaining).After(key.Worthless):
+		return classWorthless
 	case !key.Excess:
 		return classLate
 	default:
@@ -62,7 +68,7 @@
 // Compare returns a negative number if one comes before oth, and a positive
 // number if it comes after. Long-running steps come first, then steps of jobs
 // that can meet their deadline, by deadline, then those of late jobs, by
-// remaining work. Among the jobs that can meet their deadline, and among the late
+// remaining work, and those whose end has no value any more. Among the jobs that can meet their deadline, and among the late
 // ones, those that exceed their account's allowance come last. Within a class,
 // the queue's priority takes precedence over deadline and work.
 func Compare(now time.Time, one, oth Key) int {
--- a/internal/core/scheduler/assign.go
+++ b/internal/core/scheduler/assign.go
@@ -20,6 +20,10 @@
 // detected and replaced in less time.
 const maxJobStaleness = 1500 * time.Millisecond
 
+// worthlessFactor is the multiple of its latency objective after which a job has
+// no value, by the platform's rules.
+const worthlessFactor = 3
+
 // assign starts waiting tasks in order of priority where there is free capacity.
 func (sta *State) assign() {
 	if sta.now.Sub(sta.jobsSyncedAt) > maxJobStaleness {
@@ -88,10 +92,13 @@
 	for i := range occ.stages {
 		priorityKey.Work += occ.stages[i].remainingWork(factor)
 	}
-	priorityKey.Deadline = liv.deadline
+	accepted := liv.spec.Accepted
 	if liv.spec.Occurrences > 0 {
-		priorityKey.Deadline = liv.deadline.Add(liv.spec.Due(stg.occ).Sub(liv.spec.Accepted))
+		accepted = liv.spec.Due(stg.occ)
 	}
+	objective := liv.deadline.Sub(liv.spec.Accepted)
+	priorityKey.Deadline = accepted.Add(objective)
+	priorityKey.Worthless = accepted.Add(worthlessFactor * objective)
 	return priorityKey
 }
 
--- a/internal/core/scheduler/load.go
+++ b/internal/core/scheduler/load.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -15,21 +14,37 @@
 	// Pending is, by queue, the number of jobs of which no task has started.
 	// Jobs with scheduled occurrences are not counted.
 	Pending map[string]int `msgpack:"p"`
-	// Backlog is, by queue, the time that the work of accepted jobs takes.
-	// Queues with less than backlogUnit are left out.
-	Backlog map[string]time.Duration `msgpack:"b,omitempty"`
+	// Backlog holds, by queue, the time that the work of accepted jobs takes
+	// whose deadline is within each of backlogHorizons. Queues with less than
+	// minBacklog are left out.
+	Backlog map[string][]time.Duration `msgpack:"w,omitempty"`
+	// AccountBacklog is the time that a new job of a client account waits for the
+	// account's other jobs, if they are held back by the account's cap or exceed
+	// its allowance. Accounts with less than minBacklog are left out.
+	AccountBacklog map[string]time.Duration `msgpack:"a,omitempty"`
+	// AdvisorBacklog is the time that the advisor takes for all queries of jobs
+	// that need them.
+	AdvisorBacklog time.Duration `msgpack:"d,omitempty"`
 	// Sizes lists the distinct capacities of the machines.
 	Sizes []job.Size `msgpack:"s,omitempty"`
 }
 
 // Parameters of Load and Admit.
 const (
-	// backlogUnit is the unit to which backlogs are truncated. The load is
-	// written when it changes.
-	backlogUnit = time.Second
-	// worthlessFactor is the multiple of its latency objective after which a job
-	// has no value, by the platform's rules.
-	worthlessFactor = 3
+	// backlogUnit is the unit to which backlogs are truncated, and minBacklog the
+	// smallest that is published: less delays no job noticeably.
+	backlogUnit = 100 * time.Millisecond
+	minBacklog  = 400 * time.Millisecond
+	// advisorBacklogUnit is the unit to which the advisor's backlog is truncated.
+	advisorBacklogUnit = time.Second
+	// maxBacklogShare is the share of its latency objective that a job may spend
+	// waiting for the work of others. The remainder is for its own run time and
+	// for the jobs that other entries accept before the load is published again.
+	maxBacklogShare = 0.6
+	// retryFactor is the ratio of the retry delay to the backlog. Other refused
+	// jobs return as well, so it takes longer than the backlog until there is
+	// room.
+	retryFactor = 2
 	// oversizedRetry is the retry delay of a job with a task that no machine can
 	// hold.
 	oversizedRetry = time.Minute
@@ -41,21 +56,19 @@
 	if !sta.jobsLoaded {
 		return Load{}, false
 	}
-	loa = Load{Pending: map[string]int{}, Backlog: map[string]time.Duration{}}
+	loa = Load{Pending: map[string]int{}, Backlog: map[string][]time.Duration{}}
 	for _, liv := range sta.jobList {
 		if liv.final == "" && !liv.begun && liv.spec.Occurrences == 0 {
 			loa.Pending[liv.spec.Queue]++
 		}
 	}
-	backlogs := sta.backlogs()
+	loa.AdvisorBacklog = sta.advisorBacklog().Truncate(advisorBacklogUnit)
+	backlogs, accountBacklogs := sta.backlogs()
+	loa.AccountBacklog = accountBacklogs
 	for i := range sta.catalog.Queues {
 		que := &sta.catalog.Queues[i]
-		wait := backlogs[que.Pool]
-		if que.Advice != nil {
-			wait = max(wait, sta.advisorBacklog())
-		}
-		if wait = wait.Truncate(backlogUnit); wait > 0 {
-			loa.Backlog[que.Name] = wait
+		if waits := backlogs[que.Pool]; len(waits) > 0 && waits[len(waits)-1] >= minBacklog {
+			loa.Backlog[que.Name] = waits
 		}
 	}
 	for _, mac := range sta.machines.byName {
@@ -67,54 +80,6 @@
 	return loa, true
 }
 
-// backlogs returns the time that each pool needs for the work of its jobs. It is
-// the time in which the pool's own machines do that work, or that in which all
-// machines do the work of all pools, whichever is less, as machines move to
-// where work is.
-func (sta *State) backlogs() map[string]time.Duration {
-	remainingWork, cores := map[string]float64{}, map[string]float64{}
-	allWork, allCores := 0.0, 0.0
-	for _, liv := range sta.jobList {
-		if liv.final != "" || liv.spec.IsLongRunning() {
-			continue
-		}
-		factor := sta.runtimeRatios[liv.spec.Queue].factor()
-		pool := sta.poolOf(liv)
-		for _, occ := range liv.occs {
-			for i := range occ.stages {
-				remainingWork[pool] += occ.stages[i].remainingWork(factor)
-				allWork += occ.stages[i].remainingWork(factor)
-			}
-		}
-	}
-	for _, hos := range sta.hostList {
-		// VMs that have not reported yet or are down for upkeep count as well.
-		// Otherwise jobs would be refused after a takeover because the capacity is
-		// still unknown.
-		if !hos.unregistered && !hos.vm.Leaving && !sta.zonesOut[hos.vm.AZ] {
-			free := max(0, hos.vm.Capacity.Cores()-hos.longRunningCores())
-			cores[hos.vm.Pool] += free
-			allCores += free
-		}
-	}
-	for i := range sta.catalog.Pools {
-		if poo := &sta.catalog.Pools[i]; poo.Standby {
-			for _, idl := range sta.standbyMachines(poo.Name) {
-				allCores += sta.machines.byName[idl.Machine].Capacity.Cores()
-			}
-		}
-	}
-	waits := map[string]time.Duration{}
-	if allCores == 0 {
-		return waits
-	}
-	for pool, sum := range remainingWork {
-		seconds := min(sum/max(cores[pool], math.SmallestNonzeroFloat64), allWork/allCores)
-		waits[pool] = time.Duration(seconds * float64(time.Second))
-	}
-	return waits
-}
-
 // advisorBacklog returns the time that the queries for all stages without a
 // running or finished task take with the current number of slots.
 func (sta *State) advisorBacklog() time.Duration {
@@ -137,8 +102,8 @@
 
 // Admit decides whether a queue accepts a job. It returns the reason for a
 // refusal, which is empty if the job is accepted, and the delay after which to
-// retry. A job is refused if the backlog delays it until it has no value, or
-// if no machine can hold one of its tasks.
+// retry. A job is refused if it would probably miss its latency objective
+// because of the backlog, or if no machine can hold one of its tasks.
 func (loa Load) Admit(que *catalog.Queue, spe job.Spec) (after time.Duration, reason string) {
 	if spe.IsLongRunning() || spe.Occurrences > 0 {
 		return 0, ""
@@ -150,8 +115,24 @@
 		}
 	}
 	objective := que.Objective(spe.CriticalPath(nil, nil))
-	if wait := loa.Backlog[que.Name]; wait > worthlessFactor*objective {
-		return wait - objective, "the backlog is too long for the job to be in time"
+	// Queries of later steps count too, so the advisor's backlog exceeds what the
+	// first step waits for.
+	if wait := loa.AdvisorBacklog; que.Advice != nil && wait > worthlessFactor*objective {
+		return wait - objective, "the advisor's backlog is too long for the job to be in time"
+	}
+	wait := max(loa.backlogBefore(que.Name, objective), loa.AccountBacklog[spe.Account])
+	if wait > time.Duration(maxBacklogShare*float64(objective)) {
+		return retryFactor * wait, "the backlog is too long for the job to be in time"
 	}
 	return 0, ""
 }
+
+// backlogBefore returns the time that a new job of a queue with the given latency
+// objective waits for jobs with earlier deadlines.
+func (loa Load) backlogBefore(queue string, objective time.Duration) time.Duration {
+	waits := loa.Backlog[queue]
+	if len(waits) == 0 {
+		return 0
+	}
+	return waits[min(horizonOf(objective), len(waits)-1)]
+}
--- a/internal/core/scheduler/orders.go
+++ b/internal/core/scheduler/orders.go
@@ -73,7 +73,6 @@
 	}
 	switch evt.Result {
 	case worker.ResultOK:
-		sta.starts.answered(sta.now.Sub(pla.since))
 		pla.setState(runRunning, sta.now)
 	case worker.ResultUnknown:
 		pla.state, pla.since = runUnknown, sta.now
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -38,6 +38,9 @@
 	// MachineOrdersPerSecond is the platform's rate limit for machine orders,
 	// which are moves and upkeep.
 	MachineOrdersPerSecond float64
+	// LinkBytesPerSecond is the bandwidth of the dispatcher's network link; 0 if
+	// it is unlimited.
+	LinkBytesPerSecond float64
 }
 
 // runsPerTerm is the difference between the first run numbers of two consecutive
@@ -367,7 +370,7 @@
 // New returns the state of a dispatcher whose tenure has just begun.
 func New(opt Options) *State {
 	return &State{
-		opt: opt, jobsSyncedAt: opt.Since, zonesOut: map[string]bool{}, jobs: map[job.ID]*liveJob{}, hosts: map[string]*host{},
+		opt: opt, starts: newStartWindow(opt.LinkBytesPerSecond), jobsSyncedAt: opt.Since, zonesOut: map[string]bool{}, jobs: map[job.ID]*liveJob{}, hosts: map[string]*host{},
 		pools: map[string][]*host{}, usage: map[string]job.Size{}, allowances: map[string]allowance.Bucket{}, waves: map[int64]*wave{},
 		machines: machines{byName: map[string]worker.Machine{}, byVM: map[string]string{}},
 		ended:    newRecentMap[job.ID, bool](), lostVMs: newRecentMap[string, worker.VM](), runtimeRatios: map[string]*runtimeRatio{},
--- a/internal/core/scheduler/window.go
+++ b/internal/core/scheduler/window.go
@@ -1,38 +1,51 @@
 package scheduler
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Limits of the starts that are unanswered at the same time. Each carries the
 // payload of its job. A burst of them would otherwise fill the dispatcher's
 // link and delay polls until VMs that run are taken for silent.
 const (
-	// maxStartsInFlight is the maximum number of unanswered starts.
-	maxStartsInFlight = 64
-	// minStartPatience is the minimum time for which an unanswered start counts.
+	// maxStartBacklog is the maximum time that the dispatcher's link takes for all
+	// unanswered starts.
+	maxStartBacklog = 250 * time.Millisecond
+	// startBytes is the size of a start without its payload.
+	startBytes = 500
+	// startPatience is the time for which an unanswered start counts.
 	// Starts that are older are probably lost and must not block others.
-	minStartPatience = 120 * time.Millisecond
-	// patienceFactor is the multiple of the usual response time for which an
-	// unanswered start counts.
-	patienceFactor = 3
-	// responseTimeWeight is the weight of a new sample in the response time.
-	responseTimeWeight = 0.1
+	startPatience = 2 * maxStartBacklog
 )
 
 // startWindow limits the starts that are in flight.
 type startWindow struct {
+	// maxBytes limits the size of all starts that are in flight.
+	maxBytes float64
 	// inFlight holds the starts that may be unanswered, oldest first.
 	inFlight []*placement
-	// responseTime is the average time from a start to its answer.
-	responseTime time.Duration
+	// bytes is the size of the starts that are in flight.
+	bytes float64
+}
+
+// newStartWindow returns a window for a link, whose bandwidth is unlimited if it
+// is 0.
+func newStartWindow(bytesPerSecond float64) startWindow {
+	if bytesPerSecond == 0 {
+		return startWindow{maxBytes: math.Inf(1)}
+	}
+	return startWindow{maxBytes: bytesPerSecond * maxStartBacklog.Seconds()}
 }
 
 // prune drops the starts that have been answered or are probably lost.
 func (win *startWindow) prune(now time.Time) {
-	patience := max(minStartPatience, patienceFactor*win.responseTime)
 	kept := win.inFlight[:0]
+	win.bytes = 0
 	for _, pla := range win.inFlight {
-		if pla.state == runOrdered && now.Sub(pla.since) <= patience {
+		if pla.state == runOrdered && now.Sub(pla.since) <= startPatience {
 			kept = append(kept, pla)
+			win.bytes += pla.startBytes()
 		}
 	}
 	clear(win.inFlight[len(kept):])
@@ -40,12 +53,15 @@
 }
 
 // full reports whether no further start may be sent.
-func (win *startWindow) full() bool { return len(win.inFlight) >= maxStartsInFlight }
+func (win *startWindow) full() bool { return win.bytes >= win.maxBytes }
 
 // add records a start that is being sent.
-func (win *startWindow) add(pla *placement) { win.inFlight = append(win.inFlight, pla) }
+func (win *startWindow) add(pla *placement) {
+	win.inFlight = append(win.inFlight, pla)
+	win.bytes += pla.startBytes()
+}
 
-// answered records the response time of a start.
-func (win *startWindow) answered(took time.Duration) {
-	win.responseTime += time.Duration(float64(took-win.responseTime) * responseTimeWeight)
+// startBytes returns the size of the order that starts the run.
+func (pla *placement) startBytes() float64 {
+	return float64(startBytes + len(pla.stage.liveJob.spec.Payload))
 }
--- a/internal/manager/dispatcher.go
+++ b/internal/manager/dispatcher.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"reflect"
 	"sync"
 	"time"
 
@@ -26,8 +25,6 @@
 	// batchDelay is how long the loop waits for more events after the first
 	// one, which saves wake-ups.
 	batchDelay = 3 * time.Millisecond
-	// loadInterval is the shortest time between two writes of the load.
-	loadInterval = time.Second
 	// eventQueueSize is how many events may wait for the loop.
 	eventQueueSize = 4096
 	// maxTaskLease bounds how long a VM runs tasks without being polled. It is
@@ -44,9 +41,7 @@
 	ten    *election.Tenure
 	sta    *scheduler.State
 	events chan scheduler.Event
-	// load is the load that was last written.
-	load          scheduler.Load
-	loadWrittenAt time.Time
+	load   loadWriter
 	// waveWrites serializes the writes of wave states.
 	waveWrites sync.Mutex
 	// ticketSources sends queries to the advisor; reportedSources is the number
@@ -68,6 +63,7 @@
 		KeepEnded:              bnd.KeepEnded,
 		ShareWindow:            bnd.ShareWindow,
 		MachineOrdersPerSecond: set.MachineOrderRate,
+		LinkBytesPerSecond:     set.LinkBytesPerSecond,
 	})
 	go dis.readState(ctx)
 	go dis.followTicketSources(ctx)
@@ -111,7 +107,9 @@
 		for _, eff := range effects {
 			dis.perform(ctx, now, eff)
 		}
-		dis.writeLoad(ctx, now)
+		if dis.load.due(now) {
+			dis.writeLoad(ctx, now)
+		}
 	}
 }
 
@@ -360,25 +358,21 @@
 	dis.send(ctx, scheduler.ZonesChanged{Out: sna.zones})
 }
 
-// writeLoad writes the load if it has changed.
+// writeLoad writes the load if the entries need it.
 func (dis *dispatcher) writeLoad(ctx context.Context, now time.Time) {
-	if now.Sub(dis.loadWrittenAt) < loadInterval {
-		return
-	}
 	loa, ok := dis.sta.Load()
-	if !ok || reflect.DeepEqual(loa, dis.load) {
-		return
-	}
-	dis.load, dis.loadWrittenAt = loa, now
-	raw, err := encodeLoad(loa)
-	if err != nil {
-		dis.nod.log.Event("load_not_written", decisionlog.Fields{"error": err.Error()})
+	if !ok || !dis.load.begin(now, loa) {
 		return
 	}
 	go func() {
-		if _, err := dis.commit(ctx, kv.Txn{Puts: []kv.Put{{Key: loadKey, Value: raw}}}); err != nil {
+		raw, err := encodeLoad(loa)
+		if err == nil {
+			_, err = dis.commit(ctx, kv.Txn{Puts: []kv.Put{{Key: loadKey, Value: raw}}})
+		}
+		if err != nil {
 			dis.nod.log.Event("load_not_written", decisionlog.Fields{"error": err.Error()})
 		}
+		dis.load.end(err == nil)
 	}()
 }
 
