election: a slow store does not keep the duty from being claimed

Cause: the four calls of a claim shared one timeout of 1.2 s.

Change: one read of all keys of the duty instead of two, and a timeout for each call.

--- a/internal/core/duty/duty.go
+++ b/internal/core/duty/duty.go
@@ -19,6 +19,8 @@
 
 // Store keys of the duty.
 const (
+	// Prefix is the prefix of all keys of the duty.
+	Prefix = "duty/"
 	// HolderKey exists while a process holds the duty.
 	HolderKey = "duty/holder"
 	// TermKey holds the latest term. It is never deleted, so that terms only
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -191,19 +191,12 @@
 	return ele.handedBackAt.IsZero() || now.Sub(ele.handedBackAt) > handbackInterval
 }
 
-// claim claims the duty. It returns nil if another process holds it.
+// claim claims the duty. It returns nil if another process holds it. Each call
+// to the store has a timeout of its own, as a slow store would otherwise use up
+// the time of the last call every time.
 func (ele *Elector) claim(ctx context.Context) (ten *Tenure, err error) {
-	callCtx, cancel := context.WithTimeout(ctx, follow.ReadTimeout)
-	defer cancel()
-	_, err = ele.opt.Store.Get(callCtx, duty.HolderKey)
-	if err == nil {
-		return nil, nil
-	}
-	if !errors.Is(err, kv.ErrNotFound) {
-		return nil, err
-	}
-	prior, err := ele.opt.Store.Get(callCtx, duty.TermKey)
-	if err != nil && !errors.Is(err, kv.ErrNotFound) {
+	prior, held, err := ele.readDuty(ctx)
+	if err != nil || held {
 		return nil, err
 	}
 	term, err := duty.NextTerm(prior)
@@ -211,7 +204,7 @@
 		return nil, err
 	}
 	sent := ele.opt.Now()
-	lea, err := ele.opt.Store.Grant(callCtx, duty.TTL)
+	lea, err := ele.grantLease(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -220,7 +213,7 @@
 	if err != nil {
 		return nil, err
 	}
-	rev, err := ele.opt.Store.Commit(callCtx, txn)
+	rev, err := ele.commit(ctx, txn)
 	if err != nil {
 		ele.revokeLease(lea)
 		var con *kv.ConflictError
@@ -232,6 +225,38 @@
 	return &Tenure{ten: duty.NewTenure(hol, lea, rev, sent, ele.opt.Now())}, nil
 }
 
+// readDuty reads the item with the latest term, and whether a process holds the
+// duty, in one call.
+func (ele *Elector) readDuty(ctx context.Context) (term kv.Item, held bool, err error) {
+	callCtx, cancel := context.WithTimeout(ctx, follow.ReadTimeout)
+	defer cancel()
+	items, _, err := kv.List(callCtx, ele.opt.Store, duty.Prefix)
+	if err != nil {
+		return kv.Item{}, false, err
+	}
+	for _, itm := range items {
+		switch itm.Key {
+		case duty.HolderKey:
+			held = true
+		case duty.TermKey:
+			term = itm
+		}
+	}
+	return term, held, nil
+}
+
+func (ele *Elector) grantLease(ctx context.Context) (lea kv.LeaseID, err error) {
+	callCtx, cancel := context.WithTimeout(ctx, follow.ReadTimeout)
+	defer cancel()
+	return ele.opt.Store.Grant(callCtx, duty.TTL)
+}
+
+func (ele *Elector) commit(ctx context.Context, txn kv.Txn) (rev kv.Revision, err error) {
+	callCtx, cancel := context.WithTimeout(ctx, follow.ReadTimeout)
+	defer cancel()
+	return ele.opt.Store.Commit(callCtx, txn)
+}
+
 // revokeLease revokes a lease, so that other processes needn't wait until it
 // expires.
 func (ele *Elector) revokeLease(lea kv.LeaseID) {
--- a/internal/manager/load.go
+++ b/internal/manager/load.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/balsamgauge/balsamgauge/internal/core/catalog"
+	"github.com/balsamgauge/balsamgauge/internal/core/duty"
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
 	"github.com/balsamgauge/balsamgauge/internal/core/scheduler"
 	"github.com/balsamgauge/balsamgauge/internal/decisionlog"
@@ -17,7 +18,7 @@
 
 // Keys of the duty and of the dispatcher's load.
 const (
-	dutyPrefix = "duty/"
+	dutyPrefix = duty.Prefix
 	// loadKey is the key of the dispatcher's load.
 	loadKey = "duty/load"
 )
