scheduler: no upkeep of machines whose VMs are unknown after a takeover

Cause: from a store that takes 340 ms a call, in pages of 500, a new dispatcher receives the registrations of VMs after the jobs and the list of machines.

Change: until the leases of a former dispatcher have expired, such a machine is no candidate.

--- a/internal/core/scheduler/emulator_test.go
+++ b/internal/core/scheduler/emulator_test.go
@@ -37,7 +37,10 @@
 	inbox          []Event
 	term           int64
 	dispatcherDown bool
-	wakePending    bool
+	// vmLoadTime is the time until a new dispatcher receives the registrations of
+	// VMs.
+	vmLoadTime  time.Duration
+	wakePending bool
 
 	// Fault probabilities.
 	loseAnswer, loseOrder, lateOrder float64
@@ -317,13 +320,13 @@
 		emu.advisor.inFlight = 0
 		emu.deliver(AdvisorSlotsChanged{Count: emu.advisor.slots})
 	}
-	for _, name := range emu.names {
-		if vm := emu.vms[name]; vm.up {
-			emu.deliver(VMRegistered{VM: vm.vm})
-		}
-	}
 	// Loading the jobs takes time; VMs may report before.
 	term := emu.term
+	emu.after(emu.vmLoadTime, func() {
+		if term == emu.term {
+			emu.deliverVMs()
+		}
+	})
 	emu.after(emulatedLoadTime, func() {
 		if term == emu.term {
 			emu.deliverJobs()
@@ -334,6 +337,15 @@
 // emulatedLoadTime is the time that loading the jobs takes.
 const emulatedLoadTime = 30 * time.Millisecond
 
+// deliverVMs delivers the registrations of all VMs.
+func (emu *emulator) deliverVMs() {
+	for _, name := range emu.names {
+		if vm := emu.vms[name]; vm.up {
+			emu.deliver(VMRegistered{VM: vm.vm})
+		}
+	}
+}
+
 // deliverJobs delivers the stored state to a new dispatcher.
 func (emu *emulator) deliverJobs() {
 	for _, itm := range emu.store.sorted(job.LivePrefix) {
--- a/internal/core/scheduler/waves.go
+++ b/internal/core/scheduler/waves.go
@@ -151,6 +151,10 @@
 	hos := sta.hosts[mac.VM]
 	can := upkeep.Candidate{Machine: name, Up: mac.State == worker.MachineUp}
 	if hos == nil {
+		// The registrations of VMs may arrive later than the list of machines.
+		// Until the leases of a former dispatcher have expired, an unknown VM may
+		// run tasks.
+		can.Up = can.Up && (mac.VM == "" || !sta.formerLeasesMayHold())
 		return can
 	}
 	if hos.vm.Leaving || hos.failedPolls > 0 || !hos.termAccepted {
