scheduler: refuse as late as before; a fenced order for a machine ends the tenure

The share of the objective beyond which jobs are refused goes back from 0.6 to 3 (the retry delay too).

A machine order refused for its term was taken for one that may be retried, so a dispatcher whose duty another one has taken could order again with the same term. It now gives the duty up, as after a VM's refusal.

--- a/internal/core/scheduler/load.go
+++ b/internal/core/scheduler/load.go
@@ -37,14 +37,6 @@
 	minBacklog  = 400 * time.Millisecond
 	// advisorBacklogUnit is the unit to which the advisor's backlog is truncated.
 	advisorBacklogUnit = time.Second
-	// maxBacklogShare is the share of its latency objective that a job may spend
-	// waiting for the work of others. The remainder is for its own run time and
-	// for the jobs that other entries accept before the load is published again.
-	maxBacklogShare = 0.6
-	// retryFactor is the ratio of the retry delay to the backlog. Other refused
-	// jobs return as well, so it takes longer than the backlog until there is
-	// room.
-	retryFactor = 2
 	// oversizedRetry is the retry delay of a job with a task that no machine can
 	// hold.
 	oversizedRetry = time.Minute
@@ -102,8 +94,8 @@
 
 // Admit decides whether a queue accepts a job. It returns the reason for a
 // refusal, which is empty if the job is accepted, and the delay after which to
-// retry. A job is refused if it would probably miss its latency objective
-// because of the backlog, or if no machine can hold one of its tasks.
+// retry. A job is refused if the backlog delays it until it has no value, or
+// if no machine can hold one of its tasks.
 func (loa Load) Admit(que *catalog.Queue, spe job.Spec) (after time.Duration, reason string) {
 	if spe.IsLongRunning() || spe.Occurrences > 0 {
 		return 0, ""
@@ -115,14 +107,12 @@
 		}
 	}
 	objective := que.Objective(spe.CriticalPath(nil, nil))
-	// Queries of later steps count too, so the advisor's backlog exceeds what the
-	// first step waits for.
-	if wait := loa.AdvisorBacklog; que.Advice != nil && wait > worthlessFactor*objective {
-		return wait - objective, "the advisor's backlog is too long for the job to be in time"
-	}
 	wait := max(loa.backlogBefore(que.Name, objective), loa.AccountBacklog[spe.Account])
-	if wait > time.Duration(maxBacklogShare*float64(objective)) {
-		return retryFactor * wait, "the backlog is too long for the job to be in time"
+	if que.Advice != nil {
+		wait = max(wait, loa.AdvisorBacklog)
+	}
+	if wait > worthlessFactor*objective {
+		return wait - objective, "the backlog is too long for the job to be in time"
 	}
 	return 0, ""
 }
--- a/internal/core/scheduler/waves.go
+++ b/internal/core/scheduler/waves.go
@@ -267,6 +267,10 @@
 // machineAnswered handles the answer to a machine order.
 func (sta *State) machineAnswered(evt MachineAnswered) {
 	sta.logDecision("machine_answered", "", map[string]any{"machine": evt.Machine, "wave": evt.Wave, "result": evt.Result.String()})
+	if evt.Result == worker.MachineFenced {
+		sta.stepDown("machine " + evt.Machine + " has accepted a higher term")
+		return
+	}
 	if evt.Wave == 0 {
 		sta.moveAnswered(evt)
 		return
--- a/internal/core/worker/machine.go
+++ b/internal/core/worker/machine.go
@@ -47,9 +47,12 @@
 	// MachineInvalid means that the machine does not exist or is not allowed in
 	// the requested pool.
 	MachineInvalid
+	// MachineFenced means that the platform has accepted a higher term for the
+	// machine. Orders with this term are refused for good.
+	MachineFenced
 )
 
 // String returns the name of the result as it is logged.
 func (res MachineResult) String() string {
-	return [...]string{"ok", "unknown", "refused", "busy", "not_in_wave", "invalid"}[res]
+	return [...]string{"ok", "unknown", "refused", "busy", "not_in_wave", "invalid", "fenced"}[res]
 }
