scheduler: a failed list of machines is repeated without a pause

The pause now follows lists that arrive, and is a second at most. TestFailedListIsRepeated failed before.

--- a/internal/core/scheduler/link_test.go
+++ b/internal/core/scheduler/link_test.go
@@ -74,3 +74,21 @@
 	assert.Equal(t, starts, len(emu.truth), "tasks ran more than once")
 	assert.Equal(t, len(emu.violations), 0, "%s", strings.Join(emu.violations, "\n"))
 }
+
+// TestFailedListIsRepeated checks that a list of machines that failed after its
+// whole timeout is requested again without the pause that follows a long list.
+func TestFailedListIsRepeated(t *testing.T) {
+	now := time.Date(2026, 1, 2, 3, 0, 0, 0, time.UTC)
+	opt := testOptions()
+	opt.Since = now
+	sta := New(opt)
+	sta.Reduce(now, []Event{JobsLoaded{}})
+	later := now.Add(2 * time.Second)
+	effects := sta.Reduce(later, []Event{MachinesListed{RequestedAt: now}})
+	listed := false
+	for _, eff := range effects {
+		_, ok := eff.(ListMachines)
+		listed = listed || ok
+	}
+	assert.Assert(t, listed)
+}
--- a/internal/core/scheduler/waves.go
+++ b/internal/core/scheduler/waves.go
@@ -18,6 +18,8 @@
 	// listPauseFactor is the minimum ratio of the pause after a list to the time
 	// that it took: long lists must not occupy the dispatcher's link.
 	listPauseFactor = 4
+	// maxListPause bounds that pause.
+	maxListPause = time.Second
 	// idleListInterval is the interval while nothing is expected to change.
 	idleListInterval = 10 * time.Second
 )
@@ -316,10 +318,10 @@
 // ended.
 func (sta *State) machinesListed(evt MachinesListed) {
 	sta.machines.inFlight = false
-	sta.machines.nextRequest = sta.now.Add(listPauseFactor * sta.now.Sub(evt.RequestedAt))
 	if evt.Machines == nil {
 		return
 	}
+	sta.machines.nextRequest = sta.now.Add(min(maxListPause, listPauseFactor*sta.now.Sub(evt.RequestedAt)))
 	sta.machines.asOf = evt.RequestedAt
 	sta.machines.byName = make(map[string]worker.Machine, len(evt.Machines))
 	sta.machines.byVM = make(map[string]string, len(evt.Machines))
