manager: compute the load four times a second at most

From 0.25 s after a write the load was computed in every round of the dispatcher's loop until it was written again, over all jobs and VMs. TestLoadWriter failed before (1000 computations in a second of rounds of 1 ms).

--- a/internal/manager/loadwriter.go
+++ b/internal/manager/loadwriter.go
@@ -23,18 +23,25 @@
 type loadWriter struct {
 	mu sync.Mutex
 	// written is the load that was last stored or is being stored.
-	written  scheduler.Load
-	at       time.Time
-	inFlight bool
+	written scheduler.Load
+	at      time.Time
+	// checkedAt is when due was last true.
+	checkedAt time.Time
+	inFlight  bool
 	// stored reports whether written is known to be stored.
 	stored bool
 }
 
-// due reports whether begin may accept a load.
+// due reports whether to compute the load and call begin. It is true at most once
+// in backlogInterval, as computing the load takes time on a large fleet.
 func (wri *loadWriter) due(now time.Time) bool {
 	wri.mu.Lock()
 	defer wri.mu.Unlock()
-	return !wri.inFlight && now.Sub(wri.at) >= backlogInterval
+	if wri.inFlight || now.Sub(wri.checkedAt) < backlogInterval {
+		return false
+	}
+	wri.checkedAt = now
+	return true
 }
 
 // begin reports whether a load is to be written now. If so, end must be called
--- a/internal/manager/loadwriter_test.go
+++ b/internal/manager/loadwriter_test.go
@@ -44,4 +44,12 @@
 		}
 	}
 	assert.Assert(t, loadInterval < maxLoadAge)
+
+	computed := 0
+	for ms := range 1000 {
+		if wri.due(at(20_000 + ms)) {
+			computed++
+		}
+	}
+	assert.Equal(t, computed, 4, "the load is computed more often than it may be written")
 }
