--- a/internal/core/priority/priority.go
+++ b/internal/core/priority/priority.go
@@ -68,8 +68,9 @@
 // Compare returns a negative number if one comes before oth, and a positive
 // number if it comes after. Long-running steps come first, then steps of jobs
 // that can meet their deadline, by deadline, then those of late jobs, by
-// remaining work, and those whose end has no value any more. Among the jobs that
-// can meet their deadline, and among the late ones, those that exceed their account's allowance come last. Within a class,
+// remaining work, and last those of jobs whose end has no value any more, also by
+// remaining work. Among the jobs that can meet their deadline, and among the late
+// ones, those that exceed their account's allowance come last. Within a class,
 // the queue's priority takes precedence over deadline and work.
 func Compare(now time.Time, one, oth Key) int {
 	cls := one.class(now)
--- a/internal/manager/load.go
+++ b/internal/manager/load.go
@@ -16,12 +16,8 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-// Keys of the duty and of the dispatcher's load.
-const (
-	dutyPrefix = duty.Prefix
-	// loadKey is the key of the dispatcher's load.
-	loadKey = "duty/load"
-)
+// loadKey is the key of the dispatcher's load.
+const loadKey = duty.Prefix + "load"
 
 func encodeLoad(loa scheduler.Load) (raw []byte, err error) {
 	raw, err = msgpack.Marshal(&loa)
--- a/internal/manager/node.go
+++ b/internal/manager/node.go
@@ -128,7 +128,7 @@
 			Store: nod.store, Prefix: platform.OperatorPrefix, Wait: operatorWait, Log: nod.log, Now: nod.now,
 			Reset: nod.operator.reset, Change: nod.operator.change, Confirmed: nod.operator.confirm,
 		},
-		{Store: nod.store, Prefix: dutyPrefix, Wait: dutyWait, Log: nod.log, Now: nod.now, Reset: nod.dutyReset, Change: nod.dutyChanged},
+		{Store: nod.store, Prefix: duty.Prefix, Wait: dutyWait, Log: nod.log, Now: nod.now, Reset: nod.dutyReset, Change: nod.dutyChanged},
 	} {
 		group.Add(func() error { fol.Run(ctx); return nil }, func(error) { stop() })
 	}
