manager: log reads that are served on an old configuration

Successful reads were counted but not logged, so the logs could not tell a process that served a removed route from one that had not received the change.

--- a/internal/manager/node.go
+++ b/internal/manager/node.go
@@ -186,17 +186,18 @@
 	return intake.Freshness{Keyed: keyed, Denied: maxDeniedAge, Write: maxWriteSilence}
 }
 
-// recordCall counts and logs a call. Successful reads are counted but not
-// logged.
+// recordCall counts and logs a call. Successful reads are counted, but logged
+// only if the configuration was not confirmed recently.
 func (nod *Node) recordCall(req *http.Request, id job.ID, ans intake.Answer, took time.Duration) {
 	metrics.GetOrRegisterTimer("calls."+req.Method+"."+ans.Verdict.String(), nod.metrics).Update(took)
-	if req.Method == http.MethodGet && ans.Verdict == intake.VerdictOK {
+	vie := nod.operator.current()
+	age := nod.now().Sub(vie.Confirmed)
+	if req.Method == http.MethodGet && ans.Verdict == intake.VerdictOK && age <= maxDeniedAge {
 		return
 	}
-	vie := nod.operator.current()
 	nod.log.Event("call", decisionlog.Fields{
 		"job": string(id), "method": req.Method, "path": req.URL.Path, "verdict": ans.Verdict.String(), "reason": ans.Reason,
-		"took_ms": took.Milliseconds(), "config_version": vie.Catalog.Version, "config_age_ms": nod.now().Sub(vie.Confirmed).Milliseconds(),
+		"took_ms": took.Milliseconds(), "config_version": vie.Catalog.Version, "config_age_ms": age.Milliseconds(),
 		"retry_after_ms": ans.RetryAfter.Milliseconds(),
 	})
 }
--- a/internal/manager/view.go
+++ b/internal/manager/view.go
@@ -67,6 +67,15 @@
 	}
 }
 
+// unconfirmed returns the time since the view was last known to be the newest;
+// zero before the first confirmation.
+func (opv *operatorView) unconfirmed() time.Duration {
+	if opv.view.Confirmed.IsZero() {
+		return 0
+	}
+	return opv.now().Sub(opv.view.Confirmed)
+}
+
 func (opv *operatorView) reset(items []kv.Item) {
 	opv.mu.Lock()
 	defer opv.mu.Unlock()
@@ -112,7 +121,10 @@
 			return
 		}
 		opv.view.Catalog = cat
-		opv.log.Event("configuration_applied", decisionlog.Fields{"version": cat.Version, "revision": cat.Revision, "queues": len(cat.Queues), "accounts": len(cat.Accounts)})
+		opv.log.Event("configuration_applied", decisionlog.Fields{
+			"version": cat.Version, "revision": cat.Revision, "queues": len(cat.Queues), "accounts": len(cat.Accounts),
+			"bytes": len(itm.Value), "unconfirmed_ms": opv.unconfirmed().Milliseconds(),
+		})
 	case platform.IsWaveKey(itm.Key) && cha.Deleted:
 		delete(opv.waves, itm.Key)
 	case platform.IsWaveKey(itm.Key):
