intake, manager: no call is allowed by a configuration of any age

Now every call that the view allows needs a view younger than 0.9 of config-apply-ms, counted from the sending of the read that confirmed it; the setting is read from the file. Beyond that the call is refused as unavailable, which says that nothing was done. Denials have the same source (0.75).

TestRemovedQueueIsNotServed failed before (ok instead of unavailable at 1.9 s). The processes still do not receive the changes in time; that is a fault of its own.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -79,6 +79,9 @@
 
 // Freshness bounds the age of a view, depending on its use.
 type Freshness struct {
+	// Allowed is the bound for all calls that the view allows, as a newer
+	// configuration may have removed the queue or the key.
+	Allowed time.Duration
 	// Keyed is the bound for calls with a key, so that a withdrawn key stops
 	// working in time.
 	Keyed time.Duration
@@ -133,16 +136,18 @@
 	}
 	acc := vie.Catalog.AccountOf(cal.Key)
 	switch {
+	case acc == nil && !que.Public && age > bounds.Denied:
+		return nil, "", unavailable("no such key, but the configuration may be stale")
+	case acc == nil && !que.Public:
+		return nil, "", Answer{Verdict: VerdictNoKey, Reason: "no such key"}
 	case acc != nil && age > bounds.Keyed:
 		return nil, "", unavailable("the configuration is too stale to authorize a key")
+	case age > bounds.Allowed:
+		return nil, "", unavailable("the queue may have been removed since the configuration was read")
 	case acc != nil:
 		return que, acc.Name, Answer{}
-	case que.Public:
-		return que, "", Answer{}
-	case age > bounds.Denied:
-		return nil, "", unavailable("no such key, but the configuration may be stale")
 	default:
-		return nil, "", Answer{Verdict: VerdictNoKey, Reason: "no such key"}
+		return que, "", Answer{}
 	}
 }
 
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -50,7 +50,7 @@
 	return &JobService{
 		Store: sto, ConfigKey: "config",
 		Freshness: func() Freshness {
-			return Freshness{Keyed: 3 * time.Second, Denied: 1500 * time.Millisecond, Write: 1300 * time.Millisecond}
+			return Freshness{Allowed: 1800 * time.Millisecond, Keyed: 3 * time.Second, Denied: 1500 * time.Millisecond, Write: 1300 * time.Millisecond}
 		},
 		View: func() View { return View{Catalog: cat, Confirmed: noon.Add(-age), LastContact: noon.Add(-age)} },
 	}
@@ -119,6 +119,33 @@
 	}
 }
 
+// TestRemovedQueueIsNotServed guards against serving a queue or a key that an
+// old view still has, after the time within which a change must be applied.
+func TestRemovedQueueIsNotServed(t *testing.T) {
+	raw, err := job.Marshal(job.Spec{ID: "1", Queue: "open"})
+	assert.NilError(t, err)
+	for _, tst := range []struct {
+		age       time.Duration
+		path, key string
+		want      Verdict
+	}{
+		{1700 * time.Millisecond, "/o/", "", VerdictOK},
+		{1700 * time.Millisecond, "/g/", "k", VerdictOK},
+		{1900 * time.Millisecond, "/o/", "", VerdictUnavailable},
+		{1900 * time.Millisecond, "/g/", "k", VerdictUnavailable},
+		{time.Minute, "/o/", "", VerdictUnavailable},
+	} {
+		svc := newService(&scriptedStore{page: kv.Page{Items: []kv.Item{{Key: job.LiveKey("1"), Value: raw, Revision: 3}}}}, tst.age)
+		svc.Pending = func(context.Context, string) (int, error) { return 0, nil }
+		cal := Call{Host: "h", Path: tst.path, Key: tst.key}
+		assert.Equal(t, svc.CountPending(context.Background(), noon, cal).Verdict, tst.want, "count %s %s", tst.age, tst.path)
+		if tst.path == "/o/" {
+			assert.Equal(t, svc.State(context.Background(), noon, cal, "1").Verdict, tst.want, "state %s", tst.age)
+			assert.Equal(t, svc.Cancel(context.Background(), noon, cal, "1").Verdict, tst.want, "cancel %s", tst.age)
+		}
+	}
+}
+
 // TestRefusalOnlyOfUnknownJobs checks that a job that was accepted before is
 // never refused because of load.
 func TestRefusalOnlyOfUnknownJobs(t *testing.T) {
--- a/internal/manager/dispatcher.go
+++ b/internal/manager/dispatcher.go
@@ -58,7 +58,7 @@
 	dis := &dispatcher{nod: nod, ten: ten, events: make(chan scheduler.Event, eventQueueSize), ticketSources: advisory.NewPool(nod.now)}
 	dis.sta = scheduler.New(scheduler.Options{
 		Since: cur.Since, Revision: cur.Revision, Term: cur.Holder.Term,
-		Lease:    min(maxTaskLease, time.Duration(float64(bnd.MaxTaskLease)*leaseFraction)),
+		Lease:    min(maxTaskLease, fraction(bnd.MaxTaskLease, leaseFraction)),
 		StopTime: bnd.StopTime, UpkeepTime: bnd.Upkeep,
 		KeepEnded:              bnd.KeepEnded,
 		ShareWindow:            bnd.ShareWindow,
--- a/internal/manager/node.go
+++ b/internal/manager/node.go
@@ -26,15 +26,17 @@
 	"github.com/rcrowley/go-metrics"
 )
 
-// Bounds on the age of the configuration. Fractions are relative to the time
-// within which a withdrawn key must stop working.
+// Bounds on the age of the configuration. Unless they say otherwise, fractions
+// are relative to the time within which a withdrawn key must stop working.
 const (
 	// keyedAgeFraction bounds the age for calls with a key. It leaves time for
 	// the write that a call may still make.
 	keyedAgeFraction = 0.6
-	// maxDeniedAge bounds the age of a configuration that denies a call: a
-	// version must be in force 2 s after it was written.
-	maxDeniedAge = 1500 * time.Millisecond
+	// allowedAgeFraction and deniedAgeFraction bound the age for answers that
+	// allow or deny a call, relative to the time within which a change must be
+	// in force.
+	allowedAgeFraction = 0.9
+	deniedAgeFraction  = 0.75
 	// maxWriteSilence bounds how long the store may have been silent when a
 	// write is sent. It is a little longer than a watch of the operator's keys
 	// takes.
@@ -153,7 +155,7 @@
 		}
 		return fmt.Errorf("serve on %s: %w", address, err)
 	}, func(error) {
-		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(float64(nod.settings().Bounds.Grace)*shutdownFraction))
+		ctx, cancel := context.WithTimeout(context.Background(), fraction(nod.settings().Bounds.Grace, shutdownFraction))
 		defer cancel()
 		select {
 		case <-dutyReleased:
@@ -182,8 +184,16 @@
 }
 
 func (nod *Node) freshness() intake.Freshness {
-	keyed := time.Duration(float64(nod.settings().Bounds.KeyRevocation) * keyedAgeFraction)
-	return intake.Freshness{Keyed: keyed, Denied: maxDeniedAge, Write: maxWriteSilence}
+	bnd := nod.settings().Bounds
+	return intake.Freshness{
+		Allowed: fraction(bnd.ConfigApply, allowedAgeFraction), Keyed: fraction(bnd.KeyRevocation, keyedAgeFraction),
+		Denied: fraction(bnd.ConfigApply, deniedAgeFraction), Write: maxWriteSilence,
+	}
+}
+
+// fraction returns a fraction of a duration.
+func fraction(dur time.Duration, part float64) time.Duration {
+	return time.Duration(float64(dur) * part)
 }
 
 // recordCall counts and logs a call. Successful reads are counted, but logged
@@ -192,7 +202,7 @@
 	metrics.GetOrRegisterTimer("calls."+req.Method+"."+ans.Verdict.String(), nod.metrics).Update(took)
 	vie := nod.operator.current()
 	age := nod.now().Sub(vie.Confirmed)
-	if req.Method == http.MethodGet && ans.Verdict == intake.VerdictOK && age <= maxDeniedAge {
+	if req.Method == http.MethodGet && ans.Verdict == intake.VerdictOK && age <= nod.freshness().Denied {
 		return
 	}
 	nod.log.Event("call", decisionlog.Fields{
@@ -206,7 +216,7 @@
 // down, or that can't confirm its configuration, accepts no new connections.
 func (nod *Node) ready(ctx context.Context) http.HandlerFunc {
 	return func(wri http.ResponseWriter, _ *http.Request) {
-		bound := time.Duration(float64(nod.settings().Bounds.KeyRevocation) * readyAgeFraction)
+		bound := fraction(nod.settings().Bounds.KeyRevocation, readyAgeFraction)
 		vie := nod.operator.current()
 		if ctx.Err() != nil || vie.Confirmed.IsZero() || nod.now().Sub(vie.Confirmed) > bound {
 			wri.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/manager/reload.go
+++ b/internal/manager/reload.go
@@ -51,7 +51,7 @@
 	nod.set.Store(&fixed)
 	nod.log.Event("settings_reloaded", decisionlog.Fields{
 		"cause": cause, "changed": fixed != old, "restart_needed": fixed != set,
-		"revoke_ms": fixed.Bounds.KeyRevocation.Milliseconds(), "grace_ms": fixed.Bounds.Grace.Milliseconds(), "machine_orders": fixed.MachineOrderRate,
+		"revoke_ms": fixed.Bounds.KeyRevocation.Milliseconds(), "config_apply_ms": fixed.Bounds.ConfigApply.Milliseconds(), "grace_ms": fixed.Bounds.Grace.Milliseconds(), "machine_orders": fixed.MachineOrderRate,
 	})
 }
 
