platform: reads and watches of the store are bounded by silence

Cause: the time limit of a watch, 1.1 s, covered the transfer of the answer. A watch that failed for its length asked for the same changes and the later ones again, so it took longer than the one before and never succeeded; only the end of the store's history ended that. Lists had the same limit over all their pages.

The same limit on lists kept a process from taking the duty over when jobs or progress did not fit into 1.2 s of its link.

Processes still fall behind while changes come faster than their links carry them.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -12,11 +12,11 @@
 	"github.com/balsamgauge/balsamgauge/internal/kv"
 )
 
-// Timing of reads and watches.
+// Timing of reads.
 const (
 	// RetryDelay is the pause after a read of the store that failed.
 	RetryDelay = 100 * time.Millisecond
-	// ReadTimeout bounds a read of the store.
+	// ReadTimeout bounds a read of a few small items.
 	ReadTimeout = 1200 * time.Millisecond
 )
 
@@ -54,9 +54,7 @@
 
 func (fol *Follower) list(ctx context.Context) (rev kv.Revision, ok bool) {
 	sent := fol.Now()
-	callCtx, cancel := context.WithTimeout(ctx, ReadTimeout)
-	defer cancel()
-	items, rev, err := kv.List(callCtx, fol.Store, fol.Prefix)
+	items, rev, err := kv.List(ctx, fol.Store, fol.Prefix)
 	if err != nil {
 		if ctx.Err() == nil {
 			fol.Log.Event("store_read_failed", decisionlog.Fields{"prefix": fol.Prefix, "error": err.Error()})
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -115,7 +115,9 @@
 	Revision Revision
 }
 
-// Store is a key-value store. Reads are linearizable.
+// Store is a key-value store. Reads are linearizable. Range and Watch fail with
+// ErrUnknown once the store falls silent, however long an answer that keeps
+// arriving takes.
 type Store interface {
 	// Get returns an item. It fails with ErrNotFound if the key doesn't exist.
 	Get(ctx context.Context, key string) (itm Item, err error)
--- a/internal/manager/dispatcher.go
+++ b/internal/manager/dispatcher.go
@@ -230,9 +230,7 @@
 // or the context is done.
 func (dis *dispatcher) readAll(ctx context.Context, prefix string) (items []kv.Item, ok bool) {
 	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, follow.ReadTimeout)
-		items, _, err := kv.List(callCtx, dis.nod.store, prefix)
-		cancel()
+		items, _, err := kv.List(ctx, dis.nod.store, prefix)
 		if err == nil {
 			return items, true
 		}
