scheduler: the load holds backlogs by pool, not by queue

Cause: the dispatcher publishes its load up to four times a second to all entries and repeated a pool's backlog for each of its queues. With 1,650 queues the load took 137 kB, so that most of such a link carried loads (store_changes_skipped of duty/ in the log).

Backlogs belong to pools; an entry looks up the pool of the queue in its own configuration. The field has a new name in the record (w -> b), as its keys mean something else; a process that misses it admits all jobs, as without a load.

--- a/internal/core/scheduler/load.go
+++ b/internal/core/scheduler/load.go
@@ -14,10 +14,10 @@
 	// Pending is, by queue, the number of jobs of which no task has started.
 	// Jobs with scheduled occurrences are not counted.
 	Pending map[string]int `msgpack:"p"`
-	// Backlog holds, by queue, the time that the work of accepted jobs takes
-	// whose deadline is within each of backlogHorizons. Queues with less than
+	// Backlog holds, by pool, the time that the work of accepted jobs takes
+	// whose deadline is within each of backlogHorizons. Pools with less than
 	// minBacklog are left out.
-	Backlog map[string][]time.Duration `msgpack:"w,omitempty"`
+	Backlog map[string][]time.Duration `msgpack:"b,omitempty"`
 	// AccountBacklog is the time that a new job of a client account waits for the
 	// account's other jobs, if they are held back by the account's cap or exceed
 	// its allowance. Accounts with less than minBacklog are left out.
@@ -57,10 +57,9 @@
 	loa.AdvisorBacklog = sta.advisorBacklog().Truncate(advisorBacklogUnit)
 	backlogs, accountBacklogs := sta.backlogs()
 	loa.AccountBacklog = accountBacklogs
-	for i := range sta.catalog.Queues {
-		que := &sta.catalog.Queues[i]
-		if waits := backlogs[que.Pool]; len(waits) > 0 && waits[len(waits)-1] >= minBacklog {
-			loa.Backlog[que.Name] = waits
+	for pool, waits := range backlogs {
+		if len(waits) > 0 && waits[len(waits)-1] >= minBacklog {
+			loa.Backlog[pool] = waits
 		}
 	}
 	for _, mac := range sta.machines.byName {
@@ -107,7 +106,7 @@
 		}
 	}
 	objective := que.Objective(spe.CriticalPath(nil, nil))
-	wait := max(loa.backlogBefore(que.Name, objective), loa.AccountBacklog[spe.Account])
+	wait := max(loa.backlogBefore(que.Pool, objective), loa.AccountBacklog[spe.Account])
 	if que.Advice != nil {
 		wait = max(wait, loa.AdvisorBacklog)
 	}
@@ -117,10 +116,10 @@
 	return 0, ""
 }
 
-// backlogBefore returns the time that a new job of a queue with the given latency
+// backlogBefore returns the time that a new job for a pool with the given latency
 // objective waits for jobs with earlier deadlines.
-func (loa Load) backlogBefore(queue string, objective time.Duration) time.Duration {
-	waits := loa.Backlog[queue]
+func (loa Load) backlogBefore(pool string, objective time.Duration) time.Duration {
+	waits := loa.Backlog[pool]
 	if len(waits) == 0 {
 		return 0
 	}
--- a/internal/core/scheduler/overload_test.go
+++ b/internal/core/scheduler/overload_test.go
@@ -99,7 +99,7 @@
 func TestAdmit(t *testing.T) {
 	cat := testCatalog()
 	que := cat.Queue("gate")
-	loa := Load{Backlog: map[string][]time.Duration{"gate": {0, 0, 0, 7 * time.Second, 7 * time.Second, 9 * time.Second}}, Sizes: []job.Size{{CPU: 16_000, Memory: 1000}, {CPU: 8000, Memory: 64_000}}}
+	loa := Load{Backlog: map[string][]time.Duration{"lots": {0, 0, 0, 7 * time.Second, 7 * time.Second, 9 * time.Second}}, Sizes: []job.Size{{CPU: 16_000, Memory: 1000}, {CPU: 8000, Memory: 64_000}}}
 	step := func(cpu, memory int64, span time.Duration) job.Spec {
 		return job.Spec{Steps: []job.Step{{Count: 1, Size: job.Size{CPU: cpu, Memory: memory}, Estimate: span}}}
 	}
