intake: a conflict brings the newest configuration and is transferred once

Seen by callers: while a large configuration changed, submissions through entries on narrow links took two seconds and ended as unknown or unavailable.

Cause: a submission is conditional on the configuration, and a conflict returns the whole of it, 477 kB as encoded: 0.38 s of a 10 Mbit/s link. Nothing used it: the submission repeated the same conflict until a watch had brought the change. Each attempt was cut off after 0.7 s, in the middle of the answer, and repeated, so that a few submissions filled the link and delayed the watch itself.

The configuration in the conflict now goes into the view, and the time limit of an attempt covers the beginning of the answer only, as for watches (Store.WithAnswerTimeout).

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -97,9 +97,13 @@
 
 // JobService carries out calls about jobs. It is safe for concurrent use.
 type JobService struct {
+	// Store fails calls that it doesn't begin to answer within AnswerTimeout.
 	Store kv.Store
 	// ConfigKey is the store key of the configuration.
 	ConfigKey string
+	// Learn is called with a configuration that conflicted with a transaction,
+	// so that the view has it from then on. It may be nil.
+	Learn func(itm kv.Item)
 	// Freshness returns the current bounds.
 	Freshness func() Freshness
 	// View returns the current view.
@@ -207,6 +211,9 @@
 		if con.Item(job.LiveKey(spe.ID)).Revision != 0 || con.Item(job.EndedKey(spe.ID)).Revision != 0 {
 			return Answer{Verdict: VerdictOK, State: job.StateQueued, Reason: "accepted before"}, false
 		}
+		if itm := con.Item(svc.ConfigKey); svc.Learn != nil && itm.Revision != 0 {
+			svc.Learn(itm)
+		}
 		return Answer{}, true
 	case errors.Is(err, kv.ErrUnknown):
 		return Answer{Verdict: VerdictUnknown, Reason: err.Error()}, false
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -178,7 +178,22 @@
 	assert.Equal(t, ans.Verdict, VerdictOK)
 }
 
-// silentStore leaves its first reads unanswered.
+// TestConflictBringsConfiguration guards against conflicts that repeat until a
+// watch has brought the newest configuration: the conflict itself holds it.
+func TestConflictBringsConfiguration(t *testing.T) {
+	sto := &scriptedStore{errs: []error{&kv.ConflictError{Current: []kv.Item{{Key: "config", Revision: 8}}}}}
+	svc := newService(sto, 0)
+	vie := svc.View()
+	svc.View = func() View { return vie }
+	svc.Learn = func(itm kv.Item) { vie.Catalog.Revision = int64(itm.Revision) }
+	ans := svc.Submit(context.Background(), noon, Call{Host: "h", Path: "/g/1", Key: "k"}, oneStepJob())
+	assert.Equal(t, ans.Verdict, VerdictOK)
+	assert.Equal(t, len(sto.commits), 2)
+	assert.DeepEqual(t, sto.commits[1].Conditions[2], kv.Condition{Key: "config", Revision: 8})
+}
+
+// silentStore leaves its first reads unanswered, as on a connection that went
+// silent.
 type silentStore struct {
 	scriptedStore
 	silent int
@@ -187,8 +202,11 @@
 func (sto *silentStore) Range(ctx context.Context, prefix, after string) (kv.Page, error) {
 	if sto.silent > 0 {
 		sto.silent--
-		<-ctx.Done()
-		return kv.Page{}, errors.Join(kv.ErrUnknown, ctx.Err())
+		select {
+		case <-ctx.Done():
+		case <-time.After(AnswerTimeout):
+		}
+		return kv.Page{}, errors.Join(kv.ErrUnknown, context.DeadlineExceeded)
 	}
 	return sto.scriptedStore.Range(ctx, prefix, after)
 }
--- a/internal/intake/retry.go
+++ b/internal/intake/retry.go
@@ -10,9 +10,10 @@
 
 // Limits of retries of calls to the store.
 const (
-	// attemptTimeout bounds one attempt. A store that is slow by a factor of 60
-	// answers within 240 ms; a connection that went silent never does.
-	attemptTimeout = 700 * time.Millisecond
+	// AnswerTimeout bounds how long the store may take to begin its answer to an
+	// attempt. A store that is slow by a factor of 60 answers within 240 ms; a
+	// connection that went silent never does.
+	AnswerTimeout = 700 * time.Millisecond
 	// maxAttempts is how often an unanswered call is made.
 	maxAttempts = 3
 )
@@ -25,9 +26,7 @@
 func retryUnanswered(ctx context.Context, call func(ctx context.Context) error) (err error) {
 	var unknown error
 	for range maxAttempts {
-		callCtx, cancel := context.WithTimeout(ctx, attemptTimeout)
-		err = call(callCtx)
-		cancel()
+		err = call(ctx)
 		var con *kv.ConflictError
 		switch {
 		case err == nil || errors.As(err, &con) || errors.Is(err, kv.ErrNotFound):
--- a/internal/manager/node.go
+++ b/internal/manager/node.go
@@ -58,7 +58,7 @@
 	set       atomic.Pointer[platform.Settings]
 	log       *decisionlog.Log
 	now       func() time.Time
-	store     kv.Store
+	store     *platform.Store
 	executors *platform.Executors
 	machines  *platform.Machines
 	relay     *advisory.Relay
@@ -176,9 +176,9 @@
 
 func (nod *Node) ingress() http.Handler {
 	svc := &intake.JobService{
-		Store: nod.store, ConfigKey: platform.ConfigKey,
-		Freshness: nod.freshness,
-		View:      nod.operator.current, Admit: nod.load.admit, Pending: nod.load.pending,
+		Store: nod.store.WithAnswerTimeout(intake.AnswerTimeout), ConfigKey: platform.ConfigKey,
+		Freshness: nod.freshness, Learn: nod.operator.learnConfig,
+		View: nod.operator.current, Admit: nod.load.admit, Pending: nod.load.pending,
 	}
 	return &platform.Ingress{JobService: svc, Now: nod.now, AfterCall: nod.recordCall}
 }
--- a/internal/manager/view.go
+++ b/internal/manager/view.go
@@ -93,6 +93,12 @@
 	opv.notify()
 }
 
+// learnConfig applies a configuration that the store returned to a transaction.
+// It may be newer than what the watch has reported so far.
+func (opv *operatorView) learnConfig(itm kv.Item) {
+	opv.change(kv.Change{Item: itm})
+}
+
 func (opv *operatorView) notify() {
 	close(opv.changed)
 	opv.changed = make(chan struct{})
@@ -111,15 +117,13 @@
 		return
 	}
 	switch {
-	case itm.Key == platform.ConfigKey && !cha.Deleted:
+	case itm.Key == platform.ConfigKey && (cha.Deleted || int64(itm.Revision) <= opv.view.Catalog.Revision):
+	case itm.Key == platform.ConfigKey:
 		cat, err := platform.DecodeCatalog(itm)
 		if err != nil {
 			opv.log.Event("entry_ignored", decisionlog.Fields{"key": itm.Key, "revision": itm.Revision, "error": err.Error()})
 			return
 		}
-		if cat.Revision <= opv.view.Catalog.Revision {
-			return
-		}
 		opv.view.Catalog = cat
 		opv.log.Event("configuration_applied", decisionlog.Fields{
 			"version": cat.Version, "revision": cat.Revision, "queues": len(cat.Queues), "accounts": len(cat.Accounts),
