follow: a failed watch is repeated without a wait

Cause: after a watch on a silent connection failed, the next one waited for its full time again, so the view was confirmed up to 2.6 s late. Since calls need a view younger than 0.9 of config-apply-ms, a process on a small site would refuse them for 0.8 s after each connection that goes silent.

The watch after a failure waits for nothing, and the pause before it counts from the sending of the one that failed, so that only failures in quick succession are slowed down.

TestViewAfterSilentWatch failed before (nothing was confirmed for 2.6 s; the bound is the small sites' 2 s).

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -76,8 +76,14 @@
 func (fol *Follower) watch(ctx context.Context, rev kv.Revision) {
 	failed := false
 	for ctx.Err() == nil {
+		// After a failure nothing has been confirmed for some time: the next watch
+		// is to be answered at once.
+		wait := fol.Wait
+		if failed {
+			wait = 0
+		}
 		sent := fol.Now()
-		bat, err := fol.Store.Watch(ctx, fol.Prefix, rev, fol.Wait)
+		bat, err := fol.Store.Watch(ctx, fol.Prefix, rev, wait)
 		if errors.Is(err, kv.ErrCompacted) {
 			fol.Log.Event("store_history_gone", decisionlog.Fields{"prefix": fol.Prefix, "revision": rev})
 			return
@@ -87,7 +93,7 @@
 				fol.Log.Event("store_lost", decisionlog.Fields{"prefix": fol.Prefix, "error": err.Error()})
 			}
 			failed = true
-			clock.Pause(ctx, RetryDelay)
+			clock.Pause(ctx, RetryDelay-fol.Now().Sub(sent))
 			continue
 		}
 		if failed {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -21,7 +21,9 @@
 	bytesPerSecond int
 	// versions holds the item at each revision, from revision 1.
 	versions []kv.Item
-	lists    int
+	// silent is the number of further watches that get no answer.
+	silent int
+	lists  int
 }
 
 const linkedKey = "op/config"
@@ -48,7 +50,15 @@
 	return pag, nil
 }
 
+// watchSlack is how long after its wait has passed an unanswered watch fails.
+const watchSlack = 400 * time.Millisecond
+
 func (sto *linkedStore) Watch(ctx context.Context, _ string, after kv.Revision, wait time.Duration) (kv.Batch, error) {
+	if sto.silent > 0 {
+		sto.silent--
+		time.Sleep(wait + watchSlack)
+		return kv.Batch{}, kv.ErrUnknown
+	}
 	for end := time.Now().Add(wait); sto.revision() == after && time.Now().Before(end) && ctx.Err() == nil; {
 		time.Sleep(time.Millisecond)
 	}
@@ -117,3 +127,20 @@
 		assert.Equal(t, sto.lists, 1)
 	})
 }
+
+// TestViewAfterSilentWatch guards against a view that stays unconfirmed for the
+// wait of another watch after one that got no answer.
+func TestViewAfterSilentWatch(t *testing.T) {
+	log := decisionlog.New(io.Discard, "test", time.Now)
+	synctest.Test(t, func(t *testing.T) {
+		const configApply = 2 * time.Second
+		sto := &linkedStore{bytesPerSecond: 1_250_000}
+		sto.put([]byte("x"))
+		longest := followLinked(log, sto, func() {
+			time.Sleep(time.Second)
+			sto.silent = 1
+			time.Sleep(10 * time.Second)
+		})
+		assert.Assert(t, longest < configApply, "nothing was confirmed for %s", longest)
+	})
+}
