scheduler: a task that crashes its VMs is isolated and then given up

Seen by callers: one task of a job crashed VM after VM, 107 of them in 45 s; with each went a dozen other runs (2,042 of 8,284 lost).

Cause: only ends that a VM reports as failed counted as attempts. A VM that crashed reports none, so its tasks simply started again, packed among others.

A crash, which is the loss of a VM that was neither leaving nor going down by an order, now counts against the tasks that ran there. After two a task is a suspect: it runs on a VM without other tasks that end by themselves, and VMs with the fewest runs, a quarter of the pool at most, are kept free for suspects. So the third crash shows the cause, and the task's job fails. A crash under a suspect counts against no other. Counts are stored with the progress.

--- a/internal/core/scheduler/assign.go
+++ b/internal/core/scheduler/assign.go
@@ -61,6 +61,7 @@
 	// The pools share the limit of starts in flight, so their stages are ordered
 	// together.
 	slices.SortFunc(waiting, func(one, oth waitingStage) int { return priority.Compare(sta.now, one.priorityKey, oth.priorityKey) })
+	sta.keepFree(waiting, hosts)
 	for _, wai := range waiting {
 		sta.place(wai.stage, hosts[wai.pool])
 	}
@@ -142,6 +143,9 @@
 			return
 		}
 		hos := sta.chooseHost(stg, i, hosts, nil)
+		if hos == nil && tas.isSuspect() {
+			continue
+		}
 		if hos == nil {
 			return
 		}
@@ -184,7 +188,7 @@
 	for _, hos := range hosts {
 		// A former run that is being stopped there would be mistaken for the new
 		// one.
-		if hos.runs[name] != nil || !sta.canRun(stg, hos, planned[hos]) {
+		if hos.runs[name] != nil || !sta.canRun(stg, hos, planned[hos]) || hos.isolates(stg.tasks[index].isSuspect()) {
 			continue
 		}
 		sco := sta.score(stg, hos, planned[hos])
--- /dev/null
+++ b/internal/core/scheduler/crash_test.go
@@ -0,0 +1,137 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/balsamgauge/balsamgauge/internal/core/job"
+	"github.com/balsamgauge/balsamgauge/internal/core/worker"
+	"gotest.tools/v3/assert"
+)
+
+// crashScenario runs 100 jobs for ten seconds, every twentieth of which has a task
+// that crashes each VM that starts it, beside tasks that serve. It returns the
+// deadly tasks and all jobs.
+func crashScenario(t *testing.T, seed uint64, kills ...time.Duration) (emu *emulator, deadly []job.Task, jobs []job.Spec) {
+	emu = newEmulator(seed, testCatalog())
+	emu.addVMs("lots", 12, 3, job.Size{CPU: 16_000, Memory: 32_768})
+	emu.deadly = func(tas job.Task) bool {
+		for _, dea := range deadly {
+			if tas == dea {
+				return true
+			}
+		}
+		return false
+	}
+	emu.takeOver(testOptions())
+	serving := job.Spec{ID: jobName(999), Queue: "settle", Account: "large", Payload: "x", Steps: []job.Step{
+		{Count: 12, Size: job.Size{CPU: 1000, Memory: 512}, LongRunning: true, MaxUnavailable: 1},
+	}}
+	emu.after(0, func() { emu.submit(serving) })
+	for i := range 100 {
+		spe := fanOut(i+1, "large", 4, 1000, 500*time.Millisecond)
+		if i%20 == 10 {
+			deadly = append(deadly, job.Task{Job: spe.ID, Index: 2})
+		}
+		jobs = append(jobs, spe)
+		emu.after(time.Second+time.Duration(emu.rng.Int64N(int64(10*time.Second))), func() { emu.submit(spe) })
+	}
+	for _, at := range kills {
+		emu.after(at, emu.killDispatcher)
+	}
+	emu.run(40 * time.Second)
+	assert.DeepEqual(t, emu.violations, []string(nil))
+	return emu, deadly, jobs
+}
+
+// stateOf returns the stored state of a job; empty if it has not ended.
+func (emu *emulator) stateOf(t *testing.T, id job.ID) job.State {
+	itm, ok := emu.store.items[job.EndedKey(id)]
+	if !ok {
+		return ""
+	}
+	out, err := job.Unmarshal[job.Outcome](itm.Value)
+	assert.NilError(t, err)
+	return out.State
+}
+
+// TestTaskThatCrashesVMs guards against a task that crashes one VM after the
+// other: it is given up, and the tasks that ran beside it are done.
+func TestTaskThatCrashesVMs(t *testing.T) {
+	for seed := range uint64(10) {
+		for _, kills := range [][]time.Duration{nil, {4 * time.Second}, {2500 * time.Millisecond, 6 * time.Second}} {
+			emu, deadly, jobs := crashScenario(t, seed, kills...)
+			failed := map[job.ID]bool{}
+			for _, dea := range deadly {
+				failed[dea.Job] = true
+				assert.Assert(t, len(emu.truthOf(dea).crashes) <= 3+len(kills), "seed %d: %s crashed %d VMs", seed, dea, len(emu.truthOf(dea).crashes))
+			}
+			for _, spe := range jobs {
+				want := job.StateCompleted
+				if failed[spe.ID] {
+					want = job.StateFailed
+				}
+				assert.Equal(t, emu.stateOf(t, spe.ID), want, "seed %d, kills %v: job %s", seed, kills, spe.ID)
+			}
+			assert.Equal(t, emu.stateOf(t, jobName(999)), job.State(""), "the serving job must live on")
+		}
+	}
+}
+
+// TestAdoptedTaskIsNotGivenUp guards against giving up a job that lasts because a
+// VM crashed soon after a takeover: the new dispatcher does not know how long the
+// task has run, but did not start it.
+func TestAdoptedTaskIsNotGivenUp(t *testing.T) {
+	now := time.Date(2026, 1, 2, 3, 0, 0, 0, time.UTC)
+	opt := testOptions()
+	opt.Since, opt.Revision, opt.Term = now, 10, 2
+	sta := New(opt)
+	one := testVM("vm-1")
+	spe := job.Spec{ID: jobName(1), Queue: "settle", Account: "large", Payload: "x", Accepted: now, Steps: []job.Step{
+		{Count: 1, Size: job.Size{CPU: 1000, Memory: 512}, LongRunning: true},
+	}}
+	name := job.Task{Job: spe.ID}
+	reduce := func(events ...Event) {
+		now = now.Add(100 * time.Millisecond)
+		sta.Reduce(now, append(events, JobWatchProgressed{At: now}))
+	}
+	progress := job.Progress{Tasks: []job.TaskRecord{{Crashes: maxCrashes - 1, Run: 3}}}
+	reduce(CatalogChanged{testCatalog()}, VMRegistered{one}, JobAccepted{Spec: spe, Revision: 5, Progress: progress}, JobsLoaded{})
+	reduce(PollAnswered{VM: one, Sent: now, Report: worker.Report{StartedAtMS: one.StartedAtMS, Clock: time.Second, Running: []worker.Running{{Task: name, Run: 3, Percent: 100}}}})
+	assert.Assert(t, sta.hosts[one.ID].runs[name] != nil, "the run must be adopted")
+	again := one
+	again.StartedAtMS = 2
+	reduce(VMRegistered{again})
+	assert.Equal(t, sta.jobs[spe.ID].final, job.State(""))
+	assert.Equal(t, sta.jobs[spe.ID].occs[0].stages[0].tasks[0].crashes, maxCrashes-1)
+}
+
+// TestCrashUnderSuspectClearsOthers guards against blaming tasks that started
+// beside a suspect for the crash that it causes.
+func TestCrashUnderSuspectClearsOthers(t *testing.T) {
+	now := time.Date(2026, 1, 2, 3, 0, 0, 0, time.UTC)
+	opt := testOptions()
+	opt.Since, opt.Revision, opt.Term = now, 10, 2
+	sta := New(opt)
+	one := testVM("vm-1")
+	serving := job.Spec{ID: jobName(1), Queue: "settle", Account: "large", Payload: "x", Accepted: now, Steps: []job.Step{
+		{Count: 1, Size: job.Size{CPU: 1000, Memory: 512}, LongRunning: true},
+	}}
+	deadly := fanOut(2, "large", 1, 500, time.Second)
+	deadly.Accepted = now
+	reduce := func(events ...Event) {
+		now = now.Add(100 * time.Millisecond)
+		sta.Reduce(now, append(events, JobWatchProgressed{At: now}))
+	}
+	progress := job.Progress{Tasks: []job.TaskRecord{{Crashes: maxCrashes - 1, Run: 3}}}
+	reduce(CatalogChanged{testCatalog()}, VMRegistered{one}, JobAccepted{Spec: serving, Revision: 11}, JobAccepted{Spec: deadly, Revision: 12, Progress: progress}, JobsLoaded{})
+	reduce(PollAnswered{VM: one, Sent: now, Report: worker.Report{StartedAtMS: one.StartedAtMS, Clock: time.Second}})
+	beside := job.Task{Job: serving.ID}
+	sta.reserve(sta.hosts[one.ID], sta.stageOf(beside), beside, 1, runRunning)
+	assert.Equal(t, len(sta.hosts[one.ID].runs), 2, "both tasks must run on the VM")
+	again := one
+	again.StartedAtMS = 2
+	reduce(VMRegistered{again})
+	assert.Equal(t, sta.jobs[deadly.ID].final, job.StateFailed)
+	assert.Equal(t, sta.jobs[serving.ID].occs[0].stages[0].tasks[0].crashes, 0)
+}
--- /dev/null
+++ b/internal/core/scheduler/crashes.go
@@ -0,0 +1,125 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/balsamgauge/balsamgauge/internal/core/job"
+)
+
+// Limits for tasks that crash the VMs that run them.
+const (
+	// suspectCrashes is the number of crashes after which a task runs apart from
+	// others, so that the next one shows whether it is the cause.
+	suspectCrashes = 2
+	// maxCrashes is the number of crashes after which a task is given up.
+	maxCrashes = 3
+	// startupTime is the age up to which a run of a long-running step counts as
+	// a possible cause of a crash, and beyond which it is cleared of suspicion.
+	startupTime = 5 * time.Second
+	// maxKeptFree is the part of a pool's VMs that may be kept free for suspects.
+	maxKeptFree = 0.25
+)
+
+// isSuspect reports whether the task may be what crashes its VMs.
+func (tas *task) isSuspect() bool { return tas.crashes >= suspectCrashes }
+
+// mayHaveCrashed reports whether a run may be why its VM crashed.
+func (pla *placement) mayHaveCrashed(now time.Time) bool {
+	switch {
+	case pla.stage == nil || pla.state == runStopping || pla.state == runStopAccepted:
+		return false
+	case pla.stage.step.LongRunning:
+		return !pla.adopted && now.Sub(pla.since) <= startupTime
+	default:
+		return true
+	}
+}
+
+// countCrash counts a crash against the tasks that may be its cause, and gives up
+// those with too many. If a suspect ran on the VM, it counts against no other.
+func (sta *State) countCrash(hos *host) {
+	for _, pla := range slices.Clone(hos.runList) {
+		if !pla.mayHaveCrashed(sta.now) || hos.suspects > 0 && !pla.suspect || pla.stage.liveJob.final != "" {
+			continue
+		}
+		stg := pla.stage
+		tas := &stg.tasks[pla.task.Index]
+		tas.crashes++
+		sta.markDirty(stg.liveJob)
+		if !tas.isSuspect() {
+			continue
+		}
+		givenUp := tas.crashes >= maxCrashes
+		sta.logDecision("task_suspected", pla.task.Job, map[string]any{
+			"task": pla.task.String(), "run": pla.run, "vm": hos.vm.ID, "crashes": tas.crashes, "runs_beside": len(hos.runList) - 1, "given_up": givenUp,
+		})
+		if givenUp {
+			sta.finish(stg.liveJob, job.StateFailed)
+		}
+	}
+}
+
+// clearSuspects clears the long-running tasks that have outlasted their startup
+// on the VM.
+func (sta *State) clearSuspects(hos *host) {
+	for _, pla := range hos.runList {
+		if pla.stage == nil || !pla.stage.step.LongRunning || pla.state != runRunning || sta.now.Sub(pla.since) <= startupTime {
+			continue
+		}
+		if tas := &pla.stage.tasks[pla.task.Index]; tas.crashes > 0 {
+			tas.crashes = 0
+			hos.setSuspect(pla, false)
+			sta.markDirty(pla.stage.liveJob)
+		}
+	}
+}
+
+// isolates reports whether the host keeps a task apart from others: suspects run
+// neither with each other nor with tasks that end by themselves.
+func (hos *host) isolates(suspect bool) bool {
+	return hos.suspects > 0 || suspect && hos.finite > 0 || !suspect && hos.keptFree
+}
+
+// setSuspect records whether a run on the host is a suspect's.
+func (hos *host) setSuspect(pla *placement, suspect bool) {
+	switch {
+	case suspect && !pla.suspect:
+		hos.suspects++
+	case !suspect && pla.suspect:
+		hos.suspects--
+	}
+	pla.suspect = suspect
+}
+
+// addFinite adds to the number of runs on the host that end by themselves.
+func (hos *host) addFinite(pla *placement, n int) {
+	if !pla.stage.step.LongRunning {
+		hos.finite += n
+	}
+}
+
+// keepFree selects the hosts that get no other tasks while suspects wait for
+// them: those with the fewest runs.
+func (sta *State) keepFree(waiting []waitingStage, hosts map[string][]*host) {
+	for _, hos := range sta.hostList {
+		hos.keptFree = false
+	}
+	suspects := map[string]int{}
+	for _, wai := range waiting {
+		for i := range wai.stage.tasks {
+			if tas := &wai.stage.tasks[i]; tas.phase == phaseWaiting && tas.isSuspect() {
+				suspects[wai.pool]++
+			}
+		}
+	}
+	for pool, count := range suspects {
+		free := slices.DeleteFunc(slices.Clone(hosts[pool]), func(hos *host) bool { return hos.isolates(false) })
+		slices.SortStableFunc(free, func(one, oth *host) int { return cmp.Compare(len(one.runs), len(oth.runs)) })
+		limit := max(1, int(maxKeptFree*float64(len(hosts[pool]))))
+		for _, hos := range free[:min(count, limit, len(free))] {
+			hos.keptFree = true
+		}
+	}
+}
--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -93,6 +93,9 @@
 // removeHost removes a VM that has ended, with all its runs.
 func (sta *State) removeHost(hos *host, reason string) {
 	sta.logDecision("vm_lost", "", map[string]any{"vm": hos.vm.ID, "runs": len(hos.runs), "reason": reason})
+	if !hos.goingDown && !hos.vm.Leaving {
+		sta.countCrash(hos)
+	}
 	for _, pla := range slices.Clone(hos.runList) {
 		sta.release(hos, pla)
 	}
@@ -114,6 +117,8 @@
 	if stg == nil {
 		return
 	}
+	hos.setSuspect(pla, false)
+	hos.addFinite(pla, -1)
 	tas := &stg.tasks[pla.task.Index]
 	if tas.host != hos {
 		return
@@ -133,6 +138,8 @@
 		pla.reserved, pla.size, pla.account = stg.step.Reservation(), stg.step.Size, stg.liveJob.spec.Account
 		tas := &stg.tasks[name.Index]
 		tas.run = max(tas.run, run)
+		hos.setSuspect(pla, tas.isSuspect())
+		hos.addFinite(pla, 1)
 		if tas.phase == phaseWaiting {
 			tas.phase, tas.host = phasePlaced, hos
 			stg.waiting--
@@ -270,6 +277,7 @@
 		}
 	}
 	sta.controlPace(hos)
+	sta.clearSuspects(hos)
 }
 
 // applyRunning updates the record of a run that a VM reports as active.
@@ -299,6 +307,7 @@
 func (sta *State) adopt(hos *host, stg *stage, row worker.Running) *placement {
 	wanted := stg != nil && stg.liveJob.final == "" && stg.tasks[row.Task.Index].phase == phaseWaiting
 	pla := sta.reserve(hos, stg, row.Task, row.Run, runRunning)
+	pla.adopted = true
 	sta.logDecision("run_adopted", row.Task.Job, map[string]any{"task": row.Task.String(), "run": row.Run, "vm": hos.vm.ID, "wanted": wanted})
 	if !wanted {
 		sta.stop(pla)
--- a/internal/core/scheduler/jobs.go
+++ b/internal/core/scheduler/jobs.go
@@ -100,7 +100,7 @@
 	liv.begun = true
 	stg := &liv.occs[rec.Occurrence].stages[rec.Step]
 	tas := &stg.tasks[rec.Index]
-	tas.failedRuns = rec.FailedRuns
+	tas.failedRuns, tas.crashes = rec.FailedRuns, rec.Crashes
 	tas.checkpoint, tas.run = rec.Checkpoint, max(tas.run, rec.Run)
 	if rec.Done && tas.phase != phaseDone {
 		sta.markDone(stg, rec.Index)
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -67,6 +67,8 @@
 	// failedRuns lists the runs that failed. VMs report in any order, so a lower
 	// run may be reported after a higher one.
 	failedRuns []int
+	// crashes is the number of VMs that crashed while they ran the task.
+	crashes    int
 	checkpoint string
 	// host is the host of the task's run; nil unless the phase is phasePlaced.
 	host *host
@@ -169,7 +171,10 @@
 	reserved job.Size
 	size     job.Size
 	account  string
-	state    runState
+	// suspect reports whether the task is a suspect (task.isSuspect), adopted
+	// whether a former dispatcher started the run.
+	suspect, adopted bool
+	state            runState
 	// stage is nil for a run of an unknown job.
 	stage *stage
 	// since is when the run entered its state.
@@ -242,6 +247,11 @@
 	idleSince time.Time
 	// failures counts the consecutive failed runs on the VM.
 	failures int
+	// suspects counts the runs of suspects on the VM, finite those of tasks that
+	// end by themselves.
+	suspects, finite int
+	// keptFree reports whether the VM gets only suspects in this call of Reduce.
+	keptFree bool
 	// pace controls the pace of the best-effort tasks on the VM.
 	pace pace.Control
 }
