follow: a failed watch of the operator's keys is followed by a list

Cause: while the store drops its history, watches get no answer for a second.

A list is answered at once in both cases, with the newest state. Other prefixes, which may hold many items, repeat the watch as they did before.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -31,8 +31,12 @@
 	// Wait is how long one watch waits for changes. It bounds how long a
 	// connection that went silent goes unnoticed.
 	Wait time.Duration
-	Log  *decisionlog.Log
-	Now  func() time.Time
+	// ListAfterFailure makes a failed watch be followed by a list, which the
+	// store answers at once. It is for prefixes with few items, whose view must
+	// not get old.
+	ListAfterFailure bool
+	Log              *decisionlog.Log
+	Now              func() time.Time
 	// Reset is called with all items at the start, and whenever changes were
 	// lost or skipped.
 	Reset func(items []kv.Item)
@@ -42,6 +46,9 @@
 	// which it was sent: all changes up to that time have been reported. It may
 	// be nil.
 	Confirmed func(sent time.Time)
+
+	// lost reports whether the last call failed.
+	lost bool
 }
 
 // Run follows until the context is done.
@@ -56,15 +63,30 @@
 	}
 }
 
+// failed logs the first of several failures in a row.
+func (fol *Follower) failed(ctx context.Context, event string, err error) {
+	if ctx.Err() == nil && !fol.lost {
+		fol.Log.Event(event, decisionlog.Fields{"prefix": fol.Prefix, "error": err.Error()})
+	}
+	fol.lost = true
+}
+
+// answered logs the first answer after failures.
+func (fol *Follower) answered(rev kv.Revision) {
+	if fol.lost {
+		fol.Log.Event("store_regained", decisionlog.Fields{"prefix": fol.Prefix, "revision": rev})
+	}
+	fol.lost = false
+}
+
 func (fol *Follower) list(ctx context.Context) (rev kv.Revision, ok bool) {
 	sent := fol.Now()
 	items, rev, err := kv.List(ctx, fol.Store, fol.Prefix)
 	if err != nil {
-		if ctx.Err() == nil {
-			fol.Log.Event("store_read_failed", decisionlog.Fields{"prefix": fol.Prefix, "error": err.Error()})
-		}
+		fol.failed(ctx, "store_read_failed", err)
 		return 0, false
 	}
+	fol.answered(rev)
 	fol.Reset(items)
 	fol.confirm(sent)
 	return rev, true
@@ -74,32 +96,22 @@
 // they can be transferred, or the context is done. A list transfers only the
 // newest version of each item, a watch all of them.
 func (fol *Follower) watch(ctx context.Context, rev kv.Revision) {
-	failed := false
 	for ctx.Err() == nil {
-		// After a failure nothing has been confirmed for some time: the next watch
-		// is to be answered at once.
-		wait := fol.Wait
-		if failed {
-			wait = 0
-		}
 		sent := fol.Now()
-		bat, err := fol.Store.Watch(ctx, fol.Prefix, rev, wait)
+		bat, err := fol.Store.Watch(ctx, fol.Prefix, rev, fol.Wait)
 		if errors.Is(err, kv.ErrCompacted) {
 			fol.Log.Event("store_history_gone", decisionlog.Fields{"prefix": fol.Prefix, "revision": rev})
 			return
 		}
 		if err != nil {
-			if ctx.Err() == nil && !failed {
-				fol.Log.Event("store_lost", decisionlog.Fields{"prefix": fol.Prefix, "error": err.Error()})
-			}
-			failed = true
+			fol.failed(ctx, "store_lost", err)
 			clock.Pause(ctx, RetryDelay-fol.Now().Sub(sent))
+			if fol.ListAfterFailure {
+				return
+			}
 			continue
 		}
-		if failed {
-			failed = false
-			fol.Log.Event("store_regained", decisionlog.Fields{"prefix": fol.Prefix, "revision": bat.Revision})
-		}
+		fol.answered(bat.Revision)
 		rev = bat.Revision
 		for _, cha := range bat.Changes {
 			fol.Change(cha)
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -21,7 +21,8 @@
 	bytesPerSecond int
 	// versions holds the item at each revision, from revision 1.
 	versions []kv.Item
-	// silent is the number of further watches that get no answer.
+	// silent is the number of further watches that get no answer, as on a silent
+	// connection or while the store drops its history.
 	silent int
 	lists  int
 }
@@ -79,7 +80,7 @@
 	confirmed := time.Now()
 	note := func() { longest = max(longest, time.Since(confirmed)) }
 	fol := &Follower{
-		Store: sto, Prefix: "op/", Wait: 700 * time.Millisecond, Log: log, Now: time.Now,
+		Store: sto, Prefix: "op/", Wait: 700 * time.Millisecond, ListAfterFailure: true, Log: log, Now: time.Now,
 		Reset: func([]kv.Item) {}, Change: func(kv.Change) {},
 		Confirmed: func(sent time.Time) { note(); confirmed = sent },
 	}
@@ -138,7 +139,7 @@
 		sto.put([]byte("x"))
 		longest := followLinked(log, sto, func() {
 			time.Sleep(time.Second)
-			sto.silent = 1
+			sto.silent = 2
 			time.Sleep(10 * time.Second)
 		})
 		assert.Assert(t, longest < configApply, "nothing was confirmed for %s", longest)
--- a/internal/manager/node.go
+++ b/internal/manager/node.go
@@ -127,7 +127,7 @@
 func (nod *Node) addFollowers(ctx context.Context, group *run.Group, stop context.CancelFunc) {
 	for _, fol := range []*follow.Follower{
 		{
-			Store: nod.store, Prefix: platform.OperatorPrefix, Wait: operatorWait, Log: nod.log, Now: nod.now,
+			Store: nod.store, Prefix: platform.OperatorPrefix, Wait: operatorWait, ListAfterFailure: true, Log: nod.log, Now: nod.now,
 			Reset: nod.operator.reset, Change: nod.operator.change, Confirmed: nod.operator.confirm,
 		},
 		{Store: nod.store, Prefix: duty.Prefix, Wait: dutyWait, Log: nod.log, Now: nod.now, Reset: nod.dutyReset, Change: nod.dutyChanged},
