--- a/internal/core/job/progress.go
+++ b/internal/core/job/progress.go
@@ -29,7 +29,7 @@
 	// reported. It serves to count each of them once, as a VM reports an end
 	// repeatedly until it is acknowledged.
 	FailedRuns []int `msgpack:"fr,omitempty"`
-	// Crashes is the number of VMs that crashed while they ran the task.
+	// Crashes is the number of VM crashes that the task may have caused.
 	Crashes int `msgpack:"x,omitempty"`
 	// Run is the highest run number known when the record was written.
 	Run        int    `msgpack:"r,omitempty"`
--- a/internal/core/scheduler/crashes.go
+++ b/internal/core/scheduler/crashes.go
@@ -25,8 +25,8 @@
 // isSuspect reports whether the task may be what crashes its VMs.
 func (tas *task) isSuspect() bool { return tas.crashes >= suspectCrashes }
 
-// mayHaveCrashed reports whether a run may be why its VM crashed.
-func (pla *placement) mayHaveCrashed(now time.Time) bool {
+// mayCauseCrash reports whether a run may be why its VM crashed.
+func (pla *placement) mayCauseCrash(now time.Time) bool {
 	switch {
 	case pla.stage == nil || pla.state == runStopping || pla.state == runStopAccepted:
 		return false
@@ -41,7 +41,7 @@
 // those with too many. If a suspect ran on the VM, it counts against no other.
 func (sta *State) countCrash(hos *host) {
 	for _, pla := range slices.Clone(hos.runList) {
-		if !pla.mayHaveCrashed(sta.now) || hos.suspects > 0 && !pla.suspect || pla.stage.liveJob.final != "" {
+		if !pla.mayCauseCrash(sta.now) || hos.suspects > 0 && !pla.suspect || pla.stage.liveJob.final != "" {
 			continue
 		}
 		stg := pla.stage
@@ -100,8 +100,8 @@
 	}
 }
 
-// keepFree selects the hosts that get no other tasks while suspects wait for
-// them: those with the fewest runs.
+// keepFree selects the hosts that get no other tasks while suspects wait: those
+// with the fewest runs, which are free of other tasks first.
 func (sta *State) keepFree(waiting []waitingStage, hosts map[string][]*host) {
 	for _, hos := range sta.hostList {
 		hos.keptFree = false
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -67,7 +67,7 @@
 	// failedRuns lists the runs that failed. VMs report in any order, so a lower
 	// run may be reported after a higher one.
 	failedRuns []int
-	// crashes is the number of VMs that crashed while they ran the task.
+	// crashes is the number of VM crashes that the task may have caused.
 	crashes    int
 	checkpoint string
 	// host is the host of the task's run; nil unless the phase is phasePlaced.
