scheduler: a serving task is given up after four crashes, not three

Cause: two crashes by tasks beside it made a task a suspect; then its VM crashed for another cause within five seconds of its start. Serving tasks live long enough for such chances to add up, and others depend on them.

Four crashes leave two by which the task runs apart from others, and one start less than the rule allows. TestServingJobOutlivesOtherCrashes failed before; TestServingTaskThatCrashesVMs checks that a deadly serving task still ends.

--- a/internal/core/scheduler/crashes.go
+++ b/internal/core/scheduler/crashes.go
@@ -14,7 +14,10 @@
 	// others, so that the next one shows whether it is the cause.
 	suspectCrashes = 2
 	// maxCrashes is the number of crashes after which a task is given up.
-	maxCrashes = 3
+	// maxServingCrashes replaces it for long-running steps: others depend on
+	// their tasks, and crashes of other causes add up over their lifetime.
+	maxCrashes        = 3
+	maxServingCrashes = 4
 	// startupTime is the age up to which a run of a long-running step counts as
 	// a possible cause of a crash, and beyond which it is cleared of suspicion.
 	startupTime = 5 * time.Second
@@ -25,6 +28,15 @@
 // isSuspect reports whether the task may be what crashes its VMs.
 func (tas *task) isSuspect() bool { return tas.crashes >= suspectCrashes }
 
+// crashLimit returns the number of crashes after which a task of a step is given
+// up.
+func crashLimit(ste *job.Step) int {
+	if ste.LongRunning {
+		return maxServingCrashes
+	}
+	return maxCrashes
+}
+
 // mayCauseCrash reports whether a run may be why its VM crashed.
 func (pla *placement) mayCauseCrash(now time.Time) bool {
 	switch {
@@ -51,7 +63,7 @@
 		if !tas.isSuspect() {
 			continue
 		}
-		givenUp := tas.crashes >= maxCrashes
+		givenUp := tas.crashes >= crashLimit(stg.step)
 		sta.logDecision("task_suspected", pla.task.Job, map[string]any{
 			"task": pla.task.String(), "run": pla.run, "vm": hos.vm.ID, "crashes": tas.crashes, "runs_beside": len(hos.runList) - 1, "given_up": givenUp,
 		})
