scheduler: upkeep counts a starting task as one that works

Cause: a task that had been restarted 0.7 and 1.2 s before was not at work at its VM's last report, so upkeep of its machine counted as ending nothing. It had begun to work since.

A run on the machine that is not being stopped now counts as one that upkeep ends. TestUpkeepOfStartingTask failed before.

--- a/internal/core/scheduler/crashes.go
+++ b/internal/core/scheduler/crashes.go
@@ -40,7 +40,7 @@
 // mayCauseCrash reports whether a run may be why its VM crashed.
 func (pla *placement) mayCauseCrash(now time.Time) bool {
 	switch {
-	case pla.stage == nil || pla.state == runStopping || pla.state == runStopAccepted:
+	case pla.stage == nil || pla.ending():
 		return false
 	case pla.stage.step.LongRunning:
 		return !pla.adopted && now.Sub(pla.since) <= startupTime
--- a/internal/core/scheduler/waves.go
+++ b/internal/core/scheduler/waves.go
@@ -175,9 +175,14 @@
 			if !seen {
 				longRunning = append(longRunning, stg)
 			}
-			if pla.working() {
+			if !pla.ending() {
 				sha.Local++
 			}
+			// A run that was starting at the last report may work by now, so it
+			// counts as one that upkeep ends rather than as unavailable.
+			if !pla.ending() && !pla.working() {
+				sha.Unavailable--
+			}
 			shares[stg] = sha
 			continue
 		}
@@ -193,7 +198,7 @@
 	for _, stg := range longRunning {
 		sha := shares[stg]
 		sha.MaxUnavailable = stg.step.MaxUnavailable
-		sha.Unavailable = stg.countUnavailable(hos)
+		sha.Unavailable += stg.countUnavailable(hos)
 		can.StepShares = append(can.StepShares, sha)
 	}
 	return can
@@ -220,6 +225,9 @@
 	}
 }
 
+// ending reports whether a run is being stopped.
+func (pla *placement) ending() bool { return pla.state == runStopping || pla.state == runStopAccepted }
+
 // working reports whether a long-running task is working and not being stopped.
 func (pla *placement) working() bool { return pla.state == runRunning && pla.percent >= percentWorking }
 
