scheduler: log why a job ended, and the state of runs that count as crashed

A failed job and a job that was given up looked the same in the log, and a crash that was counted did not tell whether the VM had ever confirmed the run. job_ended has a reason, task_suspected a run_state.

--- a/internal/core/scheduler/crashes.go
+++ b/internal/core/scheduler/crashes.go
@@ -65,10 +65,10 @@
 		}
 		givenUp := tas.crashes >= crashLimit(stg.step)
 		sta.logDecision("task_suspected", pla.task.Job, map[string]any{
-			"task": pla.task.String(), "run": pla.run, "vm": hos.vm.ID, "crashes": tas.crashes, "runs_beside": len(hos.runList) - 1, "given_up": givenUp,
+			"task": pla.task.String(), "run": pla.run, "vm": hos.vm.ID, "run_state": pla.state.String(), "crashes": tas.crashes, "runs_beside": len(hos.runList) - 1, "given_up": givenUp,
 		})
 		if givenUp {
-			sta.finish(stg.liveJob, job.StateFailed)
+			sta.finish(stg.liveJob, job.StateFailed, reasonCrashes)
 		}
 	}
 }
--- a/internal/core/scheduler/jobs.go
+++ b/internal/core/scheduler/jobs.go
@@ -150,20 +150,33 @@
 	if occ.left == 0 {
 		stg.liveJob.occsLeft--
 		if stg.liveJob.occsLeft == 0 {
-			sta.finish(stg.liveJob, job.StateCompleted)
+			sta.finish(stg.liveJob, job.StateCompleted, reasonTasksDone)
 		}
 	}
 }
 
+// endReason is why a job ended, as it is logged.
+type endReason string
+
+// Reasons for the end of a job.
+const (
+	reasonTasksDone endReason = "tasks_done"
+	reasonCancelled endReason = "cancelled"
+	// reasonAttempts means that a task failed as often as its queue allows.
+	reasonAttempts endReason = "attempts"
+	// reasonCrashes means that a task has crashed too many VMs.
+	reasonCrashes endReason = "crashes"
+)
+
 // finish sets the state in which a job ends, and stops its runs.
-func (sta *State) finish(liv *liveJob, state job.State) {
+func (sta *State) finish(liv *liveJob, state job.State, reason endReason) {
 	if liv.final != "" {
 		return
 	}
 	liv.final = state
 	sta.markDirty(liv)
 	sta.logDecision("job_ended", liv.spec.ID, map[string]any{
-		"state": state, "queue": liv.spec.Queue, "age_ms": sta.now.Sub(liv.spec.Accepted).Milliseconds(),
+		"state": state, "reason": reason, "queue": liv.spec.Queue, "age_ms": sta.now.Sub(liv.spec.Accepted).Milliseconds(),
 		"late_ms": sta.now.Sub(liv.deadline).Milliseconds(),
 	})
 	sta.stopRuns(liv)
@@ -176,7 +189,7 @@
 		return
 	}
 	liv.cancelled = true
-	sta.finish(liv, job.StateCancelled)
+	sta.finish(liv, job.StateCancelled, reasonCancelled)
 }
 
 // stopRuns stops all runs of a job.
@@ -275,7 +288,7 @@
 	}
 	sta.logDecision("task_failed", end.Task.Job, map[string]any{"task": end.Task.String(), "run": end.Run, "vm": hos.vm.ID, "failed": len(tas.failedRuns), "attempts": attempts})
 	if len(tas.failedRuns) >= attempts {
-		sta.finish(stg.liveJob, job.StateFailed)
+		sta.finish(stg.liveJob, job.StateFailed, reasonAttempts)
 	}
 }
 
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -161,6 +161,11 @@
 	runStopAccepted
 )
 
+// String returns the name of the state as it is logged.
+func (sta runState) String() string {
+	return [...]string{"ordered", "unknown", "running", "stopping", "stop_accepted"}[sta]
+}
+
 // placement is a run that may be active on a VM. It takes up capacity there
 // until it is known to be over.
 type placement struct {
