scheduler: a start that no VM confirmed is no crash

After the outage of an availability zone a task that was released from its VM was ordered on another VM of the zone, which was down as well; each was counted as crashed by the task, and with the third its job was given up, though one VM at most had crashed under it.

A run counts now only if its VM has confirmed it, by the answer to its start or in a report: it can't have been ordered after the crash.

Two tests of crash_test.go let a VM crash under a start that it had not answered; they now answer it first, as their scenarios say that the task ran there.

--- a/internal/core/scheduler/crash_test.go
+++ b/internal/core/scheduler/crash_test.go
@@ -129,6 +129,7 @@
 	beside := job.Task{Job: serving.ID}
 	sta.reserve(sta.hosts[one.ID], sta.stageOf(beside), beside, 1, runRunning)
 	assert.Equal(t, len(sta.hosts[one.ID].runs), 2, "both tasks must run on the VM")
+	reduce(StartAnswered{VM: one, Task: job.Task{Job: deadly.ID}, Run: 1001})
 	again := one
 	again.StartedAtMS = 2
 	reduce(VMRegistered{again})
@@ -149,6 +150,7 @@
 	reduce(CatalogChanged{testCatalog()}, VMRegistered{one}, JobAccepted{Spec: serving, Revision: 12, Progress: progress}, JobsLoaded{})
 	reduce(PollAnswered{VM: one, Sent: sta.now, Report: worker.Report{StartedAtMS: one.StartedAtMS, Clock: time.Second}})
 	assert.Equal(t, len(sta.hosts[one.ID].runs), 1)
+	reduce(StartAnswered{VM: one, Task: job.Task{Job: serving.ID}, Run: 1001})
 	again := one
 	again.StartedAtMS = 2
 	reduce(VMRegistered{again})
--- a/internal/core/scheduler/crashes.go
+++ b/internal/core/scheduler/crashes.go
@@ -37,10 +37,11 @@
 	return maxCrashes
 }
 
-// mayCauseCrash reports whether a run may be why its VM crashed.
+// mayCauseCrash reports whether a run may be why its VM crashed. A start that
+// the VM has not confirmed may have been ordered after the crash.
 func (pla *placement) mayCauseCrash(now time.Time) bool {
 	switch {
-	case pla.stage == nil || pla.ending():
+	case pla.stage == nil || pla.state != runRunning:
 		return false
 	case pla.stage.step.LongRunning:
 		return !pla.adopted && now.Sub(pla.since) <= startupTime
