scheduler: no starts on VMs whose machines are listed as down

Idle VMs are not polled, so after the outage of an availability zone they counted as usable until a start on them had failed, although the list of machines showed them as down; tasks lost a second or more with each. Such a VM gets no starts now until it has answered a poll, and is removed if it does not answer.

--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -46,6 +46,10 @@
 	silentAfterPolls = 2
 )
 
+// reasonMachineGone is the reason for the removal of a VM that the list of
+// machines shows as ended and that does not answer.
+const reasonMachineGone = "its machine is down or not listed"
+
 // register applies a VM's registration.
 func (sta *State) register(one worker.VM) {
 	if old, ok := sta.lostVMs.get(one.ID); ok && old.SameIncarnation(one) {
@@ -184,7 +188,7 @@
 		if hos.pollInFlight || sta.now.Before(hos.nextPoll) {
 			continue
 		}
-		idle := hos.termAccepted && hos.failedPolls == 0 && len(hos.runs) == 0 && !hos.reportDue
+		idle := hos.termAccepted && hos.failedPolls == 0 && !hos.listedGone && len(hos.runs) == 0 && !hos.reportDue
 		if idle && (!hos.ackDue || sta.now.Sub(hos.lastPoll) < idleAckDelay) {
 			continue
 		}
@@ -237,6 +241,10 @@
 	case worker.ResultOtherIncarnation:
 		sta.removeHost(hos, "another VM answers at its address")
 	default:
+		if hos.listedGone {
+			sta.removeHost(hos, reasonMachineGone)
+			return
+		}
 		hos.failedPolls++
 		hos.nextPoll = sta.now.Add(pollRetryInterval)
 		if hos.failedPolls == silentAfterPolls {
@@ -255,7 +263,7 @@
 		hos.vm.StartedAtMS = startedAtMS
 	}
 	hos.failedPolls = 0
-	hos.termAccepted = true
+	hos.termAccepted, hos.listedGone = true, false
 	hos.clock, hos.clockAt = evt.Report.Clock, sta.now
 	if len(evt.Report.Ends) > 0 {
 		hos.markAcknowledgedBefore(evt.Report.Ends[0].Number)
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -233,6 +233,9 @@
 	// reportDue reports whether the VM's runs differ from the recorded ones: it
 	// refused a task that should fit.
 	reportDue bool
+	// listedGone reports whether the last list of machines shows that the VM has
+	// ended, and the VM has not answered a poll since.
+	listedGone bool
 	// unregistered reports whether the VM's registration is gone.
 	unregistered bool
 	// cordoned reports whether the machine is due for upkeep and gets no new
@@ -264,7 +267,7 @@
 // usable reports whether new tasks may start on the VM, unless its availability
 // zone is out of service.
 func (hos *host) usable(now time.Time) bool {
-	return hos.termAccepted && !hos.unregistered && !hos.vm.Leaving && !hos.cordoned && !hos.goingDown && hos.failedPolls == 0 && !now.Before(hos.quarantinedUntil) && !hos.hasOrphanRuns()
+	return hos.termAccepted && !hos.listedGone && !hos.unregistered && !hos.vm.Leaving && !hos.cordoned && !hos.goingDown && hos.failedPolls == 0 && !now.Before(hos.quarantinedUntil) && !hos.hasOrphanRuns()
 }
 
 // hasOrphanRuns reports whether the VM holds runs of unknown jobs. The
--- a/internal/core/scheduler/waves.go
+++ b/internal/core/scheduler/waves.go
@@ -350,6 +350,10 @@
 func (sta *State) applyListing(hos *host, requestedAt time.Time) {
 	name, ok := sta.machines.byVM[hos.vm.ID]
 	mac := sta.machines.byName[name]
+	gone := !ok || mac.State == worker.MachineDown
+	if hos.listedGone = gone && !requestedAt.Before(hos.firstSeen); hos.listedGone {
+		hos.nextPoll = sta.now
+	}
 	ordered := hos.goingDown && !hos.downAnsweredAt.IsZero() && requestedAt.After(hos.downAnsweredAt)
 	switch {
 	case ordered && ok && mac.State == worker.MachineUp:
@@ -364,8 +368,8 @@
 	case (!ok || mac.State != worker.MachineUp) && !hos.termAccepted && !requestedAt.Before(hos.firstSeen):
 		// Registrations outlast a VM by some seconds.
 		sta.removeHost(hos, "no listed machine runs this VM")
-	case hos.failedPolls > 0 && (!ok || mac.State == worker.MachineDown):
-		sta.removeHost(hos, "its machine is down or not listed")
+	case hos.failedPolls > 0 && gone:
+		sta.removeHost(hos, reasonMachineGone)
 	}
 }
 
