scheduler: the outage of an availability zone is no crash of its tasks

A job whose VMs were lost in three outages of availability zones was given up like one whose task crashes its VMs; a long-running one with four, each within seconds of a start.

Cause: a loss counts against every task that ran on the VM, whatever else was lost at that moment. A list of machines that shows three quarters of a zone's VMs as gone, an idle one among them, is an outage now (zone_outage); for five seconds the loss of VMs there counts against no task.

TestRepeatedOutagesGiveUpNoJob failed before.

--- a/internal/core/scheduler/crashes.go
+++ b/internal/core/scheduler/crashes.go
@@ -53,6 +53,9 @@
 // countCrash counts a crash against the tasks that may be its cause, and gives up
 // those with too many. If a suspect ran on the VM, it counts against no other.
 func (sta *State) countCrash(hos *host) {
+	if sta.inOutage(hos.vm.AZ) {
+		return
+	}
 	for _, pla := range slices.Clone(hos.runList) {
 		if !pla.mayCauseCrash(sta.now) || hos.suspects > 0 && !pla.suspect || pla.stage.liveJob.final != "" {
 			continue
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -283,7 +283,9 @@
 	effects  []Effect
 	catalog  catalog.Catalog
 	zonesOut map[string]bool
-	jobs     map[job.ID]*liveJob
+	// outages holds when the last outages of availability zones end.
+	outages map[string]time.Time
+	jobs    map[job.ID]*liveJob
 	// jobList holds the jobs in the order in which they were accepted.
 	jobList []*liveJob
 	hosts   map[string]*host
@@ -388,7 +390,7 @@
 // New returns the state of a dispatcher whose tenure has just begun.
 func New(opt Options) *State {
 	return &State{
-		opt: opt, starts: newStartWindow(opt.LinkBytesPerSecond), jobsSyncedAt: opt.Since, zonesOut: map[string]bool{}, jobs: map[job.ID]*liveJob{}, hosts: map[string]*host{},
+		opt: opt, starts: newStartWindow(opt.LinkBytesPerSecond), jobsSyncedAt: opt.Since, zonesOut: map[string]bool{}, outages: map[string]time.Time{}, jobs: map[job.ID]*liveJob{}, hosts: map[string]*host{},
 		pools: map[string][]*host{}, usage: map[string]job.Size{}, allowances: map[string]allowance.Bucket{}, waves: map[int64]*wave{},
 		machines: machines{byName: map[string]worker.Machine{}, byVM: map[string]string{}},
 		ended:    newRecentMap[job.ID, bool](), lostVMs: newRecentMap[string, worker.VM](), runtimeRatios: map[string]*runtimeRatio{},
--- a/internal/core/scheduler/waves.go
+++ b/internal/core/scheduler/waves.go
@@ -340,6 +340,14 @@
 		}
 	}
 	sta.machineNames = slices.Sorted(maps.Keys(sta.machines.byName))
+	for _, hos := range sta.hostList {
+		name, ok := sta.machines.byVM[hos.vm.ID]
+		hos.listedGone = (!ok || sta.machines.byName[name].State == worker.MachineDown) && !evt.RequestedAt.Before(hos.firstSeen)
+		if hos.listedGone {
+			hos.nextPoll = sta.now
+		}
+	}
+	sta.detectOutages()
 	for _, hos := range slices.Clone(sta.hostList) {
 		sta.applyListing(hos, evt.RequestedAt)
 	}
@@ -350,10 +358,6 @@
 func (sta *State) applyListing(hos *host, requestedAt time.Time) {
 	name, ok := sta.machines.byVM[hos.vm.ID]
 	mac := sta.machines.byName[name]
-	gone := !ok || mac.State == worker.MachineDown
-	if hos.listedGone = gone && !requestedAt.Before(hos.firstSeen); hos.listedGone {
-		hos.nextPoll = sta.now
-	}
 	ordered := hos.goingDown && !hos.downAnsweredAt.IsZero() && requestedAt.After(hos.downAnsweredAt)
 	switch {
 	case ordered && ok && mac.State == worker.MachineUp:
@@ -368,7 +372,7 @@
 	case (!ok || mac.State != worker.MachineUp) && !hos.termAccepted && !requestedAt.Before(hos.firstSeen):
 		// Registrations outlast a VM by some seconds.
 		sta.removeHost(hos, "no listed machine runs this VM")
-	case hos.failedPolls > 0 && gone:
+	case hos.failedPolls > 0 && (!ok || mac.State == worker.MachineDown):
 		sta.removeHost(hos, reasonMachineGone)
 	}
 }
