scheduler: failing tests of machine orders before reported ends are stored

A VM without runs counts as idle as soon as its last end is reported. Its machine may be moved or go down for upkeep while the job's record is not stored, and after a takeover the end is lost. The emulator's new check compares, at each order that ends a VM, the ends that the VM has reported with the store.

--- a/internal/core/scheduler/emulator_test.go
+++ b/internal/core/scheduler/emulator_test.go
@@ -130,8 +130,9 @@
 	// leaseExpiredAt is when the lease last expired.
 	endTimes       map[int64]time.Time
 	leaseExpiredAt time.Time
-	// number is the number of the last end.
-	number int64
+	// number is the number of the last end, and reported the highest that a
+	// dispatcher has received.
+	number, reported int64
 	// tombstones holds, by task, the highest run number that the VM rejects.
 	tombstones map[job.Task]int
 	// deadline is the end of the lease on the VM's clock.
@@ -226,7 +227,7 @@
 	vm.startedAt = emu.now
 	vm.vm.ID = fmt.Sprintf("%s.%d", vm.vm.Address, vm.incarnations)
 	vm.vm.StartedAtMS = emu.now.UnixMilli()
-	vm.fence, vm.number, vm.deadline = 0, 0, 0
+	vm.fence, vm.number, vm.reported, vm.deadline = 0, 0, 0, 0
 	vm.runs, vm.ends, vm.tombstones = map[job.Task]*emulatedRun{}, nil, map[job.Task]int{}
 	vm.endTimes, vm.leaseExpiredAt = map[int64]time.Time{}, time.Time{}
 	one := vm.vm
@@ -441,8 +442,10 @@
 			emu.after(emu.link.receive(emu.now, len(all)*emulatedMachineBytes), func() { emu.deliver(MachinesListed{RequestedAt: requestedAt, Machines: all}) })
 		})
 	case Upkeep:
+		emu.checkStored(emu.vms[eff.Machine], "upkeep")
 		emu.performUpkeep(eff)
 	case Move:
+		emu.checkStored(emu.vms[eff.Machine], "a move")
 		emu.performMove(eff)
 	case SaveWave:
 		term := emu.term
@@ -868,6 +871,7 @@
 	finish := func(res worker.Result, rep worker.Report) {
 		if term == emu.term && !answered {
 			answered = true
+			emu.recordReported(eff.VM, rep)
 			emu.deliver(PollAnswered{VM: eff.VM, Sent: sent, Report: rep, Result: res})
 		}
 	}
@@ -938,6 +942,30 @@
 	vm.ends = kept
 }
 
+// recordReported records the ends that the dispatcher has received.
+func (emu *emulator) recordReported(one worker.VM, rep worker.Report) {
+	vm := emu.vms[one.Address]
+	if vm == nil || vm.vm.ID != one.ID || emu.dispatcherDown {
+		return
+	}
+	for _, end := range rep.Ends {
+		vm.reported = max(vm.reported, end.Number)
+	}
+}
+
+// checkStored checks that the store holds the ends that a VM has reported, when
+// an order is given that ends the VM.
+func (emu *emulator) checkStored(vm *emulatedVM, order string) {
+	if !vm.up {
+		return
+	}
+	for _, end := range vm.ends {
+		if end.Number <= vm.reported && end.Kind == worker.EndDone && !emu.store.knowsDone(end.Task) {
+			emu.fail("%s of %s is ordered, and the reported end of %s run %d is not stored", order, vm.vm.ID, end.Task, end.Run)
+		}
+	}
+}
+
 // reportOf returns a VM's report of its runs and ends.
 func (emu *emulator) reportOf(vm *emulatedVM) worker.Report {
 	rep := worker.Report{Clock: emu.clock(vm), StartedAtMS: vm.vm.StartedAtMS, Ends: append([]worker.End(nil), vm.ends...)}
