scheduler: a machine goes down only once the ends that its VM reported are stored

A VM without runs counted as idle as soon as its last end was reported, and its machine was moved or went down for upkeep up to 0.1 s or one write before the job's record was stored. When the duty changed hands in that gap, the end was lost and the task ran again: TWICE, as an end counts as taken note of 100 ms after it was listed. Ends of failed runs were lost likewise.

--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -330,6 +330,14 @@
 	}
 }
 
+// hasUnstoredEnds reports whether some of the ends that the VM has reported are
+// not stored. They would be lost if the VM ended and another process took over the
+// duty.
+func (hos *host) hasUnstoredEnds() bool { return hos.lastEnd > hos.ackableUpTo }
+
+// isIdle reports whether the VM can end without a loss.
+func (hos *host) isIdle() bool { return len(hos.runList) == 0 && !hos.hasUnstoredEnds() }
+
 // markAcknowledgedBefore records that all ends before the lowest one that a VM
 // reports have been acknowledged, by this or a former dispatcher.
 func (hos *host) markAcknowledgedBefore(lowest int64) {
--- a/internal/core/scheduler/rebalance.go
+++ b/internal/core/scheduler/rebalance.go
@@ -194,7 +194,7 @@
 			if longRunning > 0 {
 				longRunningHosts++
 			}
-			if name, ok := sta.machines.byVM[hos.vm.ID]; ok && len(hos.runList) == 0 {
+			if name, ok := sta.machines.byVM[hos.vm.ID]; ok && hos.isIdle() {
 				rbp.Idle = append(rbp.Idle, rebalance.IdleMachine{Machine: name, IdleFor: sta.now.Sub(hos.idleSince)})
 			}
 		}
@@ -236,7 +236,7 @@
 		if mac.Pool != pool || mac.State != worker.MachineUp || moves || sta.inUpkeep(name) {
 			continue
 		}
-		if hos := sta.hosts[mac.VM]; hos != nil && (hos.vm.Leaving || hos.cordoned || hos.goingDown || len(hos.runList) > 0) {
+		if hos := sta.hosts[mac.VM]; hos != nil && (hos.vm.Leaving || hos.cordoned || hos.goingDown || !hos.isIdle()) {
 			continue
 		}
 		idle = append(idle, rebalance.IdleMachine{Machine: name})
--- a/internal/core/scheduler/waves.go
+++ b/internal/core/scheduler/waves.go
@@ -88,8 +88,12 @@
 		if sta.candidate(name).ExceedsBudget() {
 			continue
 		}
+		hos := sta.hosts[sta.machines.byName[name].VM]
+		if hos != nil && hos.hasUnstoredEnds() {
+			continue
+		}
 		wav.ordered[name] = true
-		if hos := sta.hosts[sta.machines.byName[name].VM]; hos != nil {
+		if hos != nil {
 			hos.goingDown = true
 		}
 		sta.logDecision("upkeep_ordered", "", map[string]any{"machine": name, "wave": number, "vm": sta.machines.byName[name].VM})
