scheduler: failing test of runs of an occurrence that is not due by this clock

A former dispatcher whose clock was ahead has opened the occurrence. For the next one stageOf returns nil: it stops the runs and acknowledges the ends, though nothing is stored, and the tasks run once more when the occurrence is due.

--- a/internal/core/scheduler/unstored_test.go
+++ b/internal/core/scheduler/unstored_test.go
@@ -55,3 +55,66 @@
 	assert.Assert(t, sta.hosts[one.ID].ackableUpTo == 1)
 	assert.Assert(t, sta.hosts[one.ID].goingDown, "the end is stored")
 }
+
+// TestRunOfOccurrenceNotYetDue guards against an occurrence that is done twice: a
+// former dispatcher whose clock was ahead started its tasks, and the next one, for
+// which it was not due yet, stopped them or acknowledged their ends without
+// storing them.
+func TestRunOfOccurrenceNotYetDue(t *testing.T) {
+	now := time.Date(2026, 1, 2, 3, 0, 0, 0, time.UTC)
+	opt := testOptions()
+	opt.Since, opt.Revision, opt.Term = now, 10, 2
+	sta := New(opt)
+	one := testVM("vm-1")
+	spe := job.Spec{ID: jobName(1), Queue: "gate", Account: "large", Payload: "x", Accepted: now, Occurrences: 2, FirstDue: now.Add(-time.Second), Interval: 3 * time.Second, Steps: []job.Step{
+		{Count: 3, Size: job.Size{CPU: 1000, Memory: 512}, Estimate: time.Minute},
+	}}
+	task := func(index int) job.Task { return job.Task{Job: spe.ID, Occurrence: 1, Index: index} }
+	acked := int64(0)
+	started := map[job.Task]time.Duration{}
+	var commits int
+	reduce := func(events ...Event) {
+		now = now.Add(150 * time.Millisecond)
+		for _, eff := range sta.Reduce(now, append(events, JobWatchProgressed{At: now})) {
+			switch eff := eff.(type) {
+			case Poll:
+				acked = max(acked, eff.Acked)
+			case Start:
+				started[eff.Task] = spe.Due(eff.Task.Occurrence).Sub(now)
+			case Stop:
+				t.Errorf("%s is stopped", eff.Task)
+			case Commit:
+				commits++
+			}
+		}
+	}
+	first := job.Progress{}
+	for i := range 3 {
+		first.Tasks = append(first.Tasks, job.TaskRecord{Index: i, Done: true, Run: 1})
+	}
+	reduce(CatalogChanged{testCatalog()}, VMRegistered{one}, JobAccepted{Spec: spe, Revision: 5, Progress: first}, JobsLoaded{})
+	machines := MachinesListed{RequestedAt: now, Machines: []worker.Machine{{Name: "m-1", Pool: "lots", State: worker.MachineUp, VM: one.ID}}}
+	report := func() PollAnswered {
+		rep := worker.Report{StartedAtMS: one.StartedAtMS, Clock: time.Second, Running: []worker.Running{{Task: task(1), Run: 7}}}
+		if acked < 1 {
+			rep.Ends = []worker.End{{Number: 1, Task: task(0), Run: 7, Kind: worker.EndDone}}
+		}
+		if _, ok := started[task(2)]; ok {
+			rep.Running = append(rep.Running, worker.Running{Task: task(2), Run: 1001})
+		}
+		return PollAnswered{VM: one, Sent: now.Add(time.Millisecond), Report: rep}
+	}
+	for range 10 {
+		reduce(machines, report())
+	}
+	assert.Equal(t, acked, int64(0), "the end is not stored")
+	assert.Equal(t, commits, 1)
+	assert.Equal(t, len(started), 0, "the occurrence is not due")
+	reduce(Committed{Revision: 20})
+	for range 15 {
+		reduce(report())
+	}
+	assert.Equal(t, acked, int64(1))
+	assert.Equal(t, len(started), 1)
+	assert.Assert(t, started[task(2)] <= 0, "started %v before it is due", started[task(2)])
+}
