scheduler: failing test of the attempts of a removed queue's jobs

taskFailed takes 1 attempt for a queue that the configuration doesn't hold any more, so the first failed run fails the job.

--- a/internal/core/scheduler/attempts_test.go
+++ b/internal/core/scheduler/attempts_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/balsamgauge/balsamgauge/internal/core/catalog"
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
 	"github.com/balsamgauge/balsamgauge/internal/core/worker"
 	"gotest.tools/v3/assert"
@@ -54,3 +55,24 @@
 	}
 	assert.Equal(t, sta.jobs[spe.ID].final, job.StateFailed)
 }
+
+// TestAttemptsOfRemovedQueue guards against jobs that fail with attempts left: after
+// the removal of their queue, one failed run was enough.
+func TestAttemptsOfRemovedQueue(t *testing.T) {
+	sta, reduce := newTenure()
+	one := testVM("vm-1")
+	spe := fanOut(1, "large", 1, 500, time.Second)
+	spe.Accepted = sta.now
+	name := job.Task{Job: spe.ID}
+	cat := testCatalog()
+	reduce(CatalogChanged{cat}, VMRegistered{one}, JobAccepted{Spec: spe, Revision: 5}, JobsLoaded{})
+	removed := cat
+	removed.Queues = cat.Queues[1:]
+	reduce(CatalogChanged{catalog.New(removed)})
+	attempts := cat.Queues[0].MaxAttempts
+	for run := 1; run <= attempts; run++ {
+		assert.Equal(t, sta.jobs[spe.ID].final, job.State(""), "after %d of %d attempts", run-1, attempts)
+		reduce(reportedEnd(one, sta.now, worker.End{Number: int64(run), Task: name, Run: run, Kind: worker.EndFailed}))
+	}
+	assert.Equal(t, sta.jobs[spe.ID].final, job.StateFailed)
+}
