scheduler: the attempts of a removed queue's jobs are kept

Like the pool, the last configured number of attempts is kept with the job. One failed run failed the job before (TestAttemptsOfRemovedQueue). If the number was never known, as after a takeover, failed runs don't fail the job.

--- a/internal/core/scheduler/jobs.go
+++ b/internal/core/scheduler/jobs.go
@@ -22,6 +22,7 @@
 	sta.jobs[id] = liv
 	sta.jobList = append(sta.jobList, liv)
 	sta.setDeadline(liv)
+	sta.maxAttemptsOf(liv)
 	if !evt.Spec.Due(0).After(sta.now) {
 		sta.openOccurrence(liv)
 	}
@@ -287,16 +288,22 @@
 		sta.countFailure(hos)
 	}
 	sta.ackOnceStored(stg.liveJob, hos, end.Number)
-	attempts := 1
-	if que := sta.catalog.Queue(stg.liveJob.spec.Queue); que != nil {
-		attempts = que.MaxAttempts
-	}
+	attempts := sta.maxAttemptsOf(stg.liveJob)
 	sta.logDecision("task_failed", end.Task.Job, map[string]any{"task": end.Task.String(), "run": end.Run, "vm": hos.vm.ID, "failed": len(tas.failedRuns), "attempts": attempts})
-	if len(tas.failedRuns) >= attempts {
+	if attempts > 0 && len(tas.failedRuns) >= attempts {
 		sta.finish(stg.liveJob, job.StateFailed)
 	}
 }
 
+// maxAttemptsOf returns the number of failed runs of a task after which a job
+// fails, also after the job's queue has been removed; 0 if it was never known.
+func (sta *State) maxAttemptsOf(liv *liveJob) int {
+	if que := sta.catalog.Queue(liv.spec.Queue); que != nil {
+		liv.maxAttempts = que.MaxAttempts
+	}
+	return liv.maxAttempts
+}
+
 // Quarantine of VMs on which tasks fail.
 const (
 	// maxFailures is the number of consecutive failed runs after which a VM is
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -114,10 +114,11 @@
 	deadline time.Time
 	// work is the estimated work of one occurrence, in core-seconds.
 	work float64
-	// pool is the pool of the job's queue, as last configured. It is kept when
-	// the queue is removed from the configuration.
-	pool      string
-	cancelled bool
+	// pool and maxAttempts are those of the job's queue, as last configured. They
+	// are kept when the queue is removed from the configuration.
+	pool        string
+	maxAttempts int
+	cancelled   bool
 	// begun reports whether a task of the job has started.
 	begun bool
 	// excess reports whether the job exceeds its account's allowance.
