--- a/internal/core/scheduler/unstored_test.go
+++ b/internal/core/scheduler/unstored_test.go
@@ -120,3 +120,27 @@
 	assert.Equal(t, len(started), 1)
 	assert.Assert(t, started[task(2)] <= 0, "started %v before it is due", started[task(2)])
 }
+
+// TestCordonOfWithdrawnWave guards against machines that get no tasks any more
+// because the wave for whose upkeep they were cordoned was withdrawn.
+func TestCordonOfWithdrawnWave(t *testing.T) {
+	sta, reduce := newTenure()
+	one := testVM("vm-1")
+	spe := job.Spec{ID: jobName(1), Queue: "gate", Account: "large", Payload: "x", Accepted: sta.now, Steps: []job.Step{
+		{Count: 1, Size: job.Size{CPU: 1000, Memory: 512}, Estimate: time.Minute},
+	}}
+	report := func() PollAnswered {
+		return PollAnswered{VM: one, Sent: sta.now, Report: worker.Report{StartedAtMS: one.StartedAtMS, Clock: time.Second, Running: []worker.Running{{Task: job.Task{Job: spe.ID}, Run: 3}}}}
+	}
+	list := func() MachinesListed {
+		return MachinesListed{RequestedAt: sta.now, Machines: []worker.Machine{{Name: "m-1", Pool: "lots", State: worker.MachineUp, VM: one.ID}}}
+	}
+	reduce(CatalogChanged{testCatalog()}, VMRegistered{one}, JobAccepted{Spec: spe, Revision: 5}, JobsLoaded{}, list())
+	reduce(report(), WaveRequested{Wave: upkeep.Wave{Number: 1, Machines: []string{"m-1"}, Duration: time.Minute, Cap: 1}})
+	for range 10 {
+		reduce(report(), list())
+	}
+	assert.Assert(t, !sta.hosts[one.ID].usable(sta.now), "the machine waits for its upkeep")
+	reduce(report(), WaveWithdrawn{Number: 1})
+	assert.Assert(t, sta.hosts[one.ID].usable(sta.now), "the wave was withdrawn")
+}
