scheduler: machines are free again once their wave is withdrawn

The cordons are cleared in each call of Reduce, also without waves. Before, the machines got no tasks until the next wave (TestCordonOfWithdrawnWave).

--- a/internal/core/scheduler/waves.go
+++ b/internal/core/scheduler/waves.go
@@ -40,9 +40,6 @@
 
 // planWaves orders the upkeep that is due.
 func (sta *State) planWaves() {
-	if len(sta.waves) == 0 {
-		return
-	}
 	for _, hos := range sta.hostList {
 		hos.cordoned = false
 	}
