scheduler: failing test of a run on a VM whose restart was not known

A report with another start time removes the host with its runs, so a task that the new incarnation runs starts on another VM at once: TWICE.

--- a/internal/core/scheduler/unstored_test.go
+++ b/internal/core/scheduler/unstored_test.go
@@ -144,3 +144,52 @@
 	reduce(report(), WaveWithdrawn{Number: 1})
 	assert.Assert(t, sta.hosts[one.ID].usable(sta.now), "the wave was withdrawn")
 }
+
+// TestRunOnRestartedVM guards against two runs of a task at the same time: a VM that
+// had restarted under the same ID started a task before its restart was known, and the
+// report that showed the restart also made the task start on another VM.
+func TestRunOnRestartedVM(t *testing.T) {
+	now := time.Date(2026, 1, 2, 3, 0, 0, 0, time.UTC)
+	opt := testOptions()
+	opt.Since, opt.Revision, opt.Term = now, 10, 2
+	sta := New(opt)
+	one, oth := testVM("vm-1"), testVM("vm-2")
+	var starts []Start
+	reduce := func(events ...Event) {
+		now = now.Add(100 * time.Millisecond)
+		for _, eff := range sta.Reduce(now, append(events, JobWatchProgressed{At: now})) {
+			if start, ok := eff.(Start); ok {
+				starts = append(starts, start)
+			}
+		}
+	}
+	machines := MachinesListed{RequestedAt: now, Machines: []worker.Machine{
+		{Name: "m-1", Pool: "lots", State: worker.MachineUp, VM: one.ID}, {Name: "m-2", Pool: "lots", State: worker.MachineUp, VM: oth.ID},
+	}}
+	report := func(vm worker.VM, running ...worker.Running) PollAnswered {
+		polled := testVM(vm.ID)
+		if hos := sta.hosts[vm.ID]; hos != nil {
+			polled = hos.vm
+		}
+		return PollAnswered{VM: polled, Sent: now, Report: worker.Report{StartedAtMS: vm.StartedAtMS, Clock: time.Second, Running: running}}
+	}
+	spe := job.Spec{ID: jobName(1), Queue: "gate", Account: "large", Payload: "x", Accepted: now, Steps: []job.Step{
+		{Count: 1, Size: job.Size{CPU: 1000, Memory: 512}, Estimate: time.Minute},
+	}}
+	reduce(CatalogChanged{testCatalog()}, VMRegistered{one}, JobsLoaded{}, machines)
+	reduce(report(one))
+	reduce(JobAccepted{Spec: spe, Revision: 15})
+	assert.Equal(t, len(starts), 1)
+	run := worker.Running{Task: starts[0].Task, Run: starts[0].Run}
+	reduce(StartAnswered{VM: one, Task: run.Task, Run: run.Run, Result: worker.ResultOK}, VMRegistered{oth})
+	reduce(report(oth))
+	restarted := one
+	restarted.StartedAtMS = 2
+	for range 10 {
+		reduce(report(restarted, run), report(oth))
+	}
+	assert.Equal(t, len(starts), 1, "%v", starts)
+	assert.Assert(t, sta.hosts[one.ID] != nil && sta.hosts[one.ID].runs[run.Task] != nil, "the run is not recorded")
+	reduce(VMRegistered{restarted})
+	assert.Assert(t, sta.hosts[one.ID].runs[run.Task] != nil, "the run is not recorded")
+}
