scheduler: runs on a VM that restarted under the same ID are kept

A report that shows another start time replaces the host and is then applied to the new one, so the runs that it lists are adopted in the same call. Their tasks started on another VM at once before (TestRunOnRestartedVM).

--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -249,8 +249,7 @@
 func (sta *State) applyReport(hos *host, evt PollAnswered) {
 	if startedAtMS := evt.Report.StartedAtMS; startedAtMS != 0 {
 		if hos.vm.StartedAtMS != 0 && startedAtMS != hos.vm.StartedAtMS {
-			sta.removeHost(hos, "the VM reported another start time")
-			return
+			hos = sta.replaceRestarted(hos, startedAtMS)
 		}
 		hos.vm.StartedAtMS = startedAtMS
 	}
@@ -280,6 +279,21 @@
 	sta.clearSuspects(hos)
 }
 
+// replaceRestarted replaces the record of a VM whose report shows that it has
+// restarted under the same ID. The new incarnation may already run tasks, which
+// were ordered before the restart was known.
+func (sta *State) replaceRestarted(old *host, startedAtMS int64) *host {
+	one := old.vm
+	one.StartedAtMS = startedAtMS
+	sta.removeHost(old, "the VM reported another start time")
+	sta.register(one)
+	hos := sta.hosts[one.ID]
+	if old.leaseExpiry.After(hos.leaseExpiry) {
+		hos.leaseExpiry = old.leaseExpiry
+	}
+	return hos
+}
+
 // applyRunning updates the record of a run that a VM reports as active.
 func (sta *State) applyRunning(hos *host, row worker.Running) {
 	pla := hos.runs[row.Task]
