--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -92,7 +92,7 @@
 
 // removeHost removes a VM that has ended, with all its runs.
 func (sta *State) removeHost(hos *host, reason string) {
-	sta.logDecision("vm_lost", "", map[string]any{"vm": hos.vm.ID, "runs": len(hos.runs), "reason": reason})
+	sta.logDecision("vm_lost", "", map[string]any{"vm": hos.vm.ID, "runs": len(hos.runs), "unstored_ends": hos.lastEnd - hos.ackableUpTo, "reason": reason})
 	if !hos.goingDown && !hos.vm.Leaving {
 		sta.countCrash(hos)
 	}
--- a/internal/core/scheduler/jobs.go
+++ b/internal/core/scheduler/jobs.go
@@ -31,7 +31,7 @@
 	}
 	sta.countArrival(liv)
 	sta.chargeAllowance(liv)
-	sta.logDecision("job_taken", id, map[string]any{"queue": evt.Spec.Queue, "account": evt.Spec.Account, "excess": liv.excess, "revision": evt.Revision, "age_ms": sta.now.Sub(evt.Spec.Accepted).Milliseconds()})
+	sta.logDecision("job_taken", id, map[string]any{"queue": evt.Spec.Queue, "account": evt.Spec.Account, "excess": liv.excess, "revision": evt.Revision, "age_ms": sta.now.Sub(evt.Spec.Accepted).Milliseconds(), "restored": liv.restored, "records": len(evt.Progress.Tasks)})
 }
 
 // chargeAllowance charges a job to its account's allowance.
