--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -96,7 +96,7 @@
 
 // removeHost removes a VM that has ended, with all its runs.
 func (sta *State) removeHost(hos *host, reason string) {
-	sta.logDecision("vm_lost", "", map[string]any{"vm": hos.vm.ID, "runs": len(hos.runs), "reason": reason})
+	sta.logDecision("vm_lost", "", map[string]any{"vm": hos.vm.ID, "runs": len(hos.runs), "unstored_ends": hos.lastEnd - hos.ackableUpTo, "reason": reason})
 	if !hos.goingDown && !hos.vm.Leaving {
 		sta.countCrash(hos)
 	}
@@ -257,8 +257,7 @@
 func (sta *State) applyReport(hos *host, evt PollAnswered) {
 	if startedAtMS := evt.Report.StartedAtMS; startedAtMS != 0 {
 		if hos.vm.StartedAtMS != 0 && startedAtMS != hos.vm.StartedAtMS {
-			sta.removeHost(hos, "the VM reported another start time")
-			return
+			hos = sta.replaceRestarted(hos, startedAtMS)
 		}
 		hos.vm.StartedAtMS = startedAtMS
 	}
@@ -288,10 +287,25 @@
 	sta.clearSuspects(hos)
 }
 
+// replaceRestarted replaces the record of a VM whose report shows that it has
+// restarted under the same ID. The new incarnation may already run tasks, which
+// were ordered before the restart was known.
+func (sta *State) replaceRestarted(old *host, startedAtMS int64) *host {
+	one := old.vm
+	one.StartedAtMS = startedAtMS
+	sta.removeHost(old, "the VM reported another start time")
+	sta.register(one)
+	hos := sta.hosts[one.ID]
+	if old.leaseExpiry.After(hos.leaseExpiry) {
+		hos.leaseExpiry = old.leaseExpiry
+	}
+	return hos
+}
+
 // applyRunning updates the record of a run that a VM reports as active.
 func (sta *State) applyRunning(hos *host, row worker.Running) {
 	pla := hos.runs[row.Task]
-	stg := sta.stageOf(row.Task)
+	stg := sta.stageOfRun(row.Task)
 	switch {
 	case pla == nil:
 		pla = sta.adopt(hos, stg, row)
@@ -338,6 +352,14 @@
 	}
 }
 
+// hasUnstoredEnds reports whether some of the ends that the VM has reported are
+// not stored. They would be lost if the VM ended and another process took over the
+// duty.
+func (hos *host) hasUnstoredEnds() bool { return hos.lastEnd > hos.ackableUpTo }
+
+// isIdle reports whether the VM can end without a loss.
+func (hos *host) isIdle() bool { return len(hos.runList) == 0 && !hos.hasUnstoredEnds() }
+
 // markAcknowledgedBefore records that all ends before the lowest one that a VM
 // reports have been acknowledged, by this or a former dispatcher.
 func (hos *host) markAcknowledgedBefore(lowest int64) {
--- a/internal/core/scheduler/jobs.go
+++ b/internal/core/scheduler/jobs.go
@@ -22,6 +22,7 @@
 	sta.jobs[id] = liv
 	sta.jobList = append(sta.jobList, liv)
 	sta.setDeadline(liv)
+	sta.maxAttemptsOf(liv)
 	if !evt.Spec.Due(0).After(sta.now) {
 		sta.openOccurrence(liv)
 	}
@@ -30,7 +31,7 @@
 	}
 	sta.countArrival(liv)
 	sta.chargeAllowance(liv)
-	sta.logDecision("job_taken", id, map[string]any{"queue": evt.Spec.Queue, "account": evt.Spec.Account, "excess": liv.excess, "revision": evt.Revision, "age_ms": sta.now.Sub(evt.Spec.Accepted).Milliseconds()})
+	sta.logDecision("job_taken", id, map[string]any{"queue": evt.Spec.Queue, "account": evt.Spec.Account, "excess": liv.excess, "revision": evt.Revision, "age_ms": sta.now.Sub(evt.Spec.Accepted).Milliseconds(), "restored": liv.restored, "records": len(evt.Progress.Tasks)})
 }
 
 // chargeAllowance charges a job to its account's allowance.
@@ -64,7 +65,7 @@
 }
 
 // openOccurrence creates the tasks of the job's next occurrence.
-func (sta *State) openOccurrence(liv *liveJob) {
+func (sta *State) openOccurrence(liv *liveJob) *occurrence {
 	occ := &occurrence{stages: make([]stage, len(liv.spec.Steps)), left: len(liv.spec.Steps)}
 	for i := range liv.spec.Steps {
 		ste := &liv.spec.Steps[i]
@@ -77,6 +78,7 @@
 		}
 	}
 	liv.occs = append(liv.occs, occ)
+	return occ
 }
 
 // openDueOccurrences opens the occurrences that have become due.
@@ -124,6 +126,23 @@
 	return &occ.stages[tas.Step]
 }
 
+// stageOfRun returns the stage of a task of which a VM reports a run, or nil if
+// the job is not live or has no such task. A former dispatcher whose clock was ahead
+// may have started an occurrence that is not due yet. It is opened, as its runs
+// count, and its other tasks wait until it is due.
+func (sta *State) stageOfRun(tas job.Task) *stage {
+	liv := sta.jobs[tas.Job]
+	for liv != nil && liv.final == "" && len(liv.occs) <= tas.Occurrence && tas.Occurrence < liv.spec.OccurrenceCount() {
+		due := liv.spec.Due(len(liv.occs))
+		for _, stg := range sta.openOccurrence(liv).stages {
+			for i := range stg.tasks {
+				stg.tasks[i].notBefore = due
+			}
+		}
+	}
+	return sta.stageOf(tas)
+}
+
 // markDone marks a task as done and unblocks the stages that depend on it.
 func (sta *State) markDone(stg *stage, index int) {
 	tas := &stg.tasks[index]
@@ -221,7 +240,7 @@
 		started = pla.since
 		sta.release(hos, pla)
 	}
-	stg := sta.stageOf(end.Task)
+	stg := sta.stageOfRun(end.Task)
 	if stg == nil {
 		sta.markAckable(hos, end.Number)
 		return
@@ -282,16 +301,22 @@
 		sta.countFailure(hos)
 	}
 	sta.ackOnceStored(stg.liveJob, hos, end.Number)
-	attempts := 1
-	if que := sta.catalog.Queue(stg.liveJob.spec.Queue); que != nil {
-		attempts = que.MaxAttempts
-	}
+	attempts := sta.maxAttemptsOf(stg.liveJob)
 	sta.logDecision("task_failed", end.Task.Job, map[string]any{"task": end.Task.String(), "run": end.Run, "vm": hos.vm.ID, "failed": len(tas.failedRuns), "attempts": attempts})
-	if len(tas.failedRuns) >= attempts {
+	if attempts > 0 && len(tas.failedRuns) >= attempts {
 		sta.finish(stg.liveJob, job.StateFailed, reasonAttempts)
 	}
 }
 
+// maxAttemptsOf returns the number of failed runs of a task after which a job
+// fails, also after the job's queue has been removed; 0 if it was never known.
+func (sta *State) maxAttemptsOf(liv *liveJob) int {
+	if que := sta.catalog.Queue(liv.spec.Queue); que != nil {
+		liv.maxAttempts = que.MaxAttempts
+	}
+	return liv.maxAttempts
+}
+
 // Quarantine of VMs on which tasks fail.
 const (
 	// maxFailures is the number of consecutive failed runs after which a VM is
