--- a/internal/manager/manager_test.go
+++ b/internal/manager/manager_test.go
@@ -24,6 +24,8 @@
 	t     *testing.T
 	sit   *site.Site
 	nodes []*process
+	// out receives the logs of the processes.
+	out *lockedBuffer
 }
 
 type process struct {
@@ -54,7 +56,7 @@
 	assert.NilError(t, err)
 	t.Cleanup(sit.Stop)
 	sit.Configure(config)
-	clu := &cluster{t: t, sit: sit}
+	clu := &cluster{t: t, sit: sit, out: &lockedBuffer{}}
 	for i := range nodes {
 		clu.nodes = append(clu.nodes, clu.startNode(fmt.Sprintf("entry-%d", i)))
 	}
@@ -96,7 +98,7 @@
 	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
 	set, err := platform.LoadSettings(path)
 	assert.NilError(t, err)
-	nod, err := New(set, io.Discard)
+	nod, err := New(set, clu.out)
 	assert.NilError(t, err)
 	ctx, stop := context.WithCancel(context.Background())
 	pro.stop, pro.settings, pro.nod = stop, path, nod
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -74,6 +74,11 @@
 	if err != nil {
 		panic(err)
 	}
+	return sto.PutBytes(key, raw)
+}
+
+// PutBytes writes any bytes, as another writer may, and returns the revision.
+func (sto *Store) PutBytes(key string, raw []byte) int64 {
 	sto.mu.Lock()
 	defer sto.mu.Unlock()
 	sto.revision++
