follow: a watch whose answer can't be decoded is followed by a list

Cause: such a watch was repeated from the same revision, with the same answer, until the store dropped its history. An answer of more than 8 MiB was cut and decoded, so that a watch over many large values was such a case.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -106,7 +106,7 @@
 		if err != nil {
 			fol.failed(ctx, "store_lost", err)
 			clock.Pause(ctx, RetryDelay-fol.Now().Sub(sent))
-			if fol.ListAfterFailure {
+			if fol.ListAfterFailure || errors.Is(err, kv.ErrUnreadable) {
 				return
 			}
 			continue
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"strings"
 	"testing"
@@ -145,3 +146,45 @@
 		assert.Assert(t, longest < configApply, "nothing was confirmed for %s", longest)
 	})
 }
+
+// unreadableStore is a store whose watches from its first revision on can't be
+// decoded.
+type unreadableStore struct {
+	kv.Store
+	lists, watches int
+}
+
+func (sto *unreadableStore) Range(context.Context, string, string) (kv.Page, error) {
+	sto.lists++
+	return kv.Page{Items: []kv.Item{{Key: "servers/vm", Revision: kv.Revision(sto.lists)}}, Revision: kv.Revision(sto.lists)}, nil
+}
+
+func (sto *unreadableStore) Watch(_ context.Context, _ string, after kv.Revision, wait time.Duration) (kv.Batch, error) {
+	sto.watches++
+	if after == 1 {
+		time.Sleep(time.Millisecond)
+		return kv.Batch{}, errors.Join(kv.ErrUnknown, kv.ErrUnreadable)
+	}
+	time.Sleep(wait)
+	return kv.Batch{Revision: after}, nil
+}
+
+// TestUnreadableChange guards against a follower that repeats a watch for ever
+// whose answer can't be decoded.
+func TestUnreadableChange(t *testing.T) {
+	log := decisionlog.New(io.Discard, "test", time.Now)
+	synctest.Test(t, func(t *testing.T) {
+		sto := &unreadableStore{}
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		resets := 0
+		fol := &Follower{
+			Store: sto, Prefix: "servers/", Wait: 300 * time.Millisecond, Log: log, Now: time.Now,
+			Reset: func([]kv.Item) { resets++ }, Change: func(kv.Change) {},
+		}
+		fol.Run(ctx)
+		assert.Equal(t, sto.lists, 2)
+		assert.Equal(t, resets, 2)
+		assert.Assert(t, sto.watches < 50, "%d watches in 10 s", sto.watches)
+	})
+}
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -19,6 +19,9 @@
 	// ErrUnknown means that no answer arrived: a write may have taken effect,
 	// or may still do so while its conditions hold.
 	ErrUnknown = errors.New("no answer from the store")
+	// ErrUnreadable means that an answer arrived and can't be decoded. It comes
+	// with ErrUnknown. A watch from the same revision would fail again.
+	ErrUnreadable = errors.New("unreadable answer of the store")
 	// ErrCompacted means that the history after a revision is gone.
 	ErrCompacted = errors.New("history is no longer available")
 	// ErrLeaseGone means that a lease has expired or was revoked.
