kv: a list whose pages don't advance is an error

Cause: a list went on after the last key of each page. If that key doesn't rise, as when its bytes were changed on the way, the list never ended and its items filled the memory.

TestPagesThatRepeat failed before: the list did not end within a second.

--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -158,6 +158,10 @@
 		if !pag.More || len(pag.Items) == 0 {
 			return items, rev, nil
 		}
-		after = pag.Items[len(pag.Items)-1].Key
+		last := pag.Items[len(pag.Items)-1].Key
+		if last <= after {
+			return nil, 0, fmt.Errorf("list %q: page after %.200q ends at %.200q: %w", prefix, after, last, ErrUnreadable)
+		}
+		after = last
 	}
 }
