decisionlog: an ignored entry is logged once for each revision

Cause: each list of a prefix logged its ignored entries again, with the whole wrong value in the error.

--- a/internal/decisionlog/log.go
+++ b/internal/decisionlog/log.go
@@ -33,6 +33,8 @@
 
 	mu      sync.Mutex
 	buckets map[string]*bucket
+	// ignored holds the last logged revision of each ignored item.
+	ignored map[string]int64
 }
 
 // bucket counts the events of one name in a second.
@@ -49,7 +51,7 @@
 	log := logrus.New()
 	log.SetFormatter(&logrus.JSONFormatter{DisableTimestamp: true, FieldMap: logrus.FieldMap{logrus.FieldKeyMsg: "event"}})
 	log.SetOutput(newAsyncWriter(out))
-	return &Log{log: log, entry: log.WithField("process", process), now: now, buckets: map[string]*bucket{}}
+	return &Log{log: log, entry: log.WithField("process", process), now: now, buckets: map[string]*bucket{}, ignored: map[string]int64{}}
 }
 
 // Event writes an event, unless too many of that name were written in this
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -162,7 +162,7 @@
 func (ele *Elector) ObserveLargest(itm kv.Item) {
 	size, err := strconv.ParseFloat(string(itm.Value), 64)
 	if err != nil && itm.Revision != 0 {
-		ele.opt.Log.Event("entry_ignored", decisionlog.Fields{"key": itm.Key, "revision": itm.Revision, "error": err.Error()})
+		ele.opt.Log.Ignored(itm.Key, int64(itm.Revision), err)
 	}
 	ele.largest.Store(math.Float64bits(max(size, ele.opt.CPUShare)))
 	if size >= ele.opt.CPUShare {
--- a/internal/manager/dispatcher.go
+++ b/internal/manager/dispatcher.go
@@ -241,7 +241,7 @@
 }
 
 func (dis *dispatcher) logIgnored(itm kv.Item, err error) {
-	dis.nod.log.Event("entry_ignored", decisionlog.Fields{"key": itm.Key, "revision": itm.Revision, "error": err.Error()})
+	dis.nod.log.Ignored(itm.Key, int64(itm.Revision), err)
 }
 
 // jobsReset returns a function that sends all live and cancelled jobs, the
--- a/internal/manager/load.go
+++ b/internal/manager/load.go
@@ -41,7 +41,7 @@
 func (lov *loadView) change(itm kv.Item) {
 	var loa scheduler.Load
 	if err := msgpack.Unmarshal(itm.Value, &loa); err != nil {
-		lov.log.Event("entry_ignored", decisionlog.Fields{"key": itm.Key, "revision": itm.Revision, "error": err.Error()})
+		lov.log.Ignored(itm.Key, int64(itm.Revision), err)
 		return
 	}
 	lov.mu.Lock()
--- a/internal/manager/odd_entry_test.go
+++ b/internal/manager/odd_entry_test.go
@@ -156,3 +156,27 @@
 		})
 	}
 }
+
+// TestOddEntryIsLoggedOncePerRevision guards against a log that fills with the
+// same entry each time it is listed, or with long values.
+func TestOddEntryIsLoggedOncePerRevision(t *testing.T) {
+	clu := newCluster(t, 1, 1, 20*time.Millisecond)
+	clu.awaitJobs(0, 1)
+	clu.sit.Store.PutBytes("servers/odd", clu.oddEntry("vm-0", "ready", strings.Repeat("x", 50_000)))
+	for i := range 4 {
+		clu.sit.Store.PutBytes("other", []byte{byte(i)})
+		clu.sit.Store.PutBytes("other", nil)
+		clu.sit.Store.Compact()
+		clu.sit.Store.PutBytes("other", []byte{byte(i)})
+		clu.awaitJobs(i+1, 1)
+		time.Sleep(400 * time.Millisecond)
+	}
+	clu.sit.Store.PutBytes("servers/odd", []byte("{"))
+	clu.await("second line", func() bool { return len(clu.out.lines(`"event":"entry_ignored"`)) >= 2 })
+	assert.Assert(t, len(clu.out.lines(`"prefix":"servers/"`)) > 0)
+	lines := clu.out.lines(`"event":"entry_ignored"`)
+	assert.Equal(t, len(lines), 2, strings.Join(lines, ""))
+	for _, line := range lines {
+		assert.Assert(t, len(line) < 1000, "line of %d bytes", len(line))
+	}
+}
--- a/internal/manager/view.go
+++ b/internal/manager/view.go
@@ -121,7 +121,7 @@
 	case itm.Key == platform.ConfigKey:
 		cat, err := platform.DecodeCatalog(itm)
 		if err != nil {
-			opv.log.Event("entry_ignored", decisionlog.Fields{"key": itm.Key, "revision": itm.Revision, "error": err.Error()})
+			opv.log.Ignored(itm.Key, int64(itm.Revision), err)
 			return
 		}
 		opv.view.Catalog = cat
@@ -134,7 +134,7 @@
 	case platform.IsWaveKey(itm.Key):
 		wav, err := platform.DecodeWave(itm)
 		if err != nil {
-			opv.log.Event("entry_ignored", decisionlog.Fields{"key": itm.Key, "revision": itm.Revision, "error": err.Error()})
+			opv.log.Ignored(itm.Key, int64(itm.Revision), err)
 			return
 		}
 		opv.waves[itm.Key] = wav
