manager: a VM whose registration goes away while the history is lost is unregistered

Cause: vmsReset knew only the IDs of the last list. A VM found by a watch whose registration was then removed while the store dropped its history stayed registered until the list of machines showed that it had ended.

Change: registrations keeps the IDs of lists and watches alike.

TestVMGoneWithHistory failed on, with the two calls it makes adapted to the code of then: no VMUnregistered for the VM found by the watch.

--- a/internal/manager/dispatcher.go
+++ b/internal/manager/dispatcher.go
@@ -158,7 +158,8 @@
 	if !ok {
 		return
 	}
-	go dis.follow(ctx, platform.VMPrefix, dis.vmsReset(ctx), func(cha kv.Change) { dis.vmChanged(ctx, cha) }, nil)
+	reg := &registrations{dis: dis, known: map[string]bool{}}
+	go dis.follow(ctx, platform.VMPrefix, func(items []kv.Item) { reg.reset(ctx, items) }, func(cha kv.Change) { reg.change(ctx, cha) }, nil)
 	go dis.follow(ctx, job.LivePrefix, dis.jobsReset(ctx, progress), func(cha kv.Change) { dis.jobChanged(ctx, cha, nil) },
 		func(sent time.Time) { dis.send(ctx, scheduler.JobWatchProgressed{At: sent}) })
 	go dis.readEndedJobs(ctx)
@@ -278,37 +279,42 @@
 	dis.send(ctx, scheduler.JobAccepted{Spec: spe, Revision: cha.Item.Revision, Progress: old.progress, ProgressRevision: old.revision})
 }
 
-// vmsReset returns a function that sends all registered VMs, and those that are
-// no longer registered.
-func (dis *dispatcher) vmsReset(ctx context.Context) func([]kv.Item) {
-	known := map[string]bool{}
-	return func(items []kv.Item) {
-		present := map[string]bool{}
-		for _, itm := range items {
-			present[platform.VMID(itm.Key)] = true
-			dis.vmChanged(ctx, kv.Change{Item: itm})
-		}
-		for id := range known {
-			if !present[id] {
-				dis.send(ctx, scheduler.VMUnregistered{ID: id})
-			}
-		}
-		known = present
+// registrations sends the changes of the registered VMs.
+type registrations struct {
+	dis *dispatcher
+	// known holds the IDs whose registration exists, valid or not.
+	known map[string]bool
+}
+
+// reset sends all registered VMs, and those that are no longer registered.
+func (reg *registrations) reset(ctx context.Context, items []kv.Item) {
+	gone := reg.known
+	reg.known = map[string]bool{}
+	for _, itm := range items {
+		delete(gone, platform.VMID(itm.Key))
+		reg.change(ctx, kv.Change{Item: itm})
+	}
+	for id := range gone {
+		reg.dis.send(ctx, scheduler.VMUnregistered{ID: id})
 	}
 }
 
-func (dis *dispatcher) vmChanged(ctx context.Context, cha kv.Change) {
+// change sends a change of a registration. One that is wrong names no VM.
+func (reg *registrations) change(ctx context.Context, cha kv.Change) {
+	id := platform.VMID(cha.Item.Key)
 	if cha.Deleted {
-		dis.send(ctx, scheduler.VMUnregistered{ID: platform.VMID(cha.Item.Key)})
+		delete(reg.known, id)
+		reg.dis.send(ctx, scheduler.VMUnregistered{ID: id})
 		return
 	}
+	reg.known[id] = true
 	one, err := platform.DecodeVM(cha.Item)
 	if err != nil {
-		dis.logIgnored(cha.Item, err)
-		dis.send(ctx, scheduler.VMUnregistered{ID: platform.VMID(cha.Item.Key)})
+		reg.dis.logIgnored(cha.Item, err)
+		reg.dis.send(ctx, scheduler.VMUnregistered{ID: id})
 		return
 	}
-	dis.send(ctx, scheduler.VMRegistered{VM: one})
+	reg.dis.send(ctx, scheduler.VMRegistered{VM: one})
 }
 
 // followOperator sends the operator's changes to the reducer.
--- /dev/null
+++ b/internal/manager/registrations_test.go
@@ -0,0 +1,51 @@
+package manager
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/balsamgauge/balsamgauge/internal/core/scheduler"
+	"github.com/balsamgauge/balsamgauge/internal/decisionlog"
+	"github.com/balsamgauge/balsamgauge/internal/kv"
+	"gotest.tools/v3/assert"
+)
+
+// TestVMGoneWithHistory guards against a VM that stays registered because its
+// registration was found by a watch and went away while the history was lost.
+func TestVMGoneWithHistory(t *testing.T) {
+	ctx := context.Background()
+	dis := &dispatcher{nod: &Node{log: decisionlog.New(io.Discard, "test", time.Now)}, events: make(chan scheduler.Event, 100)}
+	reg := &registrations{dis: dis, known: map[string]bool{}}
+	item := func(id string, revision kv.Revision) kv.Item {
+		return kv.Item{
+			Key: "servers/" + id, Revision: revision,
+			Value: []byte(`{"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready","capacity":{"cpu":1,"mem-mb":1}}`),
+		}
+	}
+	sent := func() (all []string) {
+		for len(dis.events) > 0 {
+			switch evt := (<-dis.events).(type) {
+			case scheduler.VMRegistered:
+				all = append(all, "+"+evt.VM.ID)
+			case scheduler.VMUnregistered:
+				all = append(all, "-"+evt.ID)
+			default:
+				t.Fatalf("event %T", evt)
+			}
+		}
+		return all
+	}
+	reg.reset(ctx, []kv.Item{item("listed", 1)})
+	reg.change(ctx, kv.Change{Item: item("watched", 2)})
+	odd := kv.Item{Key: "servers/odd", Revision: 3, Value: []byte("[[[")}
+	reg.change(ctx, kv.Change{Item: odd})
+	assert.DeepEqual(t, sent(), []string{"+listed", "+watched", "-odd"})
+	reg.reset(ctx, []kv.Item{item("listed", 1), odd})
+	assert.DeepEqual(t, sent(), []string{"+listed", "-odd", "-watched"})
+	reg.change(ctx, kv.Change{Item: item("odd", 5)})
+	reg.change(ctx, kv.Change{Item: kv.Item{Key: "servers/listed", Revision: 6}, Deleted: true})
+	reg.reset(ctx, nil)
+	assert.DeepEqual(t, sent(), []string{"+odd", "-listed", "-odd"})
+}
