job: sizes, times and limits whose sums overflow are refused

Cause: a job's sizes, estimates and times had no upper limit, so that their sums and products overflowed to other values, some of them negative.

Change: Check refuses sizes above 2^40, occurrences beyond two centuries and negative limits of a step. Estimates and tail targets are limited to 30 days.

--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -193,6 +193,17 @@
 	MaxTotalTasks = 50_000
 )
 
+// Limits of the numbers of a job. Sums over its tasks, steps and occurrences do
+// not overflow.
+const (
+	// MaxAmount is the maximum of each component of a task's size.
+	MaxAmount = 1 << 40
+	// MaxDuration is the maximum of a task's estimate and of its tail target.
+	MaxDuration = 30 * 24 * time.Hour
+	// MaxRecurrence is the maximum time from 1970 to the last occurrence.
+	MaxRecurrence = 200 * 366 * 24 * time.Hour
+)
+
 // Check returns an error if the specification is inconsistent or exceeds a
 // limit.
 func (spe Spec) Check() error {
@@ -202,6 +213,9 @@
 	if spe.Occurrences < 0 || spe.Occurrences > MaxOccurrences || spe.Interval < 0 {
 		return fmt.Errorf("job %s has %d occurrences every %v, must have 0 to %d at an interval of 0 or more", spe.ID, spe.Occurrences, spe.Interval, MaxOccurrences)
 	}
+	if spe.Occurrences > 0 && (spe.Interval > MaxRecurrence/time.Duration(spe.Occurrences) || spe.FirstDue.Unix() > int64(MaxRecurrence/time.Second)) {
+		return fmt.Errorf("job %s has %d occurrences every %v from %v, too far in the future", spe.ID, spe.Occurrences, spe.Interval, spe.FirstDue)
+	}
 	all := 0
 	for i, ste := range spe.Steps {
 		if err := ste.check(i); err != nil {
@@ -223,8 +237,14 @@
 	if ste.Size.CPU < 0 || ste.Size.Memory < 0 || ste.Size.Accelerators < 0 {
 		return fmt.Errorf("step %d has a negative size", num)
 	}
-	if ste.Estimate < 0 || ste.TailTarget < 0 {
-		return fmt.Errorf("step %d has an estimate of %v and a tail target of %v, must not be negative", num, ste.Estimate, ste.TailTarget)
+	if max(ste.Size.CPU, ste.Size.Memory, ste.Size.Accelerators) > MaxAmount {
+		return fmt.Errorf("step %d has a size above %d", num, int64(MaxAmount))
+	}
+	if min(ste.Estimate, ste.TailTarget) < 0 || max(ste.Estimate, ste.TailTarget) > MaxDuration {
+		return fmt.Errorf("step %d has an estimate of %v and a tail target of %v, must be 0 to %v", num, ste.Estimate, ste.TailTarget, MaxDuration)
+	}
+	if ste.MaxPerVM < 0 || ste.MaxUnavailable < 0 {
+		return fmt.Errorf("step %d has a negative limit", num)
 	}
 	for _, dep := range ste.After {
 		if dep < 0 || dep >= num {
