packed: stored records and messages are decoded within bounds

Cause: the msgpack decoder makes as many elements as a list declares and calls itself for each nested one. checkShape guarded only the messages between entries; jobs, progress, the duty, the load, the waves, the queries for advice and the handshake were decoded without it.

--- a/internal/advisory/relay.go
+++ b/internal/advisory/relay.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/balsamgauge/balsamgauge/internal/core/packed"
 	"github.com/balsamgauge/balsamgauge/internal/decisionlog"
 	"github.com/balsamgauge/balsamgauge/internal/transport"
 	"github.com/vmihailenco/msgpack/v5"
@@ -49,7 +50,7 @@
 	var que Query
 	raw, err := io.ReadAll(io.LimitReader(req.Body, maxBodyBytes))
 	if err == nil {
-		err = msgpack.Unmarshal(raw, &que)
+		err = packed.Unmarshal(raw, &que)
 	}
 	if err != nil {
 		rel.log.Event("question_ignored", decisionlog.Fields{"bytes": len(raw), "error": err.Error()})
@@ -103,7 +104,7 @@
 	if err != nil {
 		return Tickets{}, err
 	}
-	err = msgpack.Unmarshal(raw, &tks)
+	err = packed.Unmarshal(raw, &tks)
 	return tks, err
 }
 
--- a/internal/core/duty/duty.go
+++ b/internal/core/duty/duty.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"time"
 
+	"github.com/balsamgauge/balsamgauge/internal/core/packed"
 	"github.com/balsamgauge/balsamgauge/internal/kv"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -59,7 +60,7 @@
 
 // DecodeHolder decodes a record that was encoded by Holder.Encode.
 func DecodeHolder(raw []byte) (hol Holder, err error) {
-	if err = msgpack.Unmarshal(raw, &hol); err != nil {
+	if err = packed.Unmarshal(raw, &hol); err != nil {
 		return Holder{}, fmt.Errorf("decode holder: %w", err)
 	}
 	return hol, nil
--- a/internal/core/job/progress.go
+++ b/internal/core/job/progress.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/balsamgauge/balsamgauge/internal/core/packed"
 	"github.com/vmihailenco/msgpack/v5"
 )
 
@@ -62,7 +63,7 @@
 
 // Unmarshal decodes a record that was encoded by Marshal.
 func Unmarshal[T Spec | Progress | Outcome](raw []byte) (rec T, err error) {
-	if err = msgpack.Unmarshal(raw, &rec); err != nil {
+	if err = packed.Unmarshal(raw, &rec); err != nil {
 		return rec, fmt.Errorf("decode %T: %w", rec, err)
 	}
 	return rec, nil
--- a/internal/core/message/wire.go
+++ b/internal/core/message/wire.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 
+	"github.com/balsamgauge/balsamgauge/internal/core/packed"
 	"github.com/vmihailenco/msgpack/v5"
 )
 
@@ -80,7 +81,7 @@
 	if len(data) == 0 {
 		return nil, errors.New("empty message")
 	}
-	if err := checkShape(data[1:]); err != nil {
+	if err := packed.Check(data[1:]); err != nil {
 		return nil, err
 	}
 	decode, ok := decoders[kind(data[0])]
--- a/internal/core/message/shape.go
+++ b/internal/core/packed/packed.go
@@ -1,4 +1,6 @@
-package message
+// Package packed decodes msgpack of others, and of earlier versions of this
+// product, with bounds for what a few bytes can take.
+package packed
 
 import (
 	"bytes"
@@ -9,17 +11,26 @@
 	"github.com/vmihailenco/msgpack/v5/msgpcode"
 )
 
-// maxDepth bounds the nesting of arrays and maps. The edits of the
-// configuration are the most deeply nested message and stay below it.
+// maxDepth bounds the nesting of arrays and maps, as the decoder calls itself for
+// each. The edits of the configuration are the most deeply nested value and stay
+// below it.
 const maxDepth = 16
 
 var errTooDeep = errors.New("arrays or maps are nested too deeply")
 
-// checkShape validates the structure of a msgpack value without decoding it.
-// The decoder allocates as many elements as an array header announces, so a
-// message of a few bytes could exhaust the memory. checkShape requires at least
-// one byte for each announced element.
-func checkShape(data []byte) error {
+// Unmarshal decodes a value whose structure is valid.
+func Unmarshal(data []byte, out any) error {
+	if err := Check(data); err != nil {
+		return err
+	}
+	return msgpack.Unmarshal(data, out)
+}
+
+// Check validates the structure of a msgpack value without decoding it. The
+// decoder allocates as many elements as an array header announces, so a value of
+// a few bytes could exhaust the memory. Check requires at least one byte for each
+// announced element.
+func Check(data []byte) error {
 	reader := bytes.NewReader(data)
 	dec := msgpack.NewDecoder(reader)
 	// remaining holds the number of values left to read in each enclosing array
--- a/internal/manager/effects.go
+++ b/internal/manager/effects.go
@@ -8,6 +8,7 @@
 
 	"github.com/balsamgauge/balsamgauge/internal/advisory"
 	"github.com/balsamgauge/balsamgauge/internal/clock"
+	"github.com/balsamgauge/balsamgauge/internal/core/packed"
 	"github.com/balsamgauge/balsamgauge/internal/core/scheduler"
 	"github.com/balsamgauge/balsamgauge/internal/core/worker"
 	"github.com/balsamgauge/balsamgauge/internal/decisionlog"
@@ -209,7 +210,7 @@
 		case errors.Is(err, kv.ErrNotFound):
 			return nil, true
 		case err == nil:
-			if err := msgpack.Unmarshal(itm.Value, &begun); err != nil {
+			if err := packed.Unmarshal(itm.Value, &begun); err != nil {
 				dis.logIgnored(itm, err)
 			}
 			return begun, true
--- a/internal/manager/load.go
+++ b/internal/manager/load.go
@@ -10,6 +10,7 @@
 	"github.com/balsamgauge/balsamgauge/internal/core/catalog"
 	"github.com/balsamgauge/balsamgauge/internal/core/duty"
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
+	"github.com/balsamgauge/balsamgauge/internal/core/packed"
 	"github.com/balsamgauge/balsamgauge/internal/core/scheduler"
 	"github.com/balsamgauge/balsamgauge/internal/decisionlog"
 	"github.com/balsamgauge/balsamgauge/internal/kv"
@@ -40,7 +41,7 @@
 
 func (lov *loadView) change(itm kv.Item) {
 	var loa scheduler.Load
-	if err := msgpack.Unmarshal(itm.Value, &loa); err != nil {
+	if err := packed.Unmarshal(itm.Value, &loa); err != nil {
 		lov.log.Ignored(itm.Key, int64(itm.Revision), err)
 		return
 	}
--- a/internal/peerlink/frame.go
+++ b/internal/peerlink/frame.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 
+	"github.com/balsamgauge/balsamgauge/internal/core/packed"
 	"github.com/balsamgauge/balsamgauge/internal/timeline"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -88,6 +89,9 @@
 	if err != nil {
 		return 0, Hello{}, err
 	}
+	if err := packed.Check(payload); err != nil {
+		return 0, Hello{}, err
+	}
 	dec := msgpack.NewDecoder(bytes.NewReader(payload))
 	dec.SetCustomStructTag("json")
 	if err := dec.Decode(&hel); err != nil {
