packed: a value on which the decoder panics is an error

Cause: the msgpack decoder panics on nil for a field of type time.Time, which jobs and their outcomes have. Four bytes under live/ or ended/ ended the process, as nothing recovers there. FuzzUnmarshal found it.

Change: packed.UnmarshalTagged returns the panic as an error. Nothing else can be in an undefined state, as only the value being decoded is written. Messages and the handshake use it too.

--- a/internal/core/job/shape_test.go
+++ b/internal/core/job/shape_test.go
@@ -32,3 +32,13 @@
 		})
 	}
 }
+
+// TestNilTimeInRecord guards against a record with nil for a time, on which the
+// decoder panics.
+func TestNilTimeInRecord(t *testing.T) {
+	raw := []byte{0x81, 0xa1, 't', 0xc0}
+	_, err := Unmarshal[Spec](raw)
+	assert.ErrorContains(t, err, "decode")
+	_, err = Unmarshal[Outcome](raw)
+	assert.ErrorContains(t, err, "decode")
+}
--- a/internal/core/message/wire.go
+++ b/internal/core/message/wire.go
@@ -81,9 +81,6 @@
 	if len(data) == 0 {
 		return nil, errors.New("empty message")
 	}
-	if err := packed.Check(data[1:]); err != nil {
-		return nil, err
-	}
 	decode, ok := decoders[kind(data[0])]
 	if !ok {
 		return nil, fmt.Errorf("unknown message type %d", data[0])
@@ -114,9 +111,7 @@
 
 func decodeAs[M Message](body []byte) (msg Message, err error) {
 	var val M
-	dec := msgpack.NewDecoder(bytes.NewReader(body))
-	dec.SetCustomStructTag("json")
-	if err := dec.Decode(&val); err != nil {
+	if err := packed.UnmarshalTagged(body, "json", &val); err != nil {
 		return nil, err
 	}
 	return val, nil
--- a/internal/core/packed/packed.go
+++ b/internal/core/packed/packed.go
@@ -18,12 +18,24 @@
 
 var errTooDeep = errors.New("arrays or maps are nested too deeply")
 
-// Unmarshal decodes a value whose structure is valid.
-func Unmarshal(data []byte, out any) error {
+// Unmarshal decodes a value into the fields that the tag msgpack names.
+func Unmarshal(data []byte, out any) error { return UnmarshalTagged(data, "", out) }
+
+// UnmarshalTagged decodes a value into the fields that a tag names, if not empty
+// besides the tag msgpack.
+func UnmarshalTagged(data []byte, tag string, out any) (err error) {
 	if err := Check(data); err != nil {
 		return err
 	}
-	return msgpack.Unmarshal(data, out)
+	// The decoder panics on some values of the wrong type, such as nil for a time.
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = fmt.Errorf("decoder failed: %v", cause)
+		}
+	}()
+	dec := msgpack.NewDecoder(bytes.NewReader(data))
+	dec.SetCustomStructTag(tag)
+	return dec.Decode(out)
 }
 
 // Check validates the structure of a msgpack value without decoding it. The
--- a/internal/peerlink/frame.go
+++ b/internal/peerlink/frame.go
@@ -89,12 +89,7 @@
 	if err != nil {
 		return 0, Hello{}, err
 	}
-	if err := packed.Check(payload); err != nil {
-		return 0, Hello{}, err
-	}
-	dec := msgpack.NewDecoder(bytes.NewReader(payload))
-	dec.SetCustomStructTag("json")
-	if err := dec.Decode(&hel); err != nil {
+	if err := packed.UnmarshalTagged(payload, "json", &hel); err != nil {
 		return 0, Hello{}, err
 	}
 	switch {
