job: a stored record whose numbers index nothing is an error

Cause: a stored job's dependencies and counts, and the numbers of a task's progress, were used as read. A negative step or index in a progress record ended the dispatcher (index out of range), and each next one that read it.

Change: Unmarshal checks the structure of a job and the numbers of progress; restoreTask ignores negative ones too. Limits of numbers apply to new jobs only.

--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -207,20 +207,45 @@
 // Check returns an error if the specification is inconsistent or exceeds a
 // limit.
 func (spe Spec) Check() error {
-	if len(spe.Steps) == 0 || len(spe.Steps) > MaxSteps {
-		return fmt.Errorf("job %s has %d steps, must have 1 to %d", spe.ID, len(spe.Steps), MaxSteps)
+	if err := spe.checkStructure(); err != nil {
+		return err
+	}
+	if len(spe.Steps) == 0 {
+		return fmt.Errorf("job %s has 0 steps, must have 1 to %d", spe.ID, MaxSteps)
 	}
-	if spe.Occurrences < 0 || spe.Occurrences > MaxOccurrences || spe.Interval < 0 {
-		return fmt.Errorf("job %s has %d occurrences every %v, must have 0 to %d at an interval of 0 or more", spe.ID, spe.Occurrences, spe.Interval, MaxOccurrences)
+	if spe.Interval < 0 {
+		return fmt.Errorf("job %s has %d occurrences every %v, must have an interval of 0 or more", spe.ID, spe.Occurrences, spe.Interval)
 	}
 	if spe.Occurrences > 0 && (spe.Interval > MaxRecurrence/time.Duration(spe.Occurrences) || spe.FirstDue.Unix() > int64(MaxRecurrence/time.Second)) {
 		return fmt.Errorf("job %s has %d occurrences every %v from %v, too far in the future", spe.ID, spe.Occurrences, spe.Interval, spe.FirstDue)
 	}
-	all := 0
 	for i, ste := range spe.Steps {
-		if err := ste.check(i); err != nil {
+		if err := ste.checkAmounts(i); err != nil {
 			return fmt.Errorf("job %s: %w", spe.ID, err)
 		}
+	}
+	return nil
+}
+
+// checkStructure returns an error if the steps don't exist that others depend on,
+// or if there are more tasks than a job may have. It holds for stored jobs too.
+func (spe Spec) checkStructure() error {
+	if len(spe.Steps) > MaxSteps {
+		return fmt.Errorf("job %s has %d steps, must have 1 to %d", spe.ID, len(spe.Steps), MaxSteps)
+	}
+	if spe.Occurrences < 0 || spe.Occurrences > MaxOccurrences {
+		return fmt.Errorf("job %s has %d occurrences every %v, must have 0 to %d", spe.ID, spe.Occurrences, spe.Interval, MaxOccurrences)
+	}
+	all := 0
+	for i, ste := range spe.Steps {
+		if ste.Count < 1 || ste.Count > MaxTasks {
+			return fmt.Errorf("job %s: step %d has %d tasks, must have 1 to %d", spe.ID, i, ste.Count, MaxTasks)
+		}
+		for _, dep := range ste.After {
+			if dep < 0 || dep >= i {
+				return fmt.Errorf("job %s: step %d comes after step %d, which is not an earlier step", spe.ID, i, dep)
+			}
+		}
 		all += ste.Count
 	}
 	if all*spe.OccurrenceCount() > MaxTotalTasks {
@@ -229,11 +254,9 @@
 	return nil
 }
 
-// check returns an error if the step, which has index num in its job, is invalid.
-func (ste Step) check(num int) error {
-	if ste.Count < 1 || ste.Count > MaxTasks {
-		return fmt.Errorf("step %d has %d tasks, must have 1 to %d", num, ste.Count, MaxTasks)
-	}
+// checkAmounts returns an error if a number of the step, which has index num in
+// its job, is out of range.
+func (ste Step) checkAmounts(num int) error {
 	if ste.Size.CPU < 0 || ste.Size.Memory < 0 || ste.Size.Accelerators < 0 {
 		return fmt.Errorf("step %d has a negative size", num)
 	}
@@ -246,11 +269,6 @@
 	if ste.MaxPerVM < 0 || ste.MaxUnavailable < 0 {
 		return fmt.Errorf("step %d has a negative limit", num)
 	}
-	for _, dep := range ste.After {
-		if dep < 0 || dep >= num {
-			return fmt.Errorf("step %d comes after step %d, which is not an earlier step", num, dep)
-		}
-	}
 	return nil
 }
 
--- a/internal/core/job/progress.go
+++ b/internal/core/job/progress.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
@@ -66,7 +67,32 @@
 	if err = packed.Unmarshal(raw, &rec); err != nil {
 		return rec, fmt.Errorf("decode %T: %w", rec, err)
 	}
-	return rec, nil
+	switch rec := any(rec).(type) {
+	case Spec:
+		err = rec.checkStored()
+	case Progress:
+		err = rec.check()
+	}
+	return rec, err
+}
+
+// checkStored returns an error if the dispatcher can't hold the job. Limits of
+// numbers are not checked again, as they may be newer than the record.
+func (spe Spec) checkStored() error {
+	if spe.ID == "" {
+		return errors.New("job without an ID")
+	}
+	return spe.checkStructure()
+}
+
+// check returns an error if a task can't exist.
+func (pro Progress) check() error {
+	for _, rec := range pro.Tasks {
+		if min(rec.Occurrence, rec.Step, rec.Index, rec.Run) < 0 {
+			return fmt.Errorf("progress of task %d of step %d in occurrence %d with run %d", rec.Index, rec.Step, rec.Occurrence, rec.Run)
+		}
+	}
+	return nil
 }
 
 // Prefixes and suffixes of the store keys for jobs.
--- a/internal/core/scheduler/jobs.go
+++ b/internal/core/scheduler/jobs.go
@@ -90,7 +90,7 @@
 
 // restoreTask applies a task record that a former dispatcher stored.
 func (sta *State) restoreTask(liv *liveJob, rec job.TaskRecord) {
-	if rec.Occurrence >= liv.spec.OccurrenceCount() || rec.Step >= len(liv.spec.Steps) || rec.Index >= liv.spec.Steps[rec.Step].Count {
+	if min(rec.Occurrence, rec.Step, rec.Index) < 0 || rec.Occurrence >= liv.spec.OccurrenceCount() || rec.Step >= len(liv.spec.Steps) || rec.Index >= liv.spec.Steps[rec.Step].Count {
 		sta.logDecision("progress_ignored", liv.spec.ID, map[string]any{"occurrence": rec.Occurrence, "step": rec.Step, "index": rec.Index})
 		return
 	}
