advisory: a relay's address that is none is no ticket source

Cause: any value under asker/ was a ticket source. One that can't be reached counted as available, took queries and failed them, each for two seconds.

Change: transport.IsAddress, which registrations use too, decides; other values are ignored and logged.

TestOddRelayAddress failed before: 7 sources instead of 2.

--- a/internal/advisory/registry.go
+++ b/internal/advisory/registry.go
@@ -11,6 +11,7 @@
 	"github.com/balsamgauge/balsamgauge/internal/decisionlog"
 	"github.com/balsamgauge/balsamgauge/internal/follow"
 	"github.com/balsamgauge/balsamgauge/internal/kv"
+	"github.com/balsamgauge/balsamgauge/internal/transport"
 )
 
 // Prefix is the prefix of the keys under which entries register the addresses
@@ -30,6 +31,8 @@
 	neededPollInterval = 500 * time.Millisecond
 )
 
+var errNoAddress = errors.New("not a host with a port")
+
 // Registration keeps an entry registered while advice is needed.
 type Registration struct {
 	Store kv.Store
@@ -125,7 +128,7 @@
 	defer wat.mu.Unlock()
 	wat.addresses = map[string]string{}
 	for _, itm := range items {
-		wat.addresses[strings.TrimPrefix(itm.Key, Prefix)] = string(itm.Value)
+		wat.register(itm)
 	}
 	wat.updatePool()
 }
@@ -137,11 +140,22 @@
 	if cha.Deleted {
 		delete(wat.addresses, name)
 	} else {
-		wat.addresses[name] = string(cha.Item.Value)
+		wat.register(cha.Item)
 	}
 	wat.updatePool()
 }
 
+// register keeps the address of a relay. A value that is no address names none.
+func (wat *Watcher) register(itm kv.Item) {
+	name, address := strings.TrimPrefix(itm.Key, Prefix), string(itm.Value)
+	delete(wat.addresses, name)
+	if !transport.IsAddress(address) {
+		wat.Log.Ignored(itm.Key, int64(itm.Revision), errNoAddress)
+		return
+	}
+	wat.addresses[name] = address
+}
+
 // updatePool sets the pool's sources. Those of other entries are named by
 // address, so that an entry that returns at another address is a new source.
 func (wat *Watcher) updatePool() {
