transport: bodies of responses are read up to a limit

Cause: the list of VMs, a worker's report and a message of a watch were read to their end, however long; other bodies were cut at their limit and then decoded.

Change: transport.ReadBody fails beyond its limit.

--- a/internal/advisory/relay.go
+++ b/internal/advisory/relay.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -48,7 +47,7 @@
 // ServeHTTP serves a query of another entry.
 func (rel *Relay) ServeHTTP(wri http.ResponseWriter, req *http.Request) {
 	var que Query
-	raw, err := io.ReadAll(io.LimitReader(req.Body, maxBodyBytes))
+	raw, err := transport.ReadBody(req.Body, maxBodyBytes)
 	if err == nil {
 		err = packed.Unmarshal(raw, &que)
 	}
@@ -100,7 +99,7 @@
 	if rsp.StatusCode != http.StatusOK {
 		return Tickets{}, fmt.Errorf("%s: status %d", rem.url, rsp.StatusCode)
 	}
-	raw, err = io.ReadAll(io.LimitReader(rsp.Body, maxBodyBytes))
+	raw, err = transport.ReadBody(rsp.Body, maxBodyBytes)
 	if err != nil {
 		return Tickets{}, err
 	}
--- a/internal/etcd/client.go
+++ b/internal/etcd/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/balsamgauge/balsamgauge/internal/core/store"
 	"github.com/balsamgauge/balsamgauge/internal/netfail"
+	"github.com/balsamgauge/balsamgauge/internal/transport"
 	"github.com/rcrowley/go-metrics"
 )
 
@@ -156,7 +157,7 @@
 		return err
 	}
 	defer func() { _ = hrs.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(hrs.Body, maxResponseBytes))
+	data, err := transport.ReadBody(hrs.Body, maxResponseBytes)
 	if err != nil {
 		return err
 	}
@@ -188,9 +189,11 @@
 		return err
 	}
 	defer func() { _ = hrs.Body.Close() }()
-	dec := json.NewDecoder(hrs.Body)
+	message := &io.LimitedReader{R: hrs.Body}
+	dec := json.NewDecoder(message)
 	for {
 		var rsp watchResponse
+		message.N = maxResponseBytes
 		if err := dec.Decode(&rsp); err != nil {
 			return err
 		}
--- a/internal/vmlist/client.go
+++ b/internal/vmlist/client.go
@@ -6,11 +6,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/balsamgauge/balsamgauge/internal/core/vm"
+	"github.com/balsamgauge/balsamgauge/internal/transport"
 )
 
 // listTimeout is the time that reading the list may take.
@@ -53,7 +53,7 @@
 	}
 	var lst List
 	// The body is read to its end; otherwise the connection could not be reused.
-	data, err := io.ReadAll(hrs.Body)
+	data, err := transport.ReadBody(hrs.Body, transport.MaxBodyBytes)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/workerclient/client.go
+++ b/internal/workerclient/client.go
@@ -8,13 +8,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/balsamgauge/balsamgauge/internal/core/effect"
 	"github.com/balsamgauge/balsamgauge/internal/core/event"
 	"github.com/balsamgauge/balsamgauge/internal/netfail"
+	"github.com/balsamgauge/balsamgauge/internal/transport"
 )
 
 // callTimeout is the time a worker has to respond to a call.
@@ -141,7 +141,7 @@
 		return 0, err
 	}
 	defer func() { _ = hrs.Body.Close() }()
-	data, err := io.ReadAll(hrs.Body)
+	data, err := transport.ReadBody(hrs.Body, transport.MaxBodyBytes)
 	if err == nil && rsp != nil && hrs.StatusCode == http.StatusOK {
 		err = json.Unmarshal(data, rsp)
 	}
