--- a/internal/advisory/relay.go
+++ b/internal/advisory/relay.go
@@ -4,10 +4,10 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
+	"github.com/balsamgauge/balsamgauge/internal/core/packed"
 	"github.com/balsamgauge/balsamgauge/internal/decisionlog"
 	"github.com/balsamgauge/balsamgauge/internal/transport"
 	"github.com/vmihailenco/msgpack/v5"
@@ -47,9 +47,9 @@
 // ServeHTTP serves a query of another entry.
 func (rel *Relay) ServeHTTP(wri http.ResponseWriter, req *http.Request) {
 	var que Query
-	raw, err := io.ReadAll(io.LimitReader(req.Body, maxBodyBytes))
+	raw, err := transport.ReadBody(req.Body, maxBodyBytes)
 	if err == nil {
-		err = msgpack.Unmarshal(raw, &que)
+		err = packed.Unmarshal(raw, &que)
 	}
 	if err != nil {
 		rel.log.Event("question_ignored", decisionlog.Fields{"bytes": len(raw), "error": err.Error()})
@@ -99,11 +99,11 @@
 	if rsp.StatusCode != http.StatusOK {
 		return Tickets{}, fmt.Errorf("%s: status %d", rem.url, rsp.StatusCode)
 	}
-	raw, err = io.ReadAll(io.LimitReader(rsp.Body, maxBodyBytes))
+	raw, err = transport.ReadBody(rsp.Body, maxBodyBytes)
 	if err != nil {
 		return Tickets{}, err
 	}
-	err = msgpack.Unmarshal(raw, &tks)
+	err = packed.Unmarshal(raw, &tks)
 	return tks, err
 }
 
--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -193,19 +193,58 @@
 	MaxTotalTasks = 50_000
 )
 
+// Limits of the numbers of a job. Sums over its tasks, steps and occurrences do
+// not overflow.
+const (
+	// MaxAmount is the maximum of each component of a task's size.
+	MaxAmount = 1 << 40
+	// MaxDuration is the maximum of a task's estimate and of its tail target.
+	MaxDuration = 30 * 24 * time.Hour
+	// MaxRecurrence is the maximum time from 1970 to the last occurrence.
+	MaxRecurrence = 200 * 366 * 24 * time.Hour
+)
+
 // Check returns an error if the specification is inconsistent or exceeds a
 // limit.
 func (spe Spec) Check() error {
-	if len(spe.Steps) == 0 || len(spe.Steps) > MaxSteps {
+	if err := spe.checkStructure(); err != nil {
+		return err
+	}
+	if len(spe.Steps) == 0 {
+		return fmt.Errorf("job %s has 0 steps, must have 1 to %d", spe.ID, MaxSteps)
+	}
+	if spe.Interval < 0 {
+		return fmt.Errorf("job %s has %d occurrences every %v, must have an interval of 0 or more", spe.ID, spe.Occurrences, spe.Interval)
+	}
+	if spe.Occurrences > 0 && (spe.Interval > MaxRecurrence/time.Duration(spe.Occurrences) || spe.FirstDue.Unix() > int64(MaxRecurrence/time.Second)) {
+		return fmt.Errorf("job %s has %d occurrences every %v from %v, too far in the future", spe.ID, spe.Occurrences, spe.Interval, spe.FirstDue)
+	}
+	for i, ste := range spe.Steps {
+		if err := ste.checkAmounts(i); err != nil {
+			return fmt.Errorf("job %s: %w", spe.ID, err)
+		}
+	}
+	return nil
+}
+
+// checkStructure returns an error if the steps don't exist that others depend on,
+// or if there are more tasks than a job may have. It holds for stored jobs too.
+func (spe Spec) checkStructure() error {
+	if len(spe.Steps) > MaxSteps {
 		return fmt.Errorf("job %s has %d steps, must have 1 to %d", spe.ID, len(spe.Steps), MaxSteps)
 	}
-	if spe.Occurrences < 0 || spe.Occurrences > MaxOccurrences || spe.Interval < 0 {
-		return fmt.Errorf("job %s has %d occurrences every %v, must have 0 to %d at an interval of 0 or more", spe.ID, spe.Occurrences, spe.Interval, MaxOccurrences)
+	if spe.Occurrences < 0 || spe.Occurrences > MaxOccurrences {
+		return fmt.Errorf("job %s has %d occurrences every %v, must have 0 to %d", spe.ID, spe.Occurrences, spe.Interval, MaxOccurrences)
 	}
 	all := 0
 	for i, ste := range spe.Steps {
-		if err := ste.check(i); err != nil {
-			return fmt.Errorf("job %s: %w", spe.ID, err)
+		if ste.Count < 1 || ste.Count > MaxTasks {
+			return fmt.Errorf("job %s: step %d has %d tasks, must have 1 to %d", spe.ID, i, ste.Count, MaxTasks)
+		}
+		for _, dep := range ste.After {
+			if dep < 0 || dep >= i {
+				return fmt.Errorf("job %s: step %d comes after step %d, which is not an earlier step", spe.ID, i, dep)
+			}
 		}
 		all += ste.Count
 	}
@@ -215,21 +254,20 @@
 	return nil
 }
 
-// check returns an error if the step, which has index num in its job, is invalid.
-func (ste Step) check(num int) error {
-	if ste.Count < 1 || ste.Count > MaxTasks {
-		return fmt.Errorf("step %d has %d tasks, must have 1 to %d", num, ste.Count, MaxTasks)
-	}
+// checkAmounts returns an error if a number of the step, which has index num in
+// its job, is out of range.
+func (ste Step) checkAmounts(num int) error {
 	if ste.Size.CPU < 0 || ste.Size.Memory < 0 || ste.Size.Accelerators < 0 {
 		return fmt.Errorf("step %d has a negative size", num)
 	}
-	if ste.Estimate < 0 || ste.TailTarget < 0 {
-		return fmt.Errorf("step %d has an estimate of %v and a tail target of %v, must not be negative", num, ste.Estimate, ste.TailTarget)
+	if max(ste.Size.CPU, ste.Size.Memory, ste.Size.Accelerators) > MaxAmount {
+		return fmt.Errorf("step %d has a size above %d", num, int64(MaxAmount))
 	}
-	for _, dep := range ste.After {
-		if dep < 0 || dep >= num {
-			return fmt.Errorf("step %d comes after step %d, which is not an earlier step", num, dep)
-		}
+	if min(ste.Estimate, ste.TailTarget) < 0 || max(ste.Estimate, ste.TailTarget) > MaxDuration {
+		return fmt.Errorf("step %d has an estimate of %v and a tail target of %v, must be 0 to %v", num, ste.Estimate, ste.TailTarget, MaxDuration)
+	}
+	if ste.MaxPerVM < 0 || ste.MaxUnavailable < 0 {
+		return fmt.Errorf("step %d has a negative limit", num)
 	}
 	return nil
 }
