--- a/internal/core/scheduler/outage_test.go
+++ b/internal/core/scheduler/outage_test.go
@@ -19,6 +19,8 @@
 	down map[string]bool
 	// starts counts the starts by VM.
 	starts map[string]int
+	// deadly reports whether each start crashes its VM before it is answered.
+	deadly bool
 }
 
 // newOutageFixture returns a dispatcher that all VMs have answered.
@@ -61,6 +63,9 @@
 	case Start:
 		fix.starts[eff.VM.ID]++
 		res := worker.ResultOK
+		if fix.deadly {
+			fix.down[eff.VM.ID] = true
+		}
 		if fix.down[eff.VM.ID] {
 			res = worker.ResultUnknown
 		}
@@ -116,6 +121,17 @@
 	}
 }
 
+// reboot starts new VMs on the machines that are down.
+func (fix *outageFixture) reboot() {
+	for i := range fix.vms {
+		if vm := &fix.vms[i]; fix.down[vm.ID] {
+			delete(fix.down, vm.ID)
+			vm.ID += "+"
+			fix.reduce(VMRegistered{*vm})
+		}
+	}
+}
+
 // TestOutageOfIdleVMsGivesUpNoJob guards against an accepted job that is lost in
 // the outage of an availability zone: its tasks are ordered on one idle VM after
 // the other that is down as well, and each counted as crashed by them.
@@ -160,3 +176,19 @@
 	}
 	assert.Equal(t, liv.final, job.State(""))
 }
+
+// TestTaskThatCrashesVMsUnanswered guards against a task that crashes VMs for
+// ever, as none of them lives to answer its start.
+func TestTaskThatCrashesVMsUnanswered(t *testing.T) {
+	fix := newOutageFixture(6)
+	fix.deadly = true
+	liv := fix.submit(1, 1)
+	crashes := 0
+	for range 10 {
+		fix.run(4 * time.Second)
+		crashes += len(fix.down)
+		fix.reboot()
+	}
+	assert.Equal(t, liv.final, job.StateFailed)
+	assert.Assert(t, crashes <= 2*maxCrashes, "%d VMs crashed", crashes)
+}
