scheduler: failing tests of outages that are not found

The outage of a rack, and that of an availability zone in which every VM serves, still count as crashes of the tasks that ran there: three of them give up a job.

--- a/internal/core/scheduler/outage_test.go
+++ b/internal/core/scheduler/outage_test.go
@@ -192,3 +192,45 @@
 	assert.Equal(t, liv.final, job.StateFailed)
 	assert.Assert(t, crashes <= 2*maxCrashes, "%d VMs crashed", crashes)
 }
+
+// TestRackOutagesGiveUpNoJob guards against giving up a job whose VMs were lost
+// in several outages of racks, which no task causes.
+func TestRackOutagesGiveUpNoJob(t *testing.T) {
+	fix := newOutageFixture(0)
+	for i := range 12 {
+		vm := testVM(fmt.Sprintf("vm-%02d", i))
+		vm.Rack = fmt.Sprintf("r%d", i/4)
+		fix.vms = append(fix.vms, vm)
+		fix.reduce(VMRegistered{vm})
+	}
+	fix.run(time.Second)
+	liv := fix.submit(1, 8)
+	first := &liv.occs[0].stages[0].tasks[0]
+	for range maxCrashes {
+		assert.Assert(t, first.host != nil, "the job ended as %q", liv.final)
+		rack := first.host.vm.Rack
+		for _, vm := range fix.vms {
+			fix.down[vm.ID] = vm.Rack == rack
+		}
+		fix.run(5 * time.Second)
+		fix.reboot()
+		fix.run(3 * time.Second)
+	}
+	assert.Equal(t, liv.final, job.State(""))
+}
+
+// TestOutageOfServingZoneIsNoCrash guards against counting the outage of an
+// availability zone against the tasks that ran there, as none of its VMs was
+// idle: tasks that have served for long are no cause either.
+func TestOutageOfServingZoneIsNoCrash(t *testing.T) {
+	fix := newOutageFixture(5)
+	serving := job.Spec{ID: jobName(2), Queue: "settle", Account: "large", Payload: "x", Accepted: fix.now, Steps: []job.Step{
+		{Count: 10, Size: job.Size{CPU: 500, Memory: 512}, LongRunning: true},
+	}}
+	fix.reduce(JobAccepted{Spec: serving, Revision: 11})
+	fix.run(startupTime + 2*time.Second)
+	liv := fix.submit(1, 4)
+	fix.crash(1)
+	fix.run(5 * time.Second)
+	assert.Equal(t, liv.occs[0].stages[0].tasks[0].crashes, 0)
+}
