scheduler: a start on a VM that is gone alone counts as a crash

A task that crashes each VM before its start is answered was never given up, since starts that no VM confirmed ceased to count.

Cause: such starts were exempt whatever else was lost. They are doubtful because in an outage a task is ordered on VMs that are down already; those are listed as gone together, and get no starts from then on. A VM that is the only one of its zone that is listed as gone was up when the list before showed it, so its unconfirmed starts count.

TestTaskThatCrashesVMsUnanswered failed before.

--- a/internal/core/scheduler/crashes.go
+++ b/internal/core/scheduler/crashes.go
@@ -38,10 +38,11 @@
 }
 
 // mayCauseCrash reports whether a run may be why its VM crashed. A start that
-// the VM has not confirmed may have been ordered after the crash.
-func (pla *placement) mayCauseCrash(now time.Time) bool {
+// the VM has not confirmed may have been ordered after the crash. It is a
+// possible cause only if the VM is gone alone.
+func (pla *placement) mayCauseCrash(now time.Time, alone bool) bool {
 	switch {
-	case pla.stage == nil || pla.state != runRunning:
+	case pla.stage == nil || pla.ending() || pla.state != runRunning && !alone:
 		return false
 	case pla.stage.step.LongRunning:
 		return !pla.adopted && now.Sub(pla.since) <= startupTime
@@ -56,8 +57,9 @@
 	if sta.inOutage(hos.vm.AZ) {
 		return
 	}
+	alone := sta.isGoneAlone(hos)
 	for _, pla := range slices.Clone(hos.runList) {
-		if !pla.mayCauseCrash(sta.now) || hos.suspects > 0 && !pla.suspect || pla.stage.liveJob.final != "" {
+		if !pla.mayCauseCrash(sta.now, alone) || hos.suspects > 0 && !pla.suspect || pla.stage.liveJob.final != "" {
 			continue
 		}
 		stg := pla.stage
@@ -77,6 +79,14 @@
 	}
 }
 
+// isGoneAlone reports whether a VM is listed as gone, and no other one of its
+// availability zone.
+func (sta *State) isGoneAlone(hos *host) bool {
+	return hos.listedGone && !slices.ContainsFunc(sta.hostList, func(oth *host) bool {
+		return oth != hos && oth.listedGone && oth.vm.AZ == hos.vm.AZ
+	})
+}
+
 // clearSuspects clears the long-running tasks that have outlasted their startup
 // on the VM.
 func (sta *State) clearSuspects(hos *host) {
