scheduler: the outage of a rack or of a serving zone is no crash of its tasks

The outage of a rack counted as a crash of each task there, and so did that of a zone without an idle VM; three give up a job.

Cause: only zones were looked at, and only an idle VM was taken as evidence that no task was the cause. Racks are looked at as zones are; a VM whose tasks had all been serving for more than their startup when it last reported is evidence like an idle one, by the rule that clears such tasks of crashes.

TestRackOutagesGiveUpNoJob and TestOutageOfServingZoneIsNoCrash failed before.

--- a/internal/core/scheduler/crashes.go
+++ b/internal/core/scheduler/crashes.go
@@ -54,7 +54,7 @@
 // countCrash counts a crash against the tasks that may be its cause, and gives up
 // those with too many. If a suspect ran on the VM, it counts against no other.
 func (sta *State) countCrash(hos *host) {
-	if sta.inOutage(hos.vm.AZ) {
+	if sta.inOutage(hos) {
 		return
 	}
 	alone := sta.isGoneAlone(hos)
--- a/internal/core/scheduler/outage.go
+++ b/internal/core/scheduler/outage.go
@@ -2,10 +2,10 @@
 
 import "time"
 
-// Parameters of the detection of outages of availability zones.
+// Parameters of the detection of outages of availability zones and racks.
 const (
-	// minOutage is the part of a zone's VMs that a list of machines shows as gone
-	// in an outage, and minOutageVMs their least number.
+	// minOutage is the part of a zone's or rack's VMs that a list of machines shows
+	// as gone in an outage, and minOutageVMs their least number.
 	minOutage    = 0.75
 	minOutageVMs = 3
 	// outageTime is how long an outage lasts after the list that shows it: its VMs
@@ -13,33 +13,65 @@
 	outageTime = 5 * time.Second
 )
 
-// detectOutages records the availability zones of which a new list of machines
-// shows most VMs as gone. At least one of them must have been idle: tasks that
-// crash their VMs may take down most of a small zone as well.
+// detectOutages records the availability zones and racks of which a new list of
+// machines shows most VMs as gone. At least one of them must have been blameless:
+// tasks that crash their VMs may take down most of a small zone as well.
 func (sta *State) detectOutages() {
-	known, gone, idle := map[string]int{}, map[string]int{}, map[string]int{}
+	known, gone, blameless := map[string]int{}, map[string]int{}, map[string]int{}
 	for _, hos := range sta.hostList {
 		if hos.goingDown {
 			continue
 		}
-		known[hos.vm.AZ]++
-		if hos.listedGone {
-			gone[hos.vm.AZ]++
-			if len(hos.runs) == 0 && hos.termAccepted && hos.failedPolls == 0 {
-				idle[hos.vm.AZ]++
+		for _, place := range hos.places() {
+			known[place]++
+			if hos.listedGone {
+				gone[place]++
+				if hos.isBlameless() {
+					blameless[place]++
+				}
 			}
 		}
 	}
-	for zone, count := range gone {
-		if idle[zone] == 0 || count < minOutageVMs || float64(count) < minOutage*float64(known[zone]) {
+	for place, count := range gone {
+		if blameless[place] == 0 || count < minOutageVMs || float64(count) < minOutage*float64(known[place]) {
 			continue
 		}
-		if !sta.inOutage(zone) {
-			sta.logDecision("zone_outage", "", map[string]any{"az": zone, "gone": count, "known": known[zone]})
+		if !sta.now.Before(sta.outages[place]) {
+			sta.logDecision("zone_outage", "", map[string]any{"az": place, "gone": count, "known": known[place]})
 		}
-		sta.outages[zone] = sta.now.Add(outageTime)
+		sta.outages[place] = sta.now.Add(outageTime)
 	}
 }
 
-// inOutage reports whether an availability zone has an outage.
-func (sta *State) inOutage(zone string) bool { return sta.now.Before(sta.outages[zone]) }
+// places returns the names of the VM's availability zone and rack among the
+// places that may have an outage.
+func (hos *host) places() []string {
+	if hos.vm.Rack == "" {
+		return []string{hos.vm.AZ}
+	}
+	return []string{hos.vm.AZ, "rack " + hos.vm.Rack}
+}
+
+// isBlameless reports whether no task can be why the VM crashed: it was idle, or
+// all its tasks had been serving for long when it last reported.
+func (hos *host) isBlameless() bool {
+	if len(hos.runs) == 0 {
+		return hos.termAccepted && hos.failedPolls == 0
+	}
+	for _, pla := range hos.runList {
+		if pla.stage == nil || !pla.stage.step.LongRunning || pla.state != runRunning || hos.clockAt.Sub(pla.since) <= startupTime {
+			return false
+		}
+	}
+	return true
+}
+
+// inOutage reports whether a VM's availability zone or rack has an outage.
+func (sta *State) inOutage(hos *host) bool {
+	for _, place := range hos.places() {
+		if sta.now.Before(sta.outages[place]) {
+			return true
+		}
+	}
+	return false
+}
