scheduler: failing test of a suspect that gets no VM

The VM that is kept free for a suspect may lack its label or be too small. The suspect then waits for as long as the pool is busy; a task that serves must not wait for more than seconds.

--- a/internal/core/scheduler/crash_test.go
+++ b/internal/core/scheduler/crash_test.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -177,3 +179,26 @@
 		assert.Assert(t, len(emu.truthOf(deadly).crashes) <= maxServingCrashes, "seed %d: %d crashes", seed, len(emu.truthOf(deadly).crashes))
 	}
 }
+
+// TestSuspectGetsVMThatCanRunIt guards against a suspect that waits for as long
+// as the pool is busy: the VM that is kept free for it can't run it.
+func TestSuspectGetsVMThatCanRunIt(t *testing.T) {
+	sta, reduce := newTenure()
+	events := []Event{CatalogChanged{testCatalog()}}
+	for i := range 8 {
+		vm := testVM(fmt.Sprintf("vm-%d", i))
+		if i >= 6 {
+			vm.Labels = []string{"large"}
+		}
+		events = append(events, VMRegistered{vm}, PollAnswered{VM: vm, Sent: sta.now, Report: worker.Report{StartedAtMS: vm.StartedAtMS, Clock: time.Second}})
+	}
+	busy := job.Spec{ID: jobName(1), Queue: "gate", Account: "large", Payload: "x", Accepted: sta.now, Steps: []job.Step{
+		{Count: 24, Size: job.Size{CPU: 5000, Memory: 512}, Estimate: 5 * time.Second},
+	}}
+	suspect := job.Spec{ID: jobName(2), Queue: "settle", Account: "large", Payload: "x", Accepted: sta.now, Steps: []job.Step{
+		{Count: 1, Size: job.Size{CPU: 500, Memory: 512}, LongRunning: true, Label: "large"},
+	}}
+	reduce(append(events, JobAccepted{Spec: busy, Revision: 11}, JobsLoaded{})...)
+	reduce(JobAccepted{Spec: suspect, Revision: 12, Progress: job.Progress{Tasks: []job.TaskRecord{{Crashes: suspectCrashes, Run: 3}}}})
+	assert.Assert(t, slices.ContainsFunc(sta.hostList, func(hos *host) bool { return hos.keptFree && hos.vm.HasLabel("large") }))
+}
