scheduler: failing test of a former dispatcher's move that counts as a crash

Machine orders of a former dispatcher may be carried out after a takeover. The new one does not know of them and counts the loss of the VM against its tasks, although the list of machines shows the move.

--- a/internal/core/scheduler/crash_test.go
+++ b/internal/core/scheduler/crash_test.go
@@ -202,3 +202,27 @@
 	reduce(JobAccepted{Spec: suspect, Revision: 12, Progress: job.Progress{Tasks: []job.TaskRecord{{Crashes: suspectCrashes, Run: 3}}}})
 	assert.Assert(t, slices.ContainsFunc(sta.hostList, func(hos *host) bool { return hos.keptFree && hos.vm.HasLabel("large") }))
 }
+
+// TestMoveByFormerDispatcherIsNoCrash guards against giving up a job because a
+// machine went down by an order of a former dispatcher that was carried out late.
+func TestMoveByFormerDispatcherIsNoCrash(t *testing.T) {
+	for _, listed := range []worker.Machine{
+		{Name: "m-1", Pool: "other", State: worker.MachineMoving},
+		{Name: "m-1", Pool: "other", State: worker.MachineMoving, VM: "vm-1"},
+		{Name: "m-1", Pool: "lots", State: worker.MachineUpkeep},
+	} {
+		sta, reduce := newTenure()
+		one := testVM("vm-1")
+		spe := fanOut(1, "large", 1, 500, 10*time.Second)
+		spe.Accepted = sta.now
+		progress := job.Progress{Tasks: []job.TaskRecord{{Crashes: maxCrashes - 1, Run: 3}}}
+		reduce(CatalogChanged{testCatalog()}, VMRegistered{one}, JobAccepted{Spec: spe, Revision: 5, Progress: progress}, JobsLoaded{})
+		reduce(PollAnswered{VM: one, Sent: sta.now, Report: worker.Report{StartedAtMS: one.StartedAtMS, Clock: time.Second, Running: []worker.Running{{Task: job.Task{Job: spe.ID}, Run: 3}}}})
+		reduce(MachinesListed{RequestedAt: sta.now, Machines: []worker.Machine{{Name: "m-1", Pool: "lots", State: worker.MachineUp, VM: one.ID}}})
+		reduce(PollAnswered{VM: one, Sent: sta.now, Result: worker.ResultUnknown})
+		reduce(MachinesListed{RequestedAt: sta.now, Machines: []worker.Machine{listed}})
+		reduce(PollAnswered{VM: one, Sent: sta.now, Result: worker.ResultUnknown}, MachinesListed{RequestedAt: sta.now, Machines: []worker.Machine{listed}})
+		assert.Assert(t, sta.hosts[one.ID] == nil, "the VM must be known to be gone")
+		assert.Equal(t, sta.jobs[spe.ID].final, job.State(""))
+	}
+}
