scheduler: keep a VM free for a suspect only if it can run it

A suspect with a required label, or one that is large beside tasks that serve, could wait for as long as its pool was busy, and the VM kept free for it stood idle. VMs are chosen by suspect now, and by label and capacity without the tasks that end by themselves.

TestSuspectGetsVMThatCanRunIt failed before.

--- a/internal/core/scheduler/crashes.go
+++ b/internal/core/scheduler/crashes.go
@@ -127,25 +127,43 @@
 }
 
 // keepFree selects the hosts that get no other tasks while suspects wait: those
-// with the fewest runs, which are free of other tasks first.
+// with the fewest runs that can run a suspect, which are free of other tasks
+// first.
 func (sta *State) keepFree(waiting []waitingStage, hosts map[string][]*host) {
 	for _, hos := range sta.hostList {
 		hos.keptFree = false
 	}
-	suspects := map[string]int{}
+	suspects := map[string][]*stage{}
 	for _, wai := range waiting {
 		for i := range wai.stage.tasks {
 			if tas := &wai.stage.tasks[i]; tas.phase == phaseWaiting && tas.isSuspect() {
-				suspects[wai.pool]++
+				suspects[wai.pool] = append(suspects[wai.pool], wai.stage)
 			}
 		}
 	}
-	for pool, count := range suspects {
+	for pool, stages := range suspects {
 		free := slices.DeleteFunc(slices.Clone(hosts[pool]), func(hos *host) bool { return hos.isolates(false) })
 		slices.SortStableFunc(free, func(one, oth *host) int { return cmp.Compare(len(one.runs), len(oth.runs)) })
-		limit := max(1, int(maxKeptFree*float64(len(hosts[pool]))))
-		for _, hos := range free[:min(count, limit, len(free))] {
-			hos.keptFree = true
+		left := max(1, int(maxKeptFree*float64(len(hosts[pool]))))
+		for _, stg := range stages {
+			i := slices.IndexFunc(free, func(hos *host) bool { return !hos.keptFree && hos.suits(stg) })
+			if i < 0 || left == 0 {
+				continue
+			}
+			free[i].keptFree = true
+			left--
+		}
+	}
+}
+
+// suits reports whether a task of a stage can run on the host once all tasks that
+// end by themselves have left it.
+func (hos *host) suits(stg *stage) bool {
+	free := hos.vm.Capacity
+	for _, pla := range hos.runList {
+		if pla.stage != nil && pla.stage.step.LongRunning {
+			free = free.Minus(pla.reserved)
 		}
 	}
+	return stg.step.Reservation().Fits(free) && (stg.step.Label == "" || hos.vm.HasLabel(stg.step.Label))
 }
