scheduler: machines that go down by a former dispatcher's order did not crash

A VM that went down for a move or an upkeep that a former dispatcher had ordered counted as crashed by its tasks, and a third such loss gives up a job. The same holds for own orders that were answered as busy.

Cause: only orders of this tenure mark a VM as going down. The list of machines shows the state; it is applied now (order_noticed) also if the list no longer names the VM, by the machine that the list before gave for it.

TestMoveByFormerDispatcherIsNoCrash failed before.

--- a/internal/core/scheduler/waves.go
+++ b/internal/core/scheduler/waves.go
@@ -331,6 +331,7 @@
 	}
 	sta.machines.nextRequest = sta.now.Add(min(maxListPause, listPauseFactor*sta.now.Sub(evt.RequestedAt)))
 	sta.machines.asOf = evt.RequestedAt
+	machineOf := sta.machines.byVM
 	sta.machines.byName = make(map[string]worker.Machine, len(evt.Machines))
 	sta.machines.byVM = make(map[string]string, len(evt.Machines))
 	for _, mac := range evt.Machines {
@@ -346,6 +347,10 @@
 		if hos.listedGone {
 			hos.nextPoll = sta.now
 		}
+		if !ok {
+			name = machineOf[hos.vm.ID]
+		}
+		sta.noticeOrder(hos, sta.machines.byName[name], evt.RequestedAt)
 	}
 	sta.detectOutages()
 	for _, hos := range slices.Clone(sta.hostList) {
@@ -353,6 +358,17 @@
 	}
 }
 
+// noticeOrder records that a host's machine goes down by an order, of a former
+// dispatcher or without a valid answer, as its listing shows.
+func (sta *State) noticeOrder(hos *host, mac worker.Machine, requestedAt time.Time) {
+	if hos.goingDown || requestedAt.Before(hos.firstSeen) || mac.State != worker.MachineMoving && mac.State != worker.MachineUpkeep {
+		return
+	}
+	sta.logDecision("order_noticed", "", map[string]any{"machine": mac.Name, "vm": hos.vm.ID, "state": mac.State})
+	hos.goingDown, hos.downAnsweredAt = true, requestedAt
+	sta.machines.refreshDue = true
+}
+
 // applyListing updates a host from a list of machines that was requested at a
 // given time.
 func (sta *State) applyListing(hos *host, requestedAt time.Time) {
