scheduler: failing test of a job whose queue is removed

Without its queue, a job has one attempt: taskFailed finds no limit and takes 1. The pool of the queue is kept for such jobs, the attempts are not.

--- a/internal/core/scheduler/attempts_test.go
+++ b/internal/core/scheduler/attempts_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/balsamgauge/balsamgauge/internal/core/catalog"
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
 	"github.com/balsamgauge/balsamgauge/internal/core/worker"
 	"gotest.tools/v3/assert"
@@ -54,3 +55,21 @@
 	}
 	assert.Equal(t, sta.jobs[spe.ID].final, job.StateFailed)
 }
+
+// withoutGate returns the test's configuration after the queue gate was removed.
+func withoutGate() catalog.Catalog {
+	cat := testCatalog()
+	return catalog.New(catalog.Catalog{Version: 2, Revision: 2, Queues: cat.Queues[1:], Pools: cat.Pools, Accounts: cat.Accounts})
+}
+
+// TestJobOutlivesItsQueue guards against giving up a job after one failed run
+// because its queue has been removed from the configuration.
+func TestJobOutlivesItsQueue(t *testing.T) {
+	fix := newOutageFixture(2)
+	liv := fix.submit(1, 1)
+	first := &liv.occs[0].stages[0].tasks[0]
+	assert.Assert(t, first.host != nil)
+	fix.reduce(CatalogChanged{withoutGate()})
+	fix.reduce(reportedEnd(first.host.vm, fix.now, worker.End{Number: 1, Task: job.Task{Job: liv.spec.ID}, Run: first.run, Kind: worker.EndFailed}))
+	assert.Equal(t, liv.final, job.State(""))
+}
