scheduler: failing test of a job without a queue after a takeover

The pool of a removed queue is kept for a tenure only. The next dispatcher looks for VMs of the pool with the empty name, and never starts the job.

--- a/internal/core/scheduler/attempts_test.go
+++ b/internal/core/scheduler/attempts_test.go
@@ -73,3 +73,14 @@
 	fix.reduce(reportedEnd(first.host.vm, fix.now, worker.End{Number: 1, Task: job.Task{Job: liv.spec.ID}, Run: first.run, Kind: worker.EndFailed}))
 	assert.Equal(t, liv.final, job.State(""))
 }
+
+// TestJobWithoutQueueStartsAfterTakeover guards against an accepted job that is
+// never started: its queue was removed, and the dispatcher that knew the queue's
+// pool was killed.
+func TestJobWithoutQueueStartsAfterTakeover(t *testing.T) {
+	fix := newOutageFixture(2)
+	fix.reduce(CatalogChanged{withoutGate()})
+	fix.submit(1, 1)
+	fix.run(10 * time.Second)
+	assert.Equal(t, fix.starts["vm-0"]+fix.starts["vm-1"], 1)
+}
