scheduler: failing test of attempts that are all made on one VM

Tasks are packed and a VM is quarantined only after three failed runs in a row, so a task on an idle pool is started three times on a VM that fails all it starts; that ends the job in a queue with three attempts.

--- a/internal/core/scheduler/attempts_test.go
+++ b/internal/core/scheduler/attempts_test.go
@@ -84,3 +84,18 @@
 	fix.run(10 * time.Second)
 	assert.Equal(t, fix.starts["vm-0"]+fix.starts["vm-1"], 1)
 }
+
+// TestTaskTriesAnotherVM guards against giving up a job because of one VM that
+// fails all that it starts, beside others that are sound and idle.
+func TestTaskTriesAnotherVM(t *testing.T) {
+	fix := newOutageFixture(4)
+	liv := fix.submit(1, 1)
+	first := &liv.occs[0].stages[0].tasks[0]
+	assert.Assert(t, first.host != nil)
+	faulty := first.host.vm
+	for number := int64(1); first.host != nil && first.host.vm.ID == faulty.ID; number++ {
+		fix.reduce(reportedEnd(faulty, fix.now, worker.End{Number: number, Task: job.Task{Job: liv.spec.ID}, Run: first.run, Kind: worker.EndFailed}))
+		fix.run(time.Second)
+	}
+	assert.Assert(t, fix.starts[faulty.ID] < 3, "%d of %d attempts were made on the same VM", fix.starts[faulty.ID], fix.sta.catalog.Queue("gate").MaxAttempts)
+}
