scheduler: make the next attempt on another VM

A VM that fails all it starts could use up all attempts of a task, beside sound and idle ones, and its job was failed.

Cause: tasks are packed, so the VM that a task has just failed on is chosen again, and VMs are quarantined only after three failed runs in a row; most queues allow three.

TestTaskTriesAnotherVM failed before.

--- a/internal/core/scheduler/jobs.go
+++ b/internal/core/scheduler/jobs.go
@@ -304,10 +304,12 @@
 	maxQuarantine = 8 * time.Second
 )
 
-// countFailure counts a failed run against its VM.
+// countFailure counts a failed run against its VM. The VM gets no new tasks for a
+// moment, so that the next attempt is made on another one if there is room.
 func (sta *State) countFailure(hos *host) {
 	hos.failures++
 	if hos.failures < maxFailures {
+		hos.quarantinedUntil = sta.now.Add(startRetryDelay)
 		return
 	}
 	pause := min(maxQuarantine, minQuarantine<<min(hos.failures-maxFailures, 5))
