--- a/internal/core/scheduler/attempts_test.go
+++ b/internal/core/scheduler/attempts_test.go
@@ -76,3 +76,47 @@
 	}
 	assert.Equal(t, sta.jobs[spe.ID].final, job.StateFailed)
 }
+
+// withoutGate returns the test's configuration after the queue gate was removed.
+func withoutGate() catalog.Catalog {
+	cat := testCatalog()
+	return catalog.New(catalog.Catalog{Version: 2, Revision: 2, Queues: cat.Queues[1:], Pools: cat.Pools, Accounts: cat.Accounts})
+}
+
+// TestJobOutlivesItsQueue guards against giving up a job after one failed run
+// because its queue has been removed from the configuration.
+func TestJobOutlivesItsQueue(t *testing.T) {
+	fix := newOutageFixture(2)
+	liv := fix.submit(1, 1)
+	first := &liv.occs[0].stages[0].tasks[0]
+	assert.Assert(t, first.host != nil)
+	fix.reduce(CatalogChanged{withoutGate()})
+	fix.reduce(reportedEnd(first.host.vm, fix.now, worker.End{Number: 1, Task: job.Task{Job: liv.spec.ID}, Run: first.run, Kind: worker.EndFailed}))
+	assert.Equal(t, liv.final, job.State(""))
+}
+
+// TestJobWithoutQueueStartsAfterTakeover guards against an accepted job that is
+// never started: its queue was removed, and the dispatcher that knew the queue's
+// pool was killed.
+func TestJobWithoutQueueStartsAfterTakeover(t *testing.T) {
+	fix := newOutageFixture(2)
+	fix.reduce(CatalogChanged{withoutGate()})
+	fix.submit(1, 1)
+	fix.run(10 * time.Second)
+	assert.Equal(t, fix.starts["vm-0"]+fix.starts["vm-1"], 1)
+}
+
+// TestTaskTriesAnotherVM guards against giving up a job because of one VM that
+// fails all that it starts, beside others that are sound and idle.
+func TestTaskTriesAnotherVM(t *testing.T) {
+	fix := newOutageFixture(4)
+	liv := fix.submit(1, 1)
+	first := &liv.occs[0].stages[0].tasks[0]
+	assert.Assert(t, first.host != nil)
+	faulty := first.host.vm
+	for number := int64(1); first.host != nil && first.host.vm.ID == faulty.ID; number++ {
+		fix.reduce(reportedEnd(faulty, fix.now, worker.End{Number: number, Task: job.Task{Job: liv.spec.ID}, Run: first.run, Kind: worker.EndFailed}))
+		fix.run(time.Second)
+	}
+	assert.Assert(t, fix.starts[faulty.ID] < 3, "%d of %d attempts were made on the same VM", fix.starts[faulty.ID], fix.sta.catalog.Queue("gate").MaxAttempts)
+}
--- a/internal/core/scheduler/crash_test.go
+++ b/internal/core/scheduler/crash_test.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -177,3 +179,50 @@
 		assert.Assert(t, len(emu.truthOf(deadly).crashes) <= maxServingCrashes, "seed %d: %d crashes", seed, len(emu.truthOf(deadly).crashes))
 	}
 }
+
+// TestSuspectGetsVMThatCanRunIt guards against a suspect that waits for as long
+// as the pool is busy: the VM that is kept free for it can't run it.
+func TestSuspectGetsVMThatCanRunIt(t *testing.T) {
+	sta, reduce := newTenure()
+	events := []Event{CatalogChanged{testCatalog()}}
+	for i := range 8 {
+		vm := testVM(fmt.Sprintf("vm-%d", i))
+		if i >= 6 {
+			vm.Labels = []string{"large"}
+		}
+		events = append(events, VMRegistered{vm}, PollAnswered{VM: vm, Sent: sta.now, Report: worker.Report{StartedAtMS: vm.StartedAtMS, Clock: time.Second}})
+	}
+	busy := job.Spec{ID: jobName(1), Queue: "gate", Account: "large", Payload: "x", Accepted: sta.now, Steps: []job.Step{
+		{Count: 24, Size: job.Size{CPU: 5000, Memory: 512}, Estimate: 5 * time.Second},
+	}}
+	suspect := job.Spec{ID: jobName(2), Queue: "settle", Account: "large", Payload: "x", Accepted: sta.now, Steps: []job.Step{
+		{Count: 1, Size: job.Size{CPU: 500, Memory: 512}, LongRunning: true, Label: "large"},
+	}}
+	reduce(append(events, JobAccepted{Spec: busy, Revision: 11}, JobsLoaded{})...)
+	reduce(JobAccepted{Spec: suspect, Revision: 12, Progress: job.Progress{Tasks: []job.TaskRecord{{Crashes: suspectCrashes, Run: 3}}}})
+	assert.Assert(t, slices.ContainsFunc(sta.hostList, func(hos *host) bool { return hos.keptFree && hos.vm.HasLabel("large") }))
+}
+
+// TestMoveByFormerDispatcherIsNoCrash guards against giving up a job because a
+// machine went down by an order of a former dispatcher that was carried out late.
+func TestMoveByFormerDispatcherIsNoCrash(t *testing.T) {
+	for _, listed := range []worker.Machine{
+		{Name: "m-1", Pool: "other", State: worker.MachineMoving},
+		{Name: "m-1", Pool: "other", State: worker.MachineMoving, VM: "vm-1"},
+		{Name: "m-1", Pool: "lots", State: worker.MachineUpkeep},
+	} {
+		sta, reduce := newTenure()
+		one := testVM("vm-1")
+		spe := fanOut(1, "large", 1, 500, 10*time.Second)
+		spe.Accepted = sta.now
+		progress := job.Progress{Tasks: []job.TaskRecord{{Crashes: maxCrashes - 1, Run: 3}}}
+		reduce(CatalogChanged{testCatalog()}, VMRegistered{one}, JobAccepted{Spec: spe, Revision: 5, Progress: progress}, JobsLoaded{})
+		reduce(PollAnswered{VM: one, Sent: sta.now, Report: worker.Report{StartedAtMS: one.StartedAtMS, Clock: time.Second, Running: []worker.Running{{Task: job.Task{Job: spe.ID}, Run: 3}}}})
+		reduce(MachinesListed{RequestedAt: sta.now, Machines: []worker.Machine{{Name: "m-1", Pool: "lots", State: worker.MachineUp, VM: one.ID}}})
+		reduce(PollAnswered{VM: one, Sent: sta.now, Result: worker.ResultUnknown})
+		reduce(MachinesListed{RequestedAt: sta.now, Machines: []worker.Machine{listed}})
+		reduce(PollAnswered{VM: one, Sent: sta.now, Result: worker.ResultUnknown}, MachinesListed{RequestedAt: sta.now, Machines: []worker.Machine{listed}})
+		assert.Assert(t, sta.hosts[one.ID] == nil, "the VM must be known to be gone")
+		assert.Equal(t, sta.jobs[spe.ID].final, job.State(""))
+	}
+}
--- a/internal/core/scheduler/crashes.go
+++ b/internal/core/scheduler/crashes.go
@@ -38,10 +38,11 @@
 }
 
 // mayCauseCrash reports whether a run may be why its VM crashed. A start that
-// the VM has not confirmed may have been ordered after the crash.
-func (pla *placement) mayCauseCrash(now time.Time) bool {
+// the VM has not confirmed may have been ordered after the crash. It is a
+// possible cause only if the VM is gone alone.
+func (pla *placement) mayCauseCrash(now time.Time, alone bool) bool {
 	switch {
-	case pla.stage == nil || pla.state != runRunning:
+	case pla.stage == nil || pla.ending() || pla.state != runRunning && !alone:
 		return false
 	case pla.stage.step.LongRunning:
 		return !pla.adopted && now.Sub(pla.since) <= startupTime
@@ -53,11 +54,12 @@
 // countCrash counts a crash against the tasks that may be its cause, and gives up
 // those with too many. If a suspect ran on the VM, it counts against no other.
 func (sta *State) countCrash(hos *host) {
-	if sta.inOutage(hos.vm.AZ) {
+	if sta.inOutage(hos) {
 		return
 	}
+	alone := sta.isGoneAlone(hos)
 	for _, pla := range slices.Clone(hos.runList) {
-		if !pla.mayCauseCrash(sta.now) || hos.suspects > 0 && !pla.suspect || pla.stage.liveJob.final != "" {
+		if !pla.mayCauseCrash(sta.now, alone) || hos.suspects > 0 && !pla.suspect || pla.stage.liveJob.final != "" {
 			continue
 		}
 		stg := pla.stage
@@ -77,6 +79,14 @@
 	}
 }
 
+// isGoneAlone reports whether a VM is listed as gone, and no other one of its
+// availability zone.
+func (sta *State) isGoneAlone(hos *host) bool {
+	return hos.listedGone && !slices.ContainsFunc(sta.hostList, func(oth *host) bool {
+		return oth != hos && oth.listedGone && oth.vm.AZ == hos.vm.AZ
+	})
+}
+
 // clearSuspects clears the long-running tasks that have outlasted their startup
 // on the VM.
 func (sta *State) clearSuspects(hos *host) {
@@ -117,25 +127,43 @@
 }
 
 // keepFree selects the hosts that get no other tasks while suspects wait: those
-// with the fewest runs, which are free of other tasks first.
+// with the fewest runs that can run a suspect, which are free of other tasks
+// first.
 func (sta *State) keepFree(waiting []waitingStage, hosts map[string][]*host) {
 	for _, hos := range sta.hostList {
 		hos.keptFree = false
 	}
-	suspects := map[string]int{}
+	suspects := map[string][]*stage{}
 	for _, wai := range waiting {
 		for i := range wai.stage.tasks {
 			if tas := &wai.stage.tasks[i]; tas.phase == phaseWaiting && tas.isSuspect() {
-				suspects[wai.pool]++
+				suspects[wai.pool] = append(suspects[wai.pool], wai.stage)
 			}
 		}
 	}
-	for pool, count := range suspects {
+	for pool, stages := range suspects {
 		free := slices.DeleteFunc(slices.Clone(hosts[pool]), func(hos *host) bool { return hos.isolates(false) })
 		slices.SortStableFunc(free, func(one, oth *host) int { return cmp.Compare(len(one.runs), len(oth.runs)) })
-		limit := max(1, int(maxKeptFree*float64(len(hosts[pool]))))
-		for _, hos := range free[:min(count, limit, len(free))] {
-			hos.keptFree = true
+		left := max(1, int(maxKeptFree*float64(len(hosts[pool]))))
+		for _, stg := range stages {
+			i := slices.IndexFunc(free, func(hos *host) bool { return !hos.keptFree && hos.suits(stg) })
+			if i < 0 || left == 0 {
+				continue
+			}
+			free[i].keptFree = true
+			left--
+		}
+	}
+}
+
+// suits reports whether a task of a stage can run on the host once all tasks that
+// end by themselves have left it.
+func (hos *host) suits(stg *stage) bool {
+	free := hos.vm.Capacity
+	for _, pla := range hos.runList {
+		if pla.stage != nil && pla.stage.step.LongRunning {
+			free = free.Minus(pla.reserved)
 		}
 	}
+	return stg.step.Reservation().Fits(free) && (stg.step.Label == "" || hos.vm.HasLabel(stg.step.Label))
 }
--- a/internal/core/scheduler/outage_test.go
+++ b/internal/core/scheduler/outage_test.go
@@ -19,6 +19,8 @@
 	down map[string]bool
 	// starts counts the starts by VM.
 	starts map[string]int
+	// deadly reports whether each start crashes its VM before it is answered.
+	deadly bool
 }
 
 // newOutageFixture returns a dispatcher that all VMs have answered.
@@ -61,6 +63,9 @@
 	case Start:
 		fix.starts[eff.VM.ID]++
 		res := worker.ResultOK
+		if fix.deadly {
+			fix.down[eff.VM.ID] = true
+		}
 		if fix.down[eff.VM.ID] {
 			res = worker.ResultUnknown
 		}
@@ -116,6 +121,17 @@
 	}
 }
 
+// reboot starts new VMs on the machines that are down.
+func (fix *outageFixture) reboot() {
+	for i := range fix.vms {
+		if vm := &fix.vms[i]; fix.down[vm.ID] {
+			delete(fix.down, vm.ID)
+			vm.ID += "+"
+			fix.reduce(VMRegistered{*vm})
+		}
+	}
+}
+
 // TestOutageOfIdleVMsGivesUpNoJob guards against an accepted job that is lost in
 // the outage of an availability zone: its tasks are ordered on one idle VM after
 // the other that is down as well, and each counted as crashed by them.
@@ -160,3 +176,82 @@
 	}
 	assert.Equal(t, liv.final, job.State(""))
 }
+
+// TestTaskThatCrashesVMsUnanswered guards against a task that crashes VMs for
+// ever, as none of them lives to answer its start.
+func TestTaskThatCrashesVMsUnanswered(t *testing.T) {
+	fix := newOutageFixture(6)
+	fix.deadly = true
+	liv := fix.submit(1, 1)
+	crashes := 0
+	for range 10 {
+		fix.run(4 * time.Second)
+		crashes += len(fix.down)
+		fix.reboot()
+	}
+	assert.Equal(t, liv.final, job.StateFailed)
+	assert.Assert(t, crashes <= 2*maxCrashes, "%d VMs crashed", crashes)
+}
+
+// TestRackOutagesGiveUpNoJob guards against giving up a job whose VMs were lost
+// in several outages of racks, which no task causes.
+func TestRackOutagesGiveUpNoJob(t *testing.T) {
+	fix := newOutageFixture(0)
+	for i := range 12 {
+		vm := testVM(fmt.Sprintf("vm-%02d", i))
+		vm.Rack = fmt.Sprintf("r%d", i/4)
+		fix.vms = append(fix.vms, vm)
+		fix.reduce(VMRegistered{vm})
+	}
+	fix.run(time.Second)
+	liv := fix.submit(1, 8)
+	first := &liv.occs[0].stages[0].tasks[0]
+	for range maxCrashes {
+		assert.Assert(t, first.host != nil, "the job ended as %q", liv.final)
+		rack := first.host.vm.Rack
+		for _, vm := range fix.vms {
+			fix.down[vm.ID] = vm.Rack == rack
+		}
+		fix.run(5 * time.Second)
+		fix.reboot()
+		fix.run(3 * time.Second)
+	}
+	assert.Equal(t, liv.final, job.State(""))
+}
+
+// TestOutageOfServingZoneIsNoCrash guards against counting the outage of an
+// availability zone against the tasks that ran there, as none of its VMs was
+// idle: tasks that have served for long are no cause either.
+func TestOutageOfServingZoneIsNoCrash(t *testing.T) {
+	fix := newOutageFixture(5)
+	serving := job.Spec{ID: jobName(2), Queue: "settle", Account: "large", Payload: "x", Accepted: fix.now, Steps: []job.Step{
+		{Count: 10, Size: job.Size{CPU: 500, Memory: 512}, LongRunning: true},
+	}}
+	fix.reduce(JobAccepted{Spec: serving, Revision: 11})
+	fix.run(startupTime + 2*time.Second)
+	liv := fix.submit(1, 4)
+	fix.crash(1)
+	fix.run(5 * time.Second)
+	assert.Equal(t, liv.occs[0].stages[0].tasks[0].crashes, 0)
+}
+
+// TestServingTaskStartsBesideSuspects guards against a serving task that waits
+// for as long as suspects run, as each of them has a VM of its own.
+func TestServingTaskStartsBesideSuspects(t *testing.T) {
+	fix := newOutageFixture(6)
+	suspects := job.Spec{ID: jobName(1), Queue: "gate", Account: "large", Payload: "x", Accepted: fix.now, Steps: []job.Step{
+		{Count: 8, Size: job.Size{CPU: 2000, Memory: 2400}, Estimate: 20 * time.Second},
+	}}
+	var progress job.Progress
+	for i := range suspects.Steps[0].Count {
+		progress.Tasks = append(progress.Tasks, job.TaskRecord{Index: i, Crashes: suspectCrashes, Run: 2})
+	}
+	fix.reduce(JobAccepted{Spec: suspects, Revision: 11, Progress: progress})
+	fix.run(time.Second)
+	serving := job.Spec{ID: jobName(2), Queue: "settle", Account: "large", Payload: "x", Accepted: fix.now, Steps: []job.Step{
+		{Count: 1, Size: job.Size{CPU: 500, Memory: 512}, LongRunning: true},
+	}}
+	fix.reduce(JobAccepted{Spec: serving, Revision: 12})
+	fix.run(3 * time.Second)
+	assert.Assert(t, fix.sta.jobs[serving.ID].begun)
+}
