--- a/internal/adminclient/client.go
+++ b/internal/adminclient/client.go
@@ -15,6 +15,7 @@
 	"github.com/balsamgauge/balsamgauge/internal/core/effect"
 	"github.com/balsamgauge/balsamgauge/internal/runner"
 	"github.com/balsamgauge/balsamgauge/internal/timeline"
+	"github.com/balsamgauge/balsamgauge/internal/transport"
 	"github.com/balsamgauge/balsamgauge/pkg/table"
 )
 
@@ -112,14 +113,18 @@
 		return fmt.Errorf("call entry at %s: %w", cli.address, err)
 	}
 	defer func() { _ = hrs.Body.Close() }()
+	raw, err := transport.ReadBody(hrs.Body, transport.MaxBodyBytes)
+	if err != nil {
+		return fmt.Errorf("read response of entry at %s: %w", cli.address, err)
+	}
 	if hrs.StatusCode != http.StatusOK {
 		var refused runner.ChangeResponse
-		if err := json.NewDecoder(hrs.Body).Decode(&refused); err != nil {
+		if err := json.Unmarshal(raw, &refused); err != nil {
 			return fmt.Errorf("entry at %s answered %s", cli.address, hrs.Status)
 		}
 		return &RefusedError{Response: refused}
 	}
-	if err := json.NewDecoder(hrs.Body).Decode(rsp); err != nil {
+	if err := json.Unmarshal(raw, rsp); err != nil {
 		return fmt.Errorf("decode response of entry at %s: %w", cli.address, err)
 	}
 	return nil
