manager: a registration that a list included is not taken back by an older change

A VM that had restarted under its ID while a list of several pages was read was taken for its former life, then for gone, and then for another life again, each time giving up its runs.

Change: registrations keeps the revision of each and skips changes up to it.

TestOlderRegistrationAfterList failed before: the events of the former life and of its removal were sent.

--- a/internal/manager/dispatcher.go
+++ b/internal/manager/dispatcher.go
@@ -158,7 +158,7 @@
 	if !ok {
 		return
 	}
-	reg := &registrations{dis: dis, known: map[string]bool{}}
+	reg := newRegistrations(dis)
 	go dis.follow(ctx, platform.VMPrefix, func(items []kv.Item) { reg.reset(ctx, items) }, func(cha kv.Change) { reg.change(ctx, cha) }, nil)
 	go dis.follow(ctx, job.LivePrefix, dis.jobsReset(ctx, progress), func(cha kv.Change) { dis.jobChanged(ctx, cha, nil) },
 		func(sent time.Time) { dis.send(ctx, scheduler.JobWatchProgressed{At: sent}) })
@@ -282,35 +282,48 @@
 // registrations sends the changes of the registered VMs.
 type registrations struct {
 	dis *dispatcher
-	// known holds the IDs whose registration exists, valid or not.
-	known map[string]bool
+	// known holds the revisions of the registrations that exist, valid or not, by
+	// ID.
+	known map[string]kv.Revision
+}
+
+func newRegistrations(dis *dispatcher) *registrations {
+	return &registrations{dis: dis, known: map[string]kv.Revision{}}
 }
 
 // reset sends all registered VMs, and those that are no longer registered.
 func (reg *registrations) reset(ctx context.Context, items []kv.Item) {
 	gone := reg.known
-	reg.known = map[string]bool{}
+	reg.known = map[string]kv.Revision{}
 	for _, itm := range items {
 		delete(gone, platform.VMID(itm.Key))
-		reg.change(ctx, kv.Change{Item: itm})
+		reg.register(ctx, itm)
 	}
 	for id := range gone {
 		reg.dis.send(ctx, scheduler.VMUnregistered{ID: id})
 	}
 }
 
-// change sends a change of a registration. One that is wrong names no VM.
+// change sends a change of a registration, unless a list has included it.
 func (reg *registrations) change(ctx context.Context, cha kv.Change) {
 	id := platform.VMID(cha.Item.Key)
-	if cha.Deleted {
+	switch {
+	case cha.Item.Revision <= reg.known[id]:
+	case cha.Deleted:
 		delete(reg.known, id)
 		reg.dis.send(ctx, scheduler.VMUnregistered{ID: id})
-		return
+	default:
+		reg.register(ctx, cha.Item)
 	}
-	reg.known[id] = true
-	one, err := platform.DecodeVM(cha.Item)
+}
+
+// register sends a registration. One that is wrong names no VM.
+func (reg *registrations) register(ctx context.Context, itm kv.Item) {
+	id := platform.VMID(itm.Key)
+	reg.known[id] = itm.Revision
+	one, err := platform.DecodeVM(itm)
 	if err != nil {
-		reg.dis.logIgnored(cha.Item, err)
+		reg.dis.logIgnored(itm, err)
 		reg.dis.send(ctx, scheduler.VMUnregistered{ID: id})
 		return
 	}
--- a/internal/manager/registrations_test.go
+++ b/internal/manager/registrations_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"testing"
 	"time"
@@ -17,7 +18,7 @@
 func TestVMGoneWithHistory(t *testing.T) {
 	ctx := context.Background()
 	dis := &dispatcher{nod: &Node{log: decisionlog.New(io.Discard, "test", time.Now)}, events: make(chan scheduler.Event, 100)}
-	reg := &registrations{dis: dis, known: map[string]bool{}}
+	reg := newRegistrations(dis)
 	item := func(id string, revision kv.Revision) kv.Item {
 		return kv.Item{
 			Key: "servers/" + id, Revision: revision,
@@ -49,3 +50,38 @@
 	reg.reset(ctx, nil)
 	assert.DeepEqual(t, sent(), []string{"+odd", "-listed", "-odd"})
 }
+
+// TestOlderRegistrationAfterList guards against a VM that is taken for its former
+// life, or for gone, by a change that its listed registration already includes.
+// The pages of a list are not a snapshot, and the watch begins at the first.
+func TestOlderRegistrationAfterList(t *testing.T) {
+	ctx := context.Background()
+	dis := &dispatcher{nod: &Node{log: decisionlog.New(io.Discard, "test", time.Now)}, events: make(chan scheduler.Event, 100)}
+	reg := newRegistrations(dis)
+	item := func(port int, revision kv.Revision) kv.Item {
+		return kv.Item{
+			Key: "servers/vm", Revision: revision,
+			Value: fmt.Appendf(nil, `{"service":"s","address":"10.0.0.1:%d","zone":"z","state":"ready","capacity":{"cpu":1,"mem-mb":1}}`, port),
+		}
+	}
+	addresses := func() (all []string) {
+		for len(dis.events) > 0 {
+			if evt, ok := (<-dis.events).(scheduler.VMRegistered); ok {
+				all = append(all, evt.VM.Address)
+			} else {
+				all = append(all, "gone")
+			}
+		}
+		return all
+	}
+	reg.reset(ctx, []kv.Item{item(3, 30)})
+	reg.change(ctx, kv.Change{Item: item(1, 10)})
+	reg.change(ctx, kv.Change{Item: kv.Item{Key: "servers/vm", Revision: 20}, Deleted: true})
+	reg.change(ctx, kv.Change{Item: item(3, 30)})
+	assert.DeepEqual(t, addresses(), []string{"10.0.0.1:3"})
+	reg.change(ctx, kv.Change{Item: kv.Item{Key: "servers/vm", Revision: 40}, Deleted: true})
+	reg.change(ctx, kv.Change{Item: item(4, 50)})
+	reg.reset(ctx, []kv.Item{item(4, 50)})
+	reg.reset(ctx, nil)
+	assert.DeepEqual(t, addresses(), []string{"gone", "10.0.0.1:4", "10.0.0.1:4", "gone"})
+}
