job: the pool and the attempts of its queue are stored with a job

Its pool was looked up by the queue and kept within a tenure only, and so were its attempts.

They are stored with the job now; while the queue exists, its values hold. Two fields are added to the stored record (po, ma), which earlier records lack.

--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -109,6 +109,10 @@
 	ID ID `msgpack:"id"`
 	// Queue is the name of the queue that accepted the job.
 	Queue string `msgpack:"q"`
+	// Pool and MaxAttempts are those of the queue when it accepted the job. They
+	// serve once the queue has been removed; records of earlier versions lack them.
+	Pool        string `msgpack:"po,omitempty"`
+	MaxAttempts int    `msgpack:"ma,omitempty"`
 	// Account is the name of the client account; empty on public queues.
 	Account string `msgpack:"a,omitempty"`
 	Payload string `msgpack:"p"`
--- a/internal/core/scheduler/jobs.go
+++ b/internal/core/scheduler/jobs.go
@@ -18,6 +18,7 @@
 		spec: evt.Spec, revision: evt.Revision, occsLeft: evt.Spec.OccurrenceCount(),
 		progressRev: evt.ProgressRevision, work: evt.Spec.Work(),
 		restored: evt.Revision <= sta.opt.Revision,
+		pool:     evt.Spec.Pool, maxAttempts: evt.Spec.MaxAttempts,
 	}
 	sta.jobs[id] = liv
 	sta.jobList = append(sta.jobList, liv)
--- a/internal/core/scheduler/outage_test.go
+++ b/internal/core/scheduler/outage_test.go
@@ -107,7 +107,7 @@
 
 // submit accepts a job of one step.
 func (fix *outageFixture) submit(n, width int) *liveJob {
-	spe := job.Spec{ID: jobName(n), Queue: "gate", Account: "large", Payload: "x", Accepted: fix.now, Steps: []job.Step{
+	spe := job.Spec{ID: jobName(n), Queue: "gate", Pool: "lots", MaxAttempts: 4, Account: "large", Payload: "x", Accepted: fix.now, Steps: []job.Step{
 		{Count: width, Size: job.Size{CPU: 2000, Memory: 2400}, Estimate: 20 * time.Second},
 	}}
 	fix.reduce(JobAccepted{Spec: spe, Revision: 11})
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -174,6 +174,7 @@
 			return unavailable("the store is unreachable")
 		}
 		spe.Queue, spe.Account, spe.Accepted = que.Name, account, now
+		spe.Pool, spe.MaxAttempts = que.Pool, que.MaxAttempts
 		ans, conflict := svc.store(ctx, now, que, vie, spe)
 		if !conflict {
 			return ans
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -44,7 +44,7 @@
 func newService(sto *scriptedStore, age time.Duration) *JobService {
 	cat := catalog.New(catalog.Catalog{
 		Revision: 7,
-		Queues:   []catalog.Queue{{Name: "gate", Host: "h", Prefix: "/g/"}, {Name: "open", Host: "h", Prefix: "/o/", Public: true}},
+		Queues:   []catalog.Queue{{Name: "gate", Host: "h", Prefix: "/g/", Pool: "lots", MaxAttempts: 3}, {Name: "open", Host: "h", Prefix: "/o/", Public: true}},
 		Accounts: []catalog.Account{{Name: "city", Keys: []string{"k"}}},
 	})
 	return &JobService{
@@ -60,6 +60,19 @@
 	return job.Spec{ID: "1", Steps: []job.Step{{Count: 1, Size: job.Size{CPU: 1}}}}
 }
 
+// TestStoredJobOutlivesItsQueue guards against accepted jobs that are never started
+// because their queue was removed: the pool and the attempts are stored with the
+// job.
+func TestStoredJobOutlivesItsQueue(t *testing.T) {
+	sto := &scriptedStore{}
+	ans := newService(sto, 0).Submit(context.Background(), noon, Call{Host: "h", Path: "/g/1", Key: "k"}, oneStepJob())
+	assert.Equal(t, ans.Verdict, VerdictOK)
+	spe, err := job.Unmarshal[job.Spec](sto.commits[0].Puts[0].Value)
+	assert.NilError(t, err)
+	assert.Equal(t, spe.Pool, "lots")
+	assert.Equal(t, spe.MaxAttempts, 3)
+}
+
 // TestSubmitVerdicts checks the verdict of a submission for each sequence of
 // store errors.
 func TestSubmitVerdicts(t *testing.T) {
