--- a/internal/core/scheduler/outage.go
+++ b/internal/core/scheduler/outage.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // Parameters of the detection of outages of availability zones and racks.
 const (
@@ -32,12 +36,13 @@
 			}
 		}
 	}
-	for place, count := range gone {
+	for _, place := range slices.Sorted(maps.Keys(gone)) {
+		count := gone[place]
 		if blameless[place] == 0 || count < minOutageVMs || float64(count) < minOutage*float64(known[place]) {
 			continue
 		}
 		if !sta.now.Before(sta.outages[place]) {
-			sta.logDecision("zone_outage", "", map[string]any{"az": place, "gone": count, "known": known[place]})
+			sta.logDecision("outage", "", map[string]any{"place": place, "gone": count, "known": known[place]})
 		}
 		sta.outages[place] = sta.now.Add(outageTime)
 	}
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -284,7 +284,8 @@
 	effects  []Effect
 	catalog  catalog.Catalog
 	zonesOut map[string]bool
-	// outages holds when the last outages of availability zones end.
+	// outages holds when the last outages of availability zones and racks end, by
+	// host.places.
 	outages map[string]time.Time
 	jobs    map[job.ID]*liveJob
 	// jobList holds the jobs in the order in which they were accepted.
