manager: a log line a second about the dispatcher's rounds

Cause: no log line and no metric told how long the reducer takes, how many events a round has, how old they are and how many stages wait. Change: `rounds` once a second, with the reducer's effort in stages ordered and VMs examined, and gauges of the longest wait of an event and of the waiting stages.

--- a/internal/core/scheduler/assign.go
+++ b/internal/core/scheduler/assign.go
@@ -58,6 +58,8 @@
 			}
 		}
 	}
+	sta.effort.Stages += len(waiting)
+	sta.effort.Backlog = len(waiting)
 	// The pools share the limit of starts in flight, so their stages are ordered
 	// together.
 	slices.SortFunc(waiting, func(one, oth waitingStage) int { return priority.Compare(sta.now, one.priorityKey, oth.priorityKey) })
@@ -185,6 +187,7 @@
 func (sta *State) chooseHost(stg *stage, index int, hosts []*host, planned plannedTasks) (best *host) {
 	var bestScore score
 	name := stg.task(index)
+	sta.effort.Hosts += len(hosts)
 	for _, hos := range hosts {
 		// A former run that is being stopped there would be mistaken for the new
 		// one.
--- /dev/null
+++ b/internal/core/scheduler/effort.go
@@ -0,0 +1,14 @@
+package scheduler
+
+// Effort counts the work of the reducer. Unlike time it does not depend on the
+// machine.
+type Effort struct {
+	// Stages counts the waiting stages that were ordered by priority, Hosts the
+	// VMs that were examined for a task.
+	Stages, Hosts int
+	// Backlog is the number of waiting stages in the last call of Reduce.
+	Backlog int
+}
+
+// Effort returns the work of all calls of Reduce so far.
+func (sta *State) Effort() Effort { return sta.effort }
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -291,6 +291,7 @@
 	waves      map[int64]*wave
 	commit     commit
 	starts     startWindow
+	effort     Effort
 	jobsLoaded bool
 	// jobsSyncedAt is the time up to which all changes of jobs have been
 	// received.
--- a/internal/manager/dispatcher.go
+++ b/internal/manager/dispatcher.go
@@ -40,7 +40,8 @@
 	nod    *Node
 	ten    *election.Tenure
 	sta    *scheduler.State
-	events chan scheduler.Event
+	events chan arrival
+	rounds roundStats
 	load   loadWriter
 	// waveWrites serializes the writes of wave states.
 	waveWrites sync.Mutex
@@ -55,7 +56,7 @@
 	cur := ten.Current()
 	set := nod.settings()
 	bnd := set.Bounds
-	dis := &dispatcher{nod: nod, ten: ten, events: make(chan scheduler.Event, eventQueueSize), ticketSources: advisory.NewPool(nod.now)}
+	dis := &dispatcher{nod: nod, ten: ten, events: make(chan arrival, eventQueueSize), ticketSources: advisory.NewPool(nod.now)}
 	dis.sta = scheduler.New(scheduler.Options{
 		Since: cur.Since, Revision: cur.Revision, Term: cur.Holder.Term,
 		Lease:    min(maxTaskLease, fraction(bnd.MaxTaskLease, leaseFraction)),
@@ -73,7 +74,7 @@
 // send queues an event for the loop.
 func (dis *dispatcher) send(ctx context.Context, evt scheduler.Event) {
 	select {
-	case dis.events <- evt:
+	case dis.events <- arrival{evt, dis.nod.now()}:
 	case <-ctx.Done():
 	}
 }
@@ -87,8 +88,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case evt := <-dis.events:
-			batch = append(batch, evt)
+		case arr := <-dis.events:
+			batch = dis.receive(batch, arr)
 			time.Sleep(batchDelay)
 		case <-tick.C:
 		}
@@ -103,13 +104,16 @@
 			batch = append(batch, scheduler.AdvisorSlotsChanged{Count: available})
 		}
 		effects := dis.sta.Reduce(now, batch)
-		batch = batch[:0]
+		reduced := dis.nod.now()
 		for _, eff := range effects {
 			dis.perform(ctx, now, eff)
 		}
 		if dis.load.due(now) {
 			dis.writeLoad(ctx, now)
 		}
+		dis.rounds.add(now, reduced, dis.nod.now(), len(batch), len(effects))
+		dis.logRounds(now)
+		batch = batch[:0]
 	}
 }
 
@@ -136,8 +140,8 @@
 func (dis *dispatcher) drain(batch []scheduler.Event) []scheduler.Event {
 	for {
 		select {
-		case evt := <-dis.events:
-			batch = append(batch, evt)
+		case arr := <-dis.events:
+			batch = dis.receive(batch, arr)
 		default:
 			return batch
 		}
