scheduler: stages that fit nowhere are neither ordered nor tried

Cause: each call of Reduce computed the keys of all waiting stages, sorted them and examined all VMs of their pool for each of them, even if the pool was full. Change: a call knows, by pool, the most that is free on one VM and the reservations that it has found no room for; stages that can't fit are left out. The remainder of an occurrence is computed when it changes, not for each key.

--- a/internal/core/scheduler/assign.go
+++ b/internal/core/scheduler/assign.go
@@ -11,7 +11,7 @@
 type waitingStage struct {
 	stage *stage
 	// pool is the pool in which the tasks run.
-	pool        string
+	pool        *poolRoom
 	priorityKey priority.Key
 }
 
@@ -30,47 +30,79 @@
 		return
 	}
 	sta.starts.prune(sta.now)
+	que := sta.queueStages()
+	// The pools share the limit of starts in flight, so their stages are ordered
+	// together.
+	slices.SortFunc(que.waiting, func(one, oth waitingStage) int { return priority.Compare(sta.now, one.priorityKey, oth.priorityKey) })
+	sta.keepFree(que.crashed)
+	for _, wai := range que.waiting {
+		// Earlier stages may have taken the room.
+		if wai.pool.mayFit(wai.stage.step.Reservation()) || sta.needsTurn(wai.stage) {
+			sta.effort.Stages++
+			sta.place(wai.stage, wai.pool)
+		}
+	}
+	for _, stg := range que.upcoming {
+		sta.enqueueAdvisorQuery(stg, sta.roomOf(que.rooms, sta.poolOf(stg.liveJob)).hosts)
+	}
+	sta.sendAdvisorQueries()
+}
+
+// stageQueue holds the stages that wait in a call of Reduce.
+type stageQueue struct {
+	rooms map[string]*poolRoom
+	// waiting holds the stages that may start tasks or need a turn.
+	waiting []waitingStage
+	// crashed holds, without keys, the waiting stages under whose tasks VMs have
+	// crashed.
+	crashed []waitingStage
+	// upcoming holds the stages that still depend on others and whose advice is
+	// asked for in advance.
+	upcoming []*stage
+}
+
+// queueStages collects the waiting stages.
+func (sta *State) queueStages() (que stageQueue) {
+	que.rooms = map[string]*poolRoom{}
 	formerRunsMayExist := sta.formerRunsMayExist()
-	var waiting []waitingStage
-	hosts := map[string][]*host{}
-	var upcoming []*stage
+	sta.effort.Backlog = 0
 	for _, liv := range sta.jobList {
 		if liv.final != "" || liv.restored && formerRunsMayExist {
 			continue
 		}
-		pool := sta.poolOf(liv)
 		for _, occ := range liv.occs {
 			for i := range occ.stages {
-				stg := &occ.stages[i]
-				if stg.waiting == 0 {
-					continue
-				}
-				if stg.blockers > 0 {
-					if sta.adviceFor(liv.spec.Queue) != nil && stg.prerequisitesStarted() {
-						upcoming = append(upcoming, stg)
-					}
-					continue
-				}
-				if _, ok := hosts[pool]; !ok {
-					hosts[pool] = sta.usableHosts(pool)
+				if stg := &occ.stages[i]; stg.waiting > 0 {
+					sta.queueStage(&que, stg)
 				}
-				waiting = append(waiting, waitingStage{stg, pool, sta.priorityKey(stg)})
 			}
 		}
 	}
-	sta.effort.Stages += len(waiting)
-	sta.effort.Backlog = len(waiting)
-	// The pools share the limit of starts in flight, so their stages are ordered
-	// together.
-	slices.SortFunc(waiting, func(one, oth waitingStage) int { return priority.Compare(sta.now, one.priorityKey, oth.priorityKey) })
-	sta.keepFree(waiting, hosts)
-	for _, wai := range waiting {
-		sta.place(wai.stage, hosts[wai.pool])
+	return que
+}
+
+// queueStage adds a stage with waiting tasks to the queue.
+func (sta *State) queueStage(que *stageQueue, stg *stage) {
+	if stg.blockers > 0 {
+		if sta.adviceFor(stg.liveJob.spec.Queue) != nil && stg.prerequisitesStarted() {
+			que.upcoming = append(que.upcoming, stg)
+		}
+		return
 	}
-	for _, stg := range upcoming {
-		sta.enqueueAdvisorQuery(stg, sta.usableHosts(sta.poolOf(stg.liveJob)))
+	sta.effort.Backlog++
+	room := sta.roomOf(que.rooms, sta.poolOf(stg.liveJob))
+	if stg.crashed {
+		que.crashed = append(que.crashed, waitingStage{stage: stg, pool: room})
 	}
-	sta.sendAdvisorQueries()
+	if room.mayFit(stg.step.Reservation()) || sta.needsTurn(stg) {
+		que.waiting = append(que.waiting, waitingStage{stg, room, sta.priorityKey(stg)})
+	}
+}
+
+// needsTurn reports whether a waiting stage has something to do even if there
+// is no room for its tasks: to ask for advice, or to stop an incomplete gang.
+func (sta *State) needsTurn(stg *stage) bool {
+	return stg.step.Gang && stg.waiting < len(stg.tasks) || sta.adviceFor(stg.liveJob.spec.Queue) != nil
 }
 
 // poolOf returns the pool that runs a job's tasks, also after the job's queue
@@ -90,10 +122,10 @@
 	if que := sta.catalog.Queue(liv.spec.Queue); que != nil {
 		priorityKey.Priority = que.Priority
 	}
-	priorityKey.Remaining = sta.criticalPath(liv.spec, func(step int) bool { return occ.stages[step].left > 0 })
-	factor := sta.runtimeRatios[liv.spec.Queue].factor()
-	for i := range occ.stages {
-		priorityKey.Work += occ.stages[i].remainingWork(factor)
+	rem, factor := occ.remainder(liv.spec), sta.runtimeRatios[liv.spec.Queue].factor()
+	priorityKey.Remaining, priorityKey.Work = time.Duration(float64(rem.path)*factor), rem.work*factor
+	if sta.advisorLatency(liv.spec.Queue) > 0 {
+		priorityKey.Remaining = sta.criticalPath(liv.spec, func(step int) bool { return occ.stages[step].left > 0 })
 	}
 	accepted := liv.spec.Accepted
 	if liv.spec.Occurrences > 0 {
@@ -122,29 +154,33 @@
 }
 
 // place starts as many of a stage's waiting tasks as fit.
-func (sta *State) place(stg *stage, hosts []*host) {
+func (sta *State) place(stg *stage, room *poolRoom) {
 	if stg.step.Gang {
-		sta.placeGang(stg, hosts)
+		sta.placeGang(stg, room.hosts)
 	} else {
-		sta.placeEach(stg, hosts)
+		sta.placeEach(stg, room)
 	}
 	if stg.waiting > 0 {
-		sta.enqueueAdvisorQuery(stg, hosts)
+		sta.enqueueAdvisorQuery(stg, room.hosts)
 	}
 }
 
 // placeEach starts the waiting tasks of a stage one by one, as long as they
 // fit.
-func (sta *State) placeEach(stg *stage, hosts []*host) {
+func (sta *State) placeEach(stg *stage, room *poolRoom) {
 	for i := range stg.tasks {
 		tas := &stg.tasks[i]
 		if tas.phase != phaseWaiting || sta.now.Before(tas.notBefore) {
 			continue
 		}
-		if sta.starts.full() || !sta.withinCap(stg, 1) {
+		if sta.starts.full() || !sta.withinCap(stg, 1) || !room.mayFit(stg.step.Reservation()) {
+			return
+		}
+		hos := sta.chooseHost(stg, i, room.hosts, nil)
+		if hos == nil && !room.fits(stg.step.Reservation()) {
+			room.reject(stg.step.Reservation())
 			return
 		}
-		hos := sta.chooseHost(stg, i, hosts, nil)
 		if hos == nil && tas.isSuspect() {
 			continue
 		}
@@ -189,9 +225,9 @@
 	name := stg.task(index)
 	sta.effort.Hosts += len(hosts)
 	for _, hos := range hosts {
-		// A former run that is being stopped there would be mistaken for the new
-		// one.
-		if hos.runs[name] != nil || !sta.canRun(stg, hos, planned[hos]) || hos.isolates(stg.tasks[index].isSuspect()) {
+		// A former run of the task that is being stopped there would be mistaken
+		// for the new one.
+		if !sta.canRun(stg, hos, planned[hos]) || hos.isolates(stg.tasks[index].isSuspect()) || hos.runs[name] != nil {
 			continue
 		}
 		sco := sta.score(stg, hos, planned[hos])
--- a/internal/core/scheduler/crashes.go
+++ b/internal/core/scheduler/crashes.go
@@ -59,6 +59,7 @@
 		stg := pla.stage
 		tas := &stg.tasks[pla.task.Index]
 		tas.crashes++
+		stg.crashed = true
 		sta.markDirty(stg.liveJob)
 		if !tas.isSuspect() {
 			continue
@@ -114,11 +115,11 @@
 
 // keepFree selects the hosts that get no other tasks while suspects wait: those
 // with the fewest runs, which are free of other tasks first.
-func (sta *State) keepFree(waiting []waitingStage, hosts map[string][]*host) {
+func (sta *State) keepFree(waiting []waitingStage) {
 	for _, hos := range sta.hostList {
 		hos.keptFree = false
 	}
-	suspects := map[string]int{}
+	suspects := map[*poolRoom]int{}
 	for _, wai := range waiting {
 		for i := range wai.stage.tasks {
 			if tas := &wai.stage.tasks[i]; tas.phase == phaseWaiting && tas.isSuspect() {
@@ -127,9 +128,9 @@
 		}
 	}
 	for pool, count := range suspects {
-		free := slices.DeleteFunc(slices.Clone(hosts[pool]), func(hos *host) bool { return hos.isolates(false) })
+		free := slices.DeleteFunc(slices.Clone(pool.hosts), func(hos *host) bool { return hos.isolates(false) })
 		slices.SortStableFunc(free, func(one, oth *host) int { return cmp.Compare(len(one.runs), len(oth.runs)) })
-		limit := max(1, int(maxKeptFree*float64(len(hosts[pool]))))
+		limit := max(1, int(maxKeptFree*float64(len(pool.hosts))))
 		for _, hos := range free[:min(count, limit, len(free))] {
 			hos.keptFree = true
 		}
--- a/internal/core/scheduler/effort.go
+++ b/internal/core/scheduler/effort.go
@@ -3,8 +3,8 @@
 // Effort counts the work of the reducer. Unlike time it does not depend on the
 // machine.
 type Effort struct {
-	// Stages counts the waiting stages that were ordered by priority, Hosts the
-	// VMs that were examined for a task.
+	// Stages counts the waiting stages whose tasks were tried to be placed, Hosts
+	// the VMs that were examined for a task.
 	Stages, Hosts int
 	// Backlog is the number of waiting stages in the last call of Reduce.
 	Backlog int
--- a/internal/core/scheduler/jobs.go
+++ b/internal/core/scheduler/jobs.go
@@ -101,6 +101,7 @@
 	stg := &liv.occs[rec.Occurrence].stages[rec.Step]
 	tas := &stg.tasks[rec.Index]
 	tas.failedRuns, tas.crashes = rec.FailedRuns, rec.Crashes
+	stg.crashed = stg.crashed || rec.Crashes > 0
 	tas.checkpoint, tas.run = rec.Checkpoint, max(tas.run, rec.Run)
 	if rec.Done && tas.phase != phaseDone {
 		sta.markDone(stg, rec.Index)
@@ -133,12 +134,13 @@
 	if tas.phase == phaseWaiting {
 		stg.waiting--
 	}
+	occ := stg.liveJob.occs[stg.occ]
 	tas.phase, tas.host = phaseDone, nil
 	stg.left--
+	occ.rest = nil
 	if stg.left > 0 {
 		return
 	}
-	occ := stg.liveJob.occs[stg.occ]
 	occ.left--
 	for i := range occ.stages {
 		for _, dep := range occ.stages[i].step.After {
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -88,7 +88,9 @@
 	blockers int
 	// waiting counts the tasks without a run, left those that are not done.
 	waiting, left int
-	advice        advice
+	// crashed reports whether VMs have crashed under some of the tasks.
+	crashed bool
+	advice  advice
 }
 
 // task returns the identifier of the stage's task with the given index.
@@ -101,6 +103,29 @@
 	stages []stage
 	// left counts the stages that are not done.
 	left int
+	// rest is what remains to be done; nil if it has to be computed anew.
+	rest *remainder
+}
+
+// remainder is the estimate of what remains of an occurrence, by the client's
+// estimates.
+type remainder struct {
+	// path is the length of the longest chain of steps that are not done, work
+	// the core-seconds of the tasks that are not done.
+	path time.Duration
+	work float64
+}
+
+// remainder returns the estimate of what remains of an occurrence of a job.
+func (occ *occurrence) remainder(spe job.Spec) remainder {
+	if occ.rest == nil {
+		rem := remainder{path: spe.CriticalPath(func(step int) bool { return occ.stages[step].left > 0 }, nil)}
+		for i := range occ.stages {
+			rem.work += occ.stages[i].remainingWork(1)
+		}
+		occ.rest = &rem
+	}
+	return *occ.rest
 }
 
 // liveJob is a job that has not ended.
