scheduler: upkeep is planned every 20 ms, hosts are indexed one by one

Cause: each call of Reduce planned the waves anew, walked all runs for stops and looked up all VMs for a list of machines; each registration sorted all VMs. Change: waves are planned at most every 20 ms, and cordons last in between; runs are walked only while some are being stopped; the list is checked only if it may be requested; a VM is inserted into and deleted from the sorted lists.

--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -56,11 +56,9 @@
 		if hos.vm.Leaving != one.Leaving {
 			sta.logDecision("vm_leaving", "", map[string]any{"vm": one.ID, "leaving": one.Leaving})
 		}
-		moved := hos.vm.Pool != one.Pool
+		sta.unindexHost(hos)
 		hos.vm, hos.unregistered = one, false
-		if moved {
-			sta.indexHosts()
-		}
+		sta.indexHost(hos)
 		return
 	}
 	if hos != nil {
@@ -74,7 +72,7 @@
 		vm: one, runs: map[job.Task]*placement{}, ackable: map[int64]bool{}, leaseExpiry: leaseExpiry, nextPoll: sta.now, idleSince: sta.now, firstSeen: sta.now,
 		pace: pace.NewControl(),
 	}
-	sta.indexHosts()
+	sta.indexHost(sta.hosts[one.ID])
 	sta.logDecision("vm_found", "", map[string]any{"vm": one.ID, "pool": one.Pool, "az": one.AZ})
 }
 
@@ -102,7 +100,7 @@
 	delete(sta.hosts, hos.vm.ID)
 	sta.lostVMs.put(sta.now, hos.vm.ID, hos.vm)
 	sta.emit(Forget{VM: hos.vm})
-	sta.indexHosts()
+	sta.unindexHost(hos)
 }
 
 // release removes a run that is over, or that never started. Its task waits again
--- a/internal/core/scheduler/orders.go
+++ b/internal/core/scheduler/orders.go
@@ -24,15 +24,24 @@
 		return
 	}
 	pla.state, pla.since, pla.stopSent = runStopping, sta.now, time.Time{}
+	sta.hasStops = true
 }
 
 // sendStops sends the stops that are due.
 func (sta *State) sendStops() {
+	if !sta.hasStops {
+		return
+	}
+	sta.hasStops = false
 	for _, hos := range sta.hostList {
-		if !hos.termAccepted {
-			continue
-		}
 		for _, pla := range hos.runList {
+			if !pla.ending() {
+				continue
+			}
+			sta.hasStops = true
+			if !hos.termAccepted {
+				continue
+			}
 			due := pla.state == runStopping || pla.state == runStopAccepted && sta.now.Sub(pla.since) > stopRetryInterval+sta.opt.StopTime
 			if !due || pla.stopInFlight || sta.now.Sub(pla.stopSent) < stopRetryInterval {
 				continue
--- a/internal/core/scheduler/reduce.go
+++ b/internal/core/scheduler/reduce.go
@@ -2,8 +2,8 @@
 
 import (
 	"fmt"
-	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -117,14 +117,29 @@
 	sta.emit(StepDown{Reason: reason})
 }
 
-// indexHosts rebuilds the sorted lists of hosts, overall and by pool.
-func (sta *State) indexHosts() {
-	pools := make(map[string][]*host, len(sta.pools))
-	sta.hostList = make([]*host, 0, len(sta.hosts))
-	for _, id := range slices.Sorted(maps.Keys(sta.hosts)) {
-		hos := sta.hosts[id]
-		sta.hostList = append(sta.hostList, hos)
-		pools[hos.vm.Pool] = append(pools[hos.vm.Pool], hos)
+// indexHost adds a host to the sorted lists of hosts.
+func (sta *State) indexHost(hos *host) {
+	sta.hostList = insertHost(sta.hostList, hos)
+	sta.pools[hos.vm.Pool] = insertHost(sta.pools[hos.vm.Pool], hos)
+}
+
+// unindexHost removes a host from the sorted lists of hosts. Its pool must not
+// have changed since it was added.
+func (sta *State) unindexHost(hos *host) {
+	sta.hostList = deleteHost(sta.hostList, hos)
+	sta.pools[hos.vm.Pool] = deleteHost(sta.pools[hos.vm.Pool], hos)
+}
+
+func compareHostID(hos *host, id string) int { return strings.Compare(hos.vm.ID, id) }
+
+func insertHost(list []*host, hos *host) []*host {
+	i, _ := slices.BinarySearchFunc(list, hos.vm.ID, compareHostID)
+	return slices.Insert(list, i, hos)
+}
+
+func deleteHost(list []*host, hos *host) []*host {
+	if i, ok := slices.BinarySearchFunc(list, hos.vm.ID, compareHostID); ok {
+		return slices.Delete(list, i, i+1)
 	}
-	sta.pools = pools
+	return list
 }
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -314,6 +314,10 @@
 	allowances map[string]allowance.Bucket
 	machines   machines
 	waves      map[int64]*wave
+	// wavesPlannedAt is when the upkeep of waves was last planned.
+	wavesPlannedAt time.Time
+	// hasStops reports whether a run may be being stopped.
+	hasStops   bool
 	commit     commit
 	starts     startWindow
 	effort     Effort
--- a/internal/core/scheduler/waves.go
+++ b/internal/core/scheduler/waves.go
@@ -38,11 +38,16 @@
 	sta.emit(SaveWave{Number: evt.Wave.Number, Begun: evt.Begun})
 }
 
+// wavePlanInterval is the time between two plans of upkeep, which look at every
+// machine of the waves. Machines stay cordoned in between.
+const wavePlanInterval = 20 * time.Millisecond
+
 // planWaves orders the upkeep that is due.
 func (sta *State) planWaves() {
-	if len(sta.waves) == 0 {
+	if len(sta.waves) == 0 || sta.now.Sub(sta.wavesPlannedAt) < wavePlanInterval {
 		return
 	}
+	sta.wavesPlannedAt = sta.now
 	for _, hos := range sta.hostList {
 		hos.cordoned = false
 	}
@@ -369,8 +374,17 @@
 	}
 }
 
+// needsListing reports whether a list of machines may show that a host has ended.
+func (sta *State) needsListing(hos *host) bool {
+	_, listed := sta.machines.byVM[hos.vm.ID]
+	return hos.failedPolls >= silentAfterPolls || !listed
+}
+
 // listMachines requests the list of machines if it is due.
 func (sta *State) listMachines() {
+	if sta.machines.inFlight || sta.now.Before(sta.machines.nextRequest) {
+		return
+	}
 	pause := idleListInterval
 	if sta.formerLeasesMayHold() && sta.machines.asOf.Before(sta.opt.Since) {
 		pause = 0
@@ -380,19 +394,16 @@
 			pause = min(pause, listInterval)
 		}
 	}
-	for _, hos := range sta.hostList {
-		_, listed := sta.machines.byVM[hos.vm.ID]
-		if hos.failedPolls >= silentAfterPolls || !listed {
-			pause = min(pause, listInterval)
-		}
-	}
 	if len(sta.moves) > 0 {
 		pause = min(pause, listInterval)
 	}
+	if pause > listInterval && sta.now.Sub(sta.machines.requestedAt) >= listInterval && slices.ContainsFunc(sta.hostList, sta.needsListing) {
+		pause = listInterval
+	}
 	if sta.machines.refreshDue {
 		pause = min(pause, listDelayAfterOrder)
 	}
-	if sta.machines.inFlight || sta.now.Sub(sta.machines.requestedAt) < pause || sta.now.Before(sta.machines.nextRequest) {
+	if sta.now.Sub(sta.machines.requestedAt) < pause {
 		return
 	}
 	sta.machines.inFlight, sta.machines.refreshDue = true, false
