scheduler: the host of a stage's last task is tried first for the next

Cause: each task of a stage examined all VMs of its pool, though the one with the least free CPU stays the best until it is full. Each write also copied the list of ended jobs. Change: placeEach keeps the host while it accepts the next task; the copy is made only if records were removed.

--- a/internal/core/scheduler/assign.go
+++ b/internal/core/scheduler/assign.go
@@ -168,6 +168,7 @@
 // placeEach starts the waiting tasks of a stage one by one, as long as they
 // fit.
 func (sta *State) placeEach(stg *stage, room *poolRoom) {
+	var hos *host
 	for i := range stg.tasks {
 		tas := &stg.tasks[i]
 		if tas.phase != phaseWaiting || sta.now.Before(tas.notBefore) {
@@ -176,7 +177,9 @@
 		if sta.starts.full() || !sta.withinCap(stg, 1) || !room.mayFit(stg.step.Reservation()) {
 			return
 		}
-		hos := sta.chooseHost(stg, i, room.hosts, nil)
+		if hos == nil || !stg.packs() || !sta.accepts(hos, stg, i, 0) {
+			hos = sta.chooseHost(stg, i, room.hosts, nil)
+		}
 		if hos == nil && !room.fits(stg.step.Reservation()) {
 			room.reject(stg.step.Reservation())
 			return
@@ -218,16 +221,28 @@
 	})
 }
 
+// packs reports whether the host that is best for a task of the stage is also best
+// for the next one, if that fits: it is the one with the least free CPU that
+// differs from others in nothing else.
+func (stg *stage) packs() bool {
+	return !stg.step.LongRunning && (!stg.step.BestEffort || stg.step.TailTarget == 0)
+}
+
+// accepts reports whether a task of a stage may start on a host where a number of
+// other tasks of the stage are planned.
+func (sta *State) accepts(hos *host, stg *stage, index, planned int) bool {
+	// A former run of the task that is being stopped there would be mistaken for
+	// the new one.
+	return sta.canRun(stg, hos, planned) && !hos.isolates(stg.tasks[index].isSuspect()) && hos.runs[stg.task(index)] == nil
+}
+
 // chooseHost returns the best host for a task of a stage, or nil if there is none.
 // Tasks in planned take up capacity as well.
 func (sta *State) chooseHost(stg *stage, index int, hosts []*host, planned plannedTasks) (best *host) {
 	var bestScore score
-	name := stg.task(index)
 	sta.effort.Hosts += len(hosts)
 	for _, hos := range hosts {
-		// A former run of the task that is being stopped there would be mistaken
-		// for the new one.
-		if !sta.canRun(stg, hos, planned[hos]) || hos.isolates(stg.tasks[index].isSuspect()) || hos.runs[name] != nil {
+		if !sta.accepts(hos, stg, index, planned[hos]) {
 			continue
 		}
 		sco := sta.score(stg, hos, planned[hos])
--- a/internal/core/scheduler/purge.go
+++ b/internal/core/scheduler/purge.go
@@ -51,5 +51,7 @@
 
 // purged handles the removal of the oldest records.
 func (sta *State) purged(count int) {
-	sta.endedJobs = slices.Clone(sta.endedJobs[count:])
+	if count > 0 {
+		sta.endedJobs = slices.Clone(sta.endedJobs[count:])
+	}
 }
