scheduler, platform: a dispatcher that is behind moves machines without losing them

Cause: orders to move machines queued behind each other until they timed out, which left the machine without tasks until a list showed its state; the list's pages together had 2 s and timed out for seconds in a row; VMs whose machines had been moved were polled four times a second each, up to 550 refused connections a second.

--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -179,7 +179,7 @@
 		return
 	}
 	for _, hos := range sta.hostList {
-		if hos.pollInFlight || sta.now.Before(hos.nextPoll) {
+		if hos.pollInFlight || sta.now.Before(hos.nextPoll) || hos.isGone() {
 			continue
 		}
 		idle := hos.termAccepted && hos.failedPolls == 0 && len(hos.runs) == 0 && !hos.reportDue
@@ -190,6 +190,13 @@
 	}
 }
 
+// isGone reports whether the VM's machine has been ordered down and nothing that
+// ran there is left to learn about. A list of machines shows whether the order had
+// an effect.
+func (hos *host) isGone() bool {
+	return hos.goingDown && !hos.downAnsweredAt.IsZero() && len(hos.runs) == 0
+}
+
 // sendPoll polls a VM and acknowledges its ends.
 func (sta *State) sendPoll(hos *host) {
 	pol := Poll{VM: hos.vm, Acked: hos.ackableUpTo, Slack: min(maxPollSlack, pollSlack<<min(hos.failedPolls, 4))}
--- a/internal/core/scheduler/rebalance.go
+++ b/internal/core/scheduler/rebalance.go
@@ -36,6 +36,9 @@
 	// moveOrderShare is the share of the rate limit for machine orders that
 	// moves may use; the remainder is for upkeep.
 	moveOrderShare = 0.8
+	// maxUnansweredPlans limits the orders that are unanswered to those of this
+	// many plans.
+	maxUnansweredPlans = 3
 	// moveTimeout is the time after which a move whose end was not observed is
 	// dropped.
 	moveTimeout = 10 * time.Second
@@ -91,6 +94,18 @@
 	// vm is the ID of the VM that the move ends.
 	vm    string
 	since time.Time
+	// unanswered reports whether the answer to the order is outstanding.
+	unanswered bool
+}
+
+// unansweredMoves returns the number of moves whose orders are unanswered.
+func (sta *State) unansweredMoves() (n int) {
+	for _, mov := range sta.moves {
+		if mov.unanswered {
+			n++
+		}
+	}
+	return n
 }
 
 // countArrival adds the work of an accepted job to the demand for its pool.
@@ -122,13 +137,17 @@
 	sta.movesPlannedAt = sta.now
 	pools := sta.rebalancePools()
 	sta.logPools(pools)
-	moves := rebalance.Plan(pools, int(math.Ceil(sta.opt.MachineOrdersPerSecond*moveOrderShare*movePlanInterval.Seconds())), sta.spareMachines(pools), func(machine, pool string) bool { return !sta.forbiddenMoves[machine+" "+pool] })
+	most := int(math.Ceil(sta.opt.MachineOrdersPerSecond * moveOrderShare * movePlanInterval.Seconds()))
+	// Orders that wait for others to be answered would time out, and leave the
+	// machine without tasks until a list shows its state.
+	most = max(0, min(most, maxUnansweredPlans*most-sta.unansweredMoves()))
+	moves := rebalance.Plan(pools, most, sta.spareMachines(pools), func(machine, pool string) bool { return !sta.forbiddenMoves[machine+" "+pool] })
 	for _, mov := range moves {
 		mac := sta.machines.byName[mov.Machine]
 		if hos := sta.hosts[mac.VM]; hos != nil {
 			hos.goingDown = true
 		}
-		sta.moves[mov.Machine] = pendingMove{to: mov.To, vm: mac.VM, since: sta.now}
+		sta.moves[mov.Machine] = pendingMove{to: mov.To, vm: mac.VM, since: sta.now, unanswered: true}
 		sta.logDecision("move_ordered", "", map[string]any{"machine": mov.Machine, "from": mov.From, "to": mov.To})
 		sta.emit(Move{Machine: mov.Machine, Pool: mov.To})
 	}
@@ -317,6 +336,8 @@
 	if !ok {
 		return
 	}
+	mov.unanswered = false
+	sta.moves[evt.Machine] = mov
 	hos := sta.hosts[mov.vm]
 	switch evt.Result {
 	case worker.MachineOK:
--- a/internal/manager/effects.go
+++ b/internal/manager/effects.go
@@ -23,8 +23,10 @@
 	// within milliseconds.
 	orderTimeout  = 900 * time.Millisecond
 	commitTimeout = 1500 * time.Millisecond
-	// machinesTimeout bounds a list of machines, and an order for a machine.
+	// machinesTimeout bounds an order for a machine, listTimeout all pages of a
+	// list of machines.
 	machinesTimeout = 2 * time.Second
+	listTimeout     = 6 * time.Second
 )
 
 // perform carries out an effect. Effects that wait for a response run in a
@@ -140,7 +142,7 @@
 }
 
 func (dis *dispatcher) listMachines(ctx context.Context, now time.Time) {
-	callCtx, cancel := context.WithTimeout(ctx, machinesTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	all, err := dis.nod.machines.List(callCtx)
 	if err != nil {
