scheduler: starts in flight follow their latency, and the load has their backlog

Cause: a dispatcher that lacked processor sent starts faster than it could, so that they, the polls and the orders for machines waited behind each other for 0.5 to 1 s; each task then held its VM that much longer. Entries saw cores only, not that, and accepted jobs that could not be in time. Change: the number of unanswered starts falls while answers take longer than 100 ms; what is not started waits in order of priority, in a heap, of which a call takes only what it can start. While starts are withheld that would fit, the load has the time that the dispatcher takes for the waiting tasks of jobs that can be in time, and entries refuse jobs that would wait for more than half of their slack. Waves are planned every 40 ms, lists of machines take a tenth of the time, a job keeps its queue. TestBurstOfStartsKeepsPollsTimely fails on the code before (98 leases ended).

--- a/internal/core/scheduler/assign.go
+++ b/internal/core/scheduler/assign.go
@@ -1,9 +1,9 @@
 package scheduler
 
 import (
-	"slices"
 	"time"
 
+	"github.com/balsamgauge/balsamgauge/internal/core/catalog"
 	"github.com/balsamgauge/balsamgauge/internal/core/priority"
 )
 
@@ -31,17 +31,25 @@
 	}
 	sta.starts.prune(sta.now)
 	que := sta.queueStages()
+	sta.keepFree(que.crashed)
 	// The pools share the limit of starts in flight, so their stages are ordered
 	// together.
-	slices.SortFunc(que.waiting, func(one, oth waitingStage) int { return priority.Compare(sta.now, one.priorityKey, oth.priorityKey) })
-	sta.keepFree(que.crashed)
-	for _, wai := range que.waiting {
+	for que.order(sta.now); len(que.waiting) > 0 && !sta.starts.full(); {
+		wai := que.pop(sta.now)
 		// Earlier stages may have taken the room.
 		if wai.pool.mayFit(wai.stage.step.Reservation()) || sta.needsTurn(wai.stage) {
 			sta.effort.Stages++
 			sta.place(wai.stage, wai.pool)
 		}
 	}
+	if sta.starts.full() && (que.withheld || len(que.waiting) > 0) {
+		sta.starts.withheldAt = sta.now
+	}
+	for _, wai := range que.waiting {
+		if sta.needsTurn(wai.stage) {
+			sta.place(wai.stage, wai.pool)
+		}
+	}
 	for _, stg := range que.upcoming {
 		sta.enqueueAdvisorQuery(stg, sta.roomOf(que.rooms, sta.poolOf(stg.liveJob)).hosts)
 	}
@@ -51,8 +59,12 @@
 // stageQueue holds the stages that wait in a call of Reduce.
 type stageQueue struct {
 	rooms map[string]*poolRoom
-	// waiting holds the stages that may start tasks or need a turn.
+	// waiting holds the stages that may start tasks or need a turn. It is a heap, as
+	// usually few of them start any.
 	waiting []waitingStage
+	// withheld reports whether a stage was left out that might fit, as no further
+	// start may be sent.
+	withheld bool
 	// crashed holds, without keys, the waiting stages under whose tasks VMs have
 	// crashed.
 	crashed []waitingStage
@@ -84,7 +96,7 @@
 // queueStage adds a stage with waiting tasks to the queue.
 func (sta *State) queueStage(que *stageQueue, stg *stage) {
 	if stg.blockers > 0 {
-		if sta.adviceFor(stg.liveJob.spec.Queue) != nil && stg.prerequisitesStarted() {
+		if sta.needsAdvice(stg.liveJob) && stg.prerequisitesStarted() {
 			que.upcoming = append(que.upcoming, stg)
 		}
 		return
@@ -94,37 +106,92 @@
 	if stg.crashed {
 		que.crashed = append(que.crashed, waitingStage{stage: stg, pool: room})
 	}
-	if room.mayFit(stg.step.Reservation()) || sta.needsTurn(stg) {
+	fits := room.mayFit(stg.step.Reservation())
+	que.withheld = que.withheld || fits && sta.starts.full()
+	if fits && !sta.starts.full() || sta.needsTurn(stg) {
 		que.waiting = append(que.waiting, waitingStage{stg, room, sta.priorityKey(stg)})
 	}
 }
 
+// order makes the waiting stages a heap by priority.
+func (que *stageQueue) order(now time.Time) {
+	for i := len(que.waiting)/2 - 1; i >= 0; i-- {
+		que.sink(now, i)
+	}
+}
+
+// pop removes the stage with the highest priority.
+func (que *stageQueue) pop(now time.Time) waitingStage {
+	last := len(que.waiting) - 1
+	first := que.waiting[0]
+	que.waiting[0] = que.waiting[last]
+	que.waiting = que.waiting[:last]
+	que.sink(now, 0)
+	return first
+}
+
+// sink moves a stage of the heap down to its place.
+func (que *stageQueue) sink(now time.Time, i int) {
+	for {
+		child := 2*i + 1
+		if child >= len(que.waiting) {
+			return
+		}
+		if child+1 < len(que.waiting) && que.before(now, child+1, child) {
+			child++
+		}
+		if !que.before(now, child, i) {
+			return
+		}
+		que.waiting[i], que.waiting[child] = que.waiting[child], que.waiting[i]
+		i = child
+	}
+}
+
+func (que *stageQueue) before(now time.Time, one, oth int) bool {
+	return priority.Compare(now, que.waiting[one].priorityKey, que.waiting[oth].priorityKey) < 0
+}
+
 // needsTurn reports whether a waiting stage has something to do even if there
 // is no room for its tasks: to ask for advice, or to stop an incomplete gang.
 func (sta *State) needsTurn(stg *stage) bool {
-	return stg.step.Gang && stg.waiting < len(stg.tasks) || sta.adviceFor(stg.liveJob.spec.Queue) != nil
+	return stg.step.Gang && stg.waiting < len(stg.tasks) || sta.needsAdvice(stg.liveJob)
 }
 
 // poolOf returns the pool that runs a job's tasks, also after the job's queue
 // has been removed.
 func (sta *State) poolOf(liv *liveJob) string {
-	if que := sta.catalog.Queue(liv.spec.Queue); que != nil {
+	if que := sta.queueOf(liv); que != nil {
 		liv.pool = que.Pool
 	}
 	return liv.pool
 }
 
+// queueOf returns the queue of a job, or nil after it has been removed.
+func (sta *State) queueOf(liv *liveJob) *catalog.Queue {
+	if liv.queueAsOf != sta.catalogs {
+		liv.queue, liv.queueAsOf = sta.catalog.Queue(liv.spec.Queue), sta.catalogs
+	}
+	return liv.queue
+}
+
+// needsAdvice reports whether the steps of a job need advice.
+func (sta *State) needsAdvice(liv *liveJob) bool {
+	que := sta.queueOf(liv)
+	return que != nil && que.Advice != nil
+}
+
 // priorityKey returns the key that orders a stage by priority.
 func (sta *State) priorityKey(stg *stage) priority.Key {
 	liv := stg.liveJob
 	occ := liv.occs[stg.occ]
 	priorityKey := priority.Key{IsLongRunning: stg.step.LongRunning, Excess: liv.excess, Job: string(liv.spec.ID)}
-	if que := sta.catalog.Queue(liv.spec.Queue); que != nil {
+	if que := sta.queueOf(liv); que != nil {
 		priorityKey.Priority = que.Priority
 	}
 	rem, factor := occ.remainder(liv.spec), sta.runtimeRatios[liv.spec.Queue].factor()
 	priorityKey.Remaining, priorityKey.Work = time.Duration(float64(rem.path)*factor), rem.work*factor
-	if sta.advisorLatency(liv.spec.Queue) > 0 {
+	if sta.needsAdvice(liv) {
 		priorityKey.Remaining = sta.criticalPath(liv.spec, func(step int) bool { return occ.stages[step].left > 0 })
 	}
 	accepted := liv.spec.Accepted
@@ -266,7 +333,7 @@
 	if ste.MaxPerVM > 0 && hos.countTasks(stg)+planned >= ste.MaxPerVM {
 		return false
 	}
-	if sta.adviceFor(stg.liveJob.spec.Queue) != nil && stg.advice.ticketFor(hos.vm.ID, sta.now) == "" {
+	if sta.needsAdvice(stg.liveJob) && stg.advice.ticketFor(hos.vm.ID, sta.now) == "" {
 		return false
 	}
 	return true
--- a/internal/core/scheduler/effort.go
+++ b/internal/core/scheduler/effort.go
@@ -8,7 +8,14 @@
 	Stages, Hosts int
 	// Backlog is the number of waiting stages in the last call of Reduce.
 	Backlog int
+	// StartsInFlight is the number of unanswered starts after the last call, and
+	// MaxStartsInFlight its present limit.
+	StartsInFlight, MaxStartsInFlight int
 }
 
 // Effort returns the work of all calls of Reduce so far.
-func (sta *State) Effort() Effort { return sta.effort }
+func (sta *State) Effort() (eff Effort) {
+	eff = sta.effort
+	eff.StartsInFlight, eff.MaxStartsInFlight = len(sta.starts.inFlight), int(sta.starts.maxCount)
+	return eff
+}
--- a/internal/core/scheduler/load.go
+++ b/internal/core/scheduler/load.go
@@ -25,6 +25,10 @@
 	// AdvisorBacklog is the time that the advisor takes for all queries of jobs
 	// that need them.
 	AdvisorBacklog time.Duration `msgpack:"d,omitempty"`
+	// StartBacklog is the time that the dispatcher takes to start the waiting tasks
+	// of jobs that can still be in time, while it cannot send starts as fast as VMs
+	// have room for them; otherwise 0.
+	StartBacklog time.Duration `msgpack:"t,omitempty"`
 	// Sizes lists the distinct capacities of the machines.
 	Sizes []job.Size `msgpack:"s,omitempty"`
 }
@@ -37,6 +41,13 @@
 	minBacklog  = 400 * time.Millisecond
 	// advisorBacklogUnit is the unit to which the advisor's backlog is truncated.
 	advisorBacklogUnit = time.Second
+	// startSlackShare is the share of a job's slack that its first tasks may wait for
+	// the dispatcher. Entries see the load with a delay, and tasks of later
+	// steps wait as well.
+	startSlackShare = 0.5
+	// minStartRetry is the shortest retry delay of a job that the dispatcher cannot
+	// start in time.
+	minStartRetry = 500 * time.Millisecond
 	// oversizedRetry is the retry delay of a job with a task that no machine can
 	// hold.
 	oversizedRetry = time.Minute
@@ -55,6 +66,7 @@
 		}
 	}
 	loa.AdvisorBacklog = sta.advisorBacklog().Truncate(advisorBacklogUnit)
+	loa.StartBacklog = sta.startBacklog().Truncate(backlogUnit)
 	backlogs, accountBacklogs := sta.backlogs()
 	loa.AccountBacklog = accountBacklogs
 	for pool, waits := range backlogs {
@@ -91,10 +103,35 @@
 	return sum / time.Duration(max(1, sta.advisorSlots))
 }
 
+// startBacklog returns the time that the dispatcher takes to start the waiting
+// tasks of jobs that can still be in time; 0 unless it is behind.
+func (sta *State) startBacklog() time.Duration {
+	rate := sta.starts.answersPerSecond(sta.now)
+	if rate == 0 || !sta.starts.isBehind(sta.now) {
+		return 0
+	}
+	tasks := 0
+	for _, liv := range sta.jobList {
+		if liv.final != "" || liv.spec.IsLongRunning() {
+			continue
+		}
+		factor := sta.runtimeRatios[liv.spec.Queue].factor()
+		for _, occ := range liv.occs {
+			if rest := time.Duration(float64(occ.remainder(liv.spec).path) * factor); sta.now.Add(rest).After(liv.deadline) {
+				continue
+			}
+			for i := range occ.stages {
+				tasks += occ.stages[i].waiting
+			}
+		}
+	}
+	return durationOf(float64(tasks) / rate)
+}
+
 // Admit decides whether a queue accepts a job. It returns the reason for a
 // refusal, which is empty if the job is accepted, and the delay after which to
-// retry. A job is refused if the backlog delays it until it has no value, or
-// if no machine can hold one of its tasks.
+// retry. A job is refused if the backlog delays it until it has no value, if the
+// dispatcher cannot start it in time, or if no machine can hold one of its tasks.
 func (loa Load) Admit(que *catalog.Queue, spe job.Spec) (after time.Duration, reason string) {
 	if spe.IsLongRunning() || spe.Occurrences > 0 {
 		return 0, ""
@@ -105,7 +142,13 @@
 			return oversizedRetry, "no machine can hold a task of the job"
 		}
 	}
-	objective := que.Objective(spe.CriticalPath(nil, nil))
+	path := spe.CriticalPath(nil, nil)
+	objective := que.Objective(path)
+	// Unlike a pool, a dispatcher that is behind gets no help from elsewhere, and
+	// each task that it starts too late delays others.
+	if slack := time.Duration(startSlackShare * float64(objective-path)); loa.StartBacklog > slack {
+		return loa.StartBacklog - slack + minStartRetry, "the dispatcher cannot start the job in time"
+	}
 	wait := max(loa.backlogBefore(que.Pool, objective), loa.AccountBacklog[spe.Account])
 	if que.Advice != nil {
 		wait = max(wait, loa.AdvisorBacklog)
--- a/internal/core/scheduler/orders.go
+++ b/internal/core/scheduler/orders.go
@@ -80,6 +80,9 @@
 		sta.staleStartAnswered(hos, evt)
 		return
 	}
+	if evt.Result != worker.ResultUnknown {
+		sta.starts.answered(sta.now.Sub(pla.since))
+	}
 	switch evt.Result {
 	case worker.ResultOK:
 		pla.setState(runRunning, sta.now)
--- a/internal/core/scheduler/reduce.go
+++ b/internal/core/scheduler/reduce.go
@@ -42,6 +42,7 @@
 		sta.jobsLoaded = true
 	case CatalogChanged:
 		sta.catalog = evt.Catalog
+		sta.catalogs++
 	case ZonesChanged:
 		sta.zonesOut = evt.Out
 	case JobAccepted:
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -141,7 +141,10 @@
 	work float64
 	// pool is the pool of the job's queue, as last configured. It is kept when
 	// the queue is removed from the configuration.
-	pool      string
+	pool string
+	// queue is the job's queue in the configuration with the number queueAsOf.
+	queue     *catalog.Queue
+	queueAsOf int
 	cancelled bool
 	// begun reports whether a task of the job has started.
 	begun bool
@@ -295,10 +298,12 @@
 
 // State is the state of the dispatcher. It is not safe for concurrent use.
 type State struct {
-	opt      Options
-	now      time.Time
-	effects  []Effect
-	catalog  catalog.Catalog
+	opt     Options
+	now     time.Time
+	effects []Effect
+	catalog catalog.Catalog
+	// catalogs counts the configurations received.
+	catalogs int
 	zonesOut map[string]bool
 	jobs     map[job.ID]*liveJob
 	// jobList holds the jobs in the order in which they were accepted.
@@ -365,6 +370,8 @@
 	// received was requested; zero if none was received.
 	requestedAt, asOf time.Time
 	inFlight          bool
+	// checkedAt is when VMs were last looked for that only a list explains.
+	checkedAt time.Time
 	// nextRequest is the earliest time of the next request.
 	nextRequest time.Time
 	// refreshDue reports whether a new list is needed to see the effect of an
--- a/internal/core/scheduler/waves.go
+++ b/internal/core/scheduler/waves.go
@@ -13,11 +13,15 @@
 const (
 	// listInterval is the interval while the scheduler waits for a change.
 	listInterval = 500 * time.Millisecond
+	// listCheckInterval is the interval at which VMs are looked for that only a list
+	// explains.
+	listCheckInterval = 50 * time.Millisecond
 	// listDelayAfterOrder is the interval after a machine order.
 	listDelayAfterOrder = 60 * time.Millisecond
 	// listPauseFactor is the minimum ratio of the pause after a list to the time
-	// that it took: long lists must not occupy the dispatcher's link.
-	listPauseFactor = 4
+	// that it took: long lists must not occupy the dispatcher's link and its
+	// processor.
+	listPauseFactor = 9
 	// maxListPause bounds that pause.
 	maxListPause = time.Second
 	// idleListInterval is the interval while nothing is expected to change.
@@ -40,7 +44,7 @@
 
 // wavePlanInterval is the time between two plans of upkeep, which look at every
 // machine of the waves. Machines stay cordoned in between.
-const wavePlanInterval = 20 * time.Millisecond
+const wavePlanInterval = 40 * time.Millisecond
 
 // planWaves orders the upkeep that is due.
 func (sta *State) planWaves() {
@@ -397,8 +401,11 @@
 	if len(sta.moves) > 0 {
 		pause = min(pause, listInterval)
 	}
-	if pause > listInterval && sta.now.Sub(sta.machines.requestedAt) >= listInterval && slices.ContainsFunc(sta.hostList, sta.needsListing) {
-		pause = listInterval
+	if pause > listInterval && sta.now.Sub(sta.machines.requestedAt) >= listInterval && sta.now.Sub(sta.machines.checkedAt) >= listCheckInterval {
+		sta.machines.checkedAt = sta.now
+		if slices.ContainsFunc(sta.hostList, sta.needsListing) {
+			pause = listInterval
+		}
 	}
 	if sta.machines.refreshDue {
 		pause = min(pause, listDelayAfterOrder)
--- a/internal/manager/loadwriter.go
+++ b/internal/manager/loadwriter.go
@@ -58,11 +58,12 @@
 
 func (wri *loadWriter) needed(now time.Time, loa scheduler.Load) bool {
 	age := now.Sub(wri.at)
-	changed := !reflect.DeepEqual(loa.Backlog, wri.written.Backlog) || !reflect.DeepEqual(loa.AccountBacklog, wri.written.AccountBacklog)
+	changed := !reflect.DeepEqual(loa.Backlog, wri.written.Backlog) || !reflect.DeepEqual(loa.AccountBacklog, wri.written.AccountBacklog) ||
+		loa.StartBacklog != wri.written.StartBacklog
 	if changed {
 		return age >= backlogInterval
 	}
-	hasBacklog := len(loa.Backlog)+len(loa.AccountBacklog) > 0
+	hasBacklog := len(loa.Backlog)+len(loa.AccountBacklog) > 0 || loa.StartBacklog > 0
 	return age >= loadInterval && (hasBacklog || !wri.stored || !reflect.DeepEqual(loa, wri.written))
 }
 
--- a/internal/manager/rounds.go
+++ b/internal/manager/rounds.go
@@ -72,7 +72,7 @@
 		"rounds": sts.rounds, "events": sts.events, "effects": sts.effects, "event_wait_ms": sts.wait.Milliseconds(),
 		"reduce_ms": sts.reducing.Milliseconds(), "longest_reduce_ms": sts.longest.Milliseconds(), "perform_ms": sts.performing.Milliseconds(),
 		"waiting_stages": eff.Backlog, "stages_tried": eff.Stages - sts.effort.Stages, "vms_examined": eff.Hosts - sts.effort.Hosts,
-		"goroutines": runtime.NumGoroutine(),
+		"starts_in_flight": eff.StartsInFlight, "max_starts_in_flight": eff.MaxStartsInFlight, "goroutines": runtime.NumGoroutine(),
 	})
 	*sts = roundStats{loggedAt: now, effort: eff}
 }
