scheduler: the rate of starts comes from their latency, not from their number

Cause: the load took the number of starts answered lately for what the dispatcher can do. After a calm time a burst beyond the window of starts in flight made it publish a backlog of 38 s, and entries refused jobs that could be served at once. Change: the rate is the number of starts that may be in flight over their average latency. Result: TestBurstAfterCalmIsAccepted fails on the code before, with a refusal after 4 ms. TestSlowDispatcherDegrades: 529 of 537 accepted jobs in time (486 of 539).

--- a/internal/core/scheduler/lag_test.go
+++ b/internal/core/scheduler/lag_test.go
@@ -75,3 +75,24 @@
 	assert.Check(t, slow >= acceptedSlow*2/3, "accepted jobs in time")
 	assert.Equal(t, len(emu.violations), 0, "%s", strings.Join(emu.violations, "\n"))
 }
+
+// TestBurstAfterCalmIsAccepted guards against refusals by a dispatcher that has
+// sent few starts lately because there were few tasks.
+func TestBurstAfterCalmIsAccepted(t *testing.T) {
+	emu := newEmulator(1, testCatalog())
+	emu.addVMs("lots", 60, 10, job.Size{CPU: 64_000, Memory: 131_072})
+	emu.takeOver(testOptions())
+	for i := range 20 {
+		emu.after(time.Second+time.Duration(i)*250*time.Millisecond, func() { emu.submit(fanOut(i+1, "large", 1, 500, 100*time.Millisecond)) })
+	}
+	for i := range 40 {
+		emu.after(6*time.Second, func() { emu.submit(fanOut(100+i, "large", 20, 500, 500*time.Millisecond)) })
+	}
+	for at := 6 * time.Second; at < 8*time.Second; at += 2 * time.Millisecond {
+		emu.run(at)
+		loa, ok := emu.sched.Load()
+		assert.Assert(t, ok)
+		after, reason := loa.Admit(emu.catalog.Queue("gate"), fanOut(999, "large", 4, 500, 500*time.Millisecond))
+		assert.Equal(t, reason, "", "%v after the start: retry after %v", at, after)
+	}
+}
--- a/internal/core/scheduler/load.go
+++ b/internal/core/scheduler/load.go
@@ -106,7 +106,7 @@
 // startBacklog returns the time that the dispatcher takes to start the waiting
 // tasks of jobs that can still be in time; 0 unless it is behind.
 func (sta *State) startBacklog() time.Duration {
-	rate := sta.starts.answersPerSecond(sta.now)
+	rate := sta.starts.startsPerSecond()
 	if rate == 0 || !sta.starts.isBehind(sta.now) {
 		return 0
 	}
--- a/internal/core/scheduler/window.go
+++ b/internal/core/scheduler/window.go
@@ -42,11 +42,8 @@
 	maxCount float64
 	// withheldAt is when a start was last withheld that would have fit on a VM.
 	withheldAt time.Time
-	// rate is the average number of answers a second, counted until countedAt;
-	// count is the number since then.
-	rate      float64
-	count     int
-	countedAt time.Time
+	// latency is the average time to an answer, in seconds; 0 before the first.
+	latency float64
 }
 
 // newStartWindow returns a window for a link, whose bandwidth is unlimited if it
@@ -80,7 +77,10 @@
 // answered adapts the number of starts to the time that one took to be answered.
 // Lost starts do not count, as they say nothing about the dispatcher.
 func (win *startWindow) answered(latency time.Duration) {
-	win.count++
+	if win.latency == 0 {
+		win.latency = latency.Seconds()
+	}
+	win.latency += (latency.Seconds() - win.latency) * latencyWeight
 	if latency > maxStartLatency {
 		win.maxCount = max(minStarts, win.maxCount*slowStartFactor)
 	} else {
@@ -99,24 +99,21 @@
 	return float64(startBytes + len(pla.stage.liveJob.spec.Payload))
 }
 
-// answerRateWindow is the time constant of the average rate of answers, and
+// latencyWeight is the weight of an answer in the average latency, and
 // withheldSpan how long a withheld start shows that the dispatcher is behind.
 const (
-	answerRateWindow = time.Second
-	withheldSpan     = 500 * time.Millisecond
+	latencyWeight = 0.05
+	withheldSpan  = 500 * time.Millisecond
 )
 
-// answersPerSecond returns the average rate of answers to starts.
-func (win *startWindow) answersPerSecond(now time.Time) float64 {
-	span := now.Sub(win.countedAt)
-	if win.countedAt.IsZero() || span <= 0 {
-		win.countedAt = now
-		return win.rate
+// startsPerSecond returns the number of starts a second that the dispatcher is
+// able to send; 0 if it is unknown.
+func (win *startWindow) startsPerSecond() float64 {
+	if win.latency == 0 {
+		return 0
 	}
-	weight := 1 - math.Exp(-span.Seconds()/answerRateWindow.Seconds())
-	win.rate += (float64(win.count)/span.Seconds() - win.rate) * weight
-	win.count, win.countedAt = 0, now
-	return win.rate
+	// By Little's law.
+	return win.maxCount / win.latency
 }
 
 // isBehind reports whether the dispatcher cannot send starts as fast as VMs have
