scheduler: no VMs are walked for advice while no query can be sent

Cause: while all slots of the advisor are taken, each call of Reduce walked the VMs of each stage that waits for advice, to collect queries of which none could be sent. Change: nothing is collected without a free slot. Result: no change of behaviour; the tests of advice pass.

--- a/internal/core/scheduler/advice.go
+++ b/internal/core/scheduler/advice.go
@@ -86,7 +86,8 @@
 // in order of priority.
 func (sta *State) enqueueAdvisorQuery(stg *stage, hosts []*host) {
 	adv := &stg.advice
-	if sta.adviceFor(stg.liveJob.spec.Queue) == nil || adv.inFlight || sta.now.Sub(adv.queriedAt) < queryInterval {
+	// Without a free slot nothing is sent, so the VMs need not be walked.
+	if sta.advisorInFlight >= sta.advisorSlots || !sta.needsAdvice(stg.liveJob) || adv.inFlight || sta.now.Sub(adv.queriedAt) < queryInterval {
 		return
 	}
 	reservation := stg.step.Reservation()
