--- a/internal/core/scheduler/waves.go
+++ b/internal/core/scheduler/waves.go
@@ -19,9 +19,8 @@
 	// listDelayAfterOrder is the interval after a machine order.
 	listDelayAfterOrder = 60 * time.Millisecond
 	// listPauseFactor is the minimum ratio of the pause after a list to the time
-	// that it took: long lists must not occupy the dispatcher's link and its
-	// processor.
-	listPauseFactor = 9
+	// that it took: long lists must not occupy the dispatcher's link.
+	listPauseFactor = 4
 	// maxListPause bounds that pause.
 	maxListPause = time.Second
 	// idleListInterval is the interval while nothing is expected to change.
