--- a/internal/core/scheduler/assign.go
+++ b/internal/core/scheduler/assign.go
@@ -1,9 +1,9 @@
 package scheduler
 
 import (
-	"slices"
 	"time"
 
+	"github.com/balsamgauge/balsamgauge/internal/core/catalog"
 	"github.com/balsamgauge/balsamgauge/internal/core/priority"
 )
 
@@ -11,7 +11,7 @@
 type waitingStage struct {
 	stage *stage
 	// pool is the pool in which the tasks run.
-	pool        string
+	pool        *poolRoom
 	priorityKey priority.Key
 }
 
@@ -30,68 +30,169 @@
 		return
 	}
 	sta.starts.prune(sta.now)
+	que := sta.queueStages()
+	sta.keepFree(que.crashed)
+	// The pools share the limit of starts in flight, so their stages are ordered
+	// together.
+	for que.order(sta.now); len(que.waiting) > 0 && !sta.starts.full(); {
+		wai := que.pop(sta.now)
+		// Earlier stages may have taken the room.
+		if wai.pool.mayFit(wai.stage.step.Reservation()) || sta.needsTurn(wai.stage) {
+			sta.effort.Stages++
+			sta.place(wai.stage, wai.pool)
+		}
+	}
+	if sta.starts.full() && (que.withheld || len(que.waiting) > 0) {
+		sta.starts.withheldAt = sta.now
+	}
+	for _, wai := range que.waiting {
+		if sta.needsTurn(wai.stage) {
+			sta.place(wai.stage, wai.pool)
+		}
+	}
+	for _, stg := range que.upcoming {
+		sta.enqueueAdvisorQuery(stg, sta.roomOf(que.rooms, sta.poolOf(stg.liveJob)).hosts)
+	}
+	sta.sendAdvisorQueries()
+}
+
+// stageQueue holds the stages that wait in a call of Reduce.
+type stageQueue struct {
+	rooms map[string]*poolRoom
+	// waiting holds the stages that may start tasks or need a turn. It is a heap, as
+	// usually few of them start any.
+	waiting []waitingStage
+	// withheld reports whether a stage was left out that might fit, as no further
+	// start may be sent.
+	withheld bool
+	// crashed holds, without keys, the waiting stages under whose tasks VMs have
+	// crashed.
+	crashed []waitingStage
+	// upcoming holds the stages that still depend on others and whose advice is
+	// asked for in advance.
+	upcoming []*stage
+}
+
+// queueStages collects the waiting stages.
+func (sta *State) queueStages() (que stageQueue) {
+	que.rooms = map[string]*poolRoom{}
 	formerRunsMayExist := sta.formerRunsMayExist()
-	var waiting []waitingStage
-	hosts := map[string][]*host{}
-	var upcoming []*stage
+	sta.effort.Backlog = 0
 	for _, liv := range sta.jobList {
 		if liv.final != "" || liv.restored && formerRunsMayExist {
 			continue
 		}
-		pool := sta.poolOf(liv)
 		for _, occ := range liv.occs {
 			for i := range occ.stages {
-				stg := &occ.stages[i]
-				if stg.waiting == 0 {
-					continue
-				}
-				if stg.blockers > 0 {
-					if sta.adviceFor(liv.spec.Queue) != nil && stg.prerequisitesStarted() {
-						upcoming = append(upcoming, stg)
-					}
-					continue
+				if stg := &occ.stages[i]; stg.waiting > 0 {
+					sta.queueStage(&que, stg)
 				}
-				if _, ok := hosts[pool]; !ok {
-					hosts[pool] = sta.usableHosts(pool)
-				}
-				waiting = append(waiting, waitingStage{stg, pool, sta.priorityKey(stg)})
 			}
 		}
 	}
-	// The pools share the limit of starts in flight, so their stages are ordered
-	// together.
-	slices.SortFunc(waiting, func(one, oth waitingStage) int { return priority.Compare(sta.now, one.priorityKey, oth.priorityKey) })
-	sta.keepFree(waiting, hosts)
-	for _, wai := range waiting {
-		sta.place(wai.stage, hosts[wai.pool])
+	return que
+}
+
+// queueStage adds a stage with waiting tasks to the queue.
+func (sta *State) queueStage(que *stageQueue, stg *stage) {
+	if stg.blockers > 0 {
+		if sta.needsAdvice(stg.liveJob) && stg.prerequisitesStarted() {
+			que.upcoming = append(que.upcoming, stg)
+		}
+		return
 	}
-	for _, stg := range upcoming {
-		sta.enqueueAdvisorQuery(stg, sta.usableHosts(sta.poolOf(stg.liveJob)))
+	sta.effort.Backlog++
+	room := sta.roomOf(que.rooms, sta.poolOf(stg.liveJob))
+	if stg.crashed {
+		que.crashed = append(que.crashed, waitingStage{stage: stg, pool: room})
+	}
+	fits := room.mayFit(stg.step.Reservation())
+	que.withheld = que.withheld || fits && sta.starts.full()
+	if fits && !sta.starts.full() || sta.needsTurn(stg) {
+		que.waiting = append(que.waiting, waitingStage{stg, room, sta.priorityKey(stg)})
+	}
+}
+
+// order makes the waiting stages a heap by priority.
+func (que *stageQueue) order(now time.Time) {
+	for i := len(que.waiting)/2 - 1; i >= 0; i-- {
+		que.sink(now, i)
 	}
-	sta.sendAdvisorQueries()
+}
+
+// pop removes the stage with the highest priority.
+func (que *stageQueue) pop(now time.Time) waitingStage {
+	last := len(que.waiting) - 1
+	first := que.waiting[0]
+	que.waiting[0] = que.waiting[last]
+	que.waiting = que.waiting[:last]
+	que.sink(now, 0)
+	return first
+}
+
+// sink moves a stage of the heap down to its place.
+func (que *stageQueue) sink(now time.Time, i int) {
+	for {
+		child := 2*i + 1
+		if child >= len(que.waiting) {
+			return
+		}
+		if child+1 < len(que.waiting) && que.before(now, child+1, child) {
+			child++
+		}
+		if !que.before(now, child, i) {
+			return
+		}
+		que.waiting[i], que.waiting[child] = que.waiting[child], que.waiting[i]
+		i = child
+	}
+}
+
+func (que *stageQueue) before(now time.Time, one, oth int) bool {
+	return priority.Compare(now, que.waiting[one].priorityKey, que.waiting[oth].priorityKey) < 0
+}
+
+// needsTurn reports whether a waiting stage has something to do even if there
+// is no room for its tasks: to ask for advice, or to stop an incomplete gang.
+func (sta *State) needsTurn(stg *stage) bool {
+	return stg.step.Gang && stg.waiting < len(stg.tasks) || sta.needsAdvice(stg.liveJob)
 }
 
 // poolOf returns the pool that runs a job's tasks, also after the job's queue
 // has been removed.
 func (sta *State) poolOf(liv *liveJob) string {
-	if que := sta.catalog.Queue(liv.spec.Queue); que != nil {
+	if que := sta.queueOf(liv); que != nil {
 		liv.pool = que.Pool
 	}
 	return liv.pool
 }
 
+// queueOf returns the queue of a job, or nil after it has been removed.
+func (sta *State) queueOf(liv *liveJob) *catalog.Queue {
+	if liv.queueAsOf != sta.catalogs {
+		liv.queue, liv.queueAsOf = sta.catalog.Queue(liv.spec.Queue), sta.catalogs
+	}
+	return liv.queue
+}
+
+// needsAdvice reports whether the steps of a job need advice.
+func (sta *State) needsAdvice(liv *liveJob) bool {
+	que := sta.queueOf(liv)
+	return que != nil && que.Advice != nil
+}
+
 // priorityKey returns the key that orders a stage by priority.
 func (sta *State) priorityKey(stg *stage) priority.Key {
 	liv := stg.liveJob
 	occ := liv.occs[stg.occ]
 	priorityKey := priority.Key{IsLongRunning: stg.step.LongRunning, Excess: liv.excess, Job: string(liv.spec.ID)}
-	if que := sta.catalog.Queue(liv.spec.Queue); que != nil {
+	if que := sta.queueOf(liv); que != nil {
 		priorityKey.Priority = que.Priority
 	}
-	priorityKey.Remaining = sta.criticalPath(liv.spec, func(step int) bool { return occ.stages[step].left > 0 })
-	factor := sta.runtimeRatios[liv.spec.Queue].factor()
-	for i := range occ.stages {
-		priorityKey.Work += occ.stages[i].remainingWork(factor)
+	rem, factor := occ.remainder(liv.spec), sta.runtimeRatios[liv.spec.Queue].factor()
+	priorityKey.Remaining, priorityKey.Work = time.Duration(float64(rem.path)*factor), rem.work*factor
+	if sta.needsAdvice(liv) {
+		priorityKey.Remaining = sta.criticalPath(liv.spec, func(step int) bool { return occ.stages[step].left > 0 })
 	}
 	accepted := liv.spec.Accepted
 	if liv.spec.Occurrences > 0 {
@@ -120,29 +221,36 @@
 }
 
 // place starts as many of a stage's waiting tasks as fit.
-func (sta *State) place(stg *stage, hosts []*host) {
+func (sta *State) place(stg *stage, room *poolRoom) {
 	if stg.step.Gang {
-		sta.placeGang(stg, hosts)
+		sta.placeGang(stg, room.hosts)
 	} else {
-		sta.placeEach(stg, hosts)
+		sta.placeEach(stg, room)
 	}
 	if stg.waiting > 0 {
-		sta.enqueueAdvisorQuery(stg, hosts)
+		sta.enqueueAdvisorQuery(stg, room.hosts)
 	}
 }
 
 // placeEach starts the waiting tasks of a stage one by one, as long as they
 // fit.
-func (sta *State) placeEach(stg *stage, hosts []*host) {
+func (sta *State) placeEach(stg *stage, room *poolRoom) {
+	var hos *host
 	for i := range stg.tasks {
 		tas := &stg.tasks[i]
 		if tas.phase != phaseWaiting || sta.now.Before(tas.notBefore) {
 			continue
 		}
-		if sta.starts.full() || !sta.withinCap(stg, 1) {
+		if sta.starts.full() || !sta.withinCap(stg, 1) || !room.mayFit(stg.step.Reservation()) {
+			return
+		}
+		if hos == nil || !stg.packs() || !sta.accepts(hos, stg, i, 0) {
+			hos = sta.chooseHost(stg, i, room.hosts, nil)
+		}
+		if hos == nil && !room.fits(stg.step.Reservation()) {
+			room.reject(stg.step.Reservation())
 			return
 		}
-		hos := sta.chooseHost(stg, i, hosts, nil)
 		if hos == nil && tas.isSuspect() {
 			continue
 		}
@@ -180,15 +288,28 @@
 	})
 }
 
+// packs reports whether the host that is best for a task of the stage is also best
+// for the next one, if that fits: it is the one with the least free CPU that
+// differs from others in nothing else.
+func (stg *stage) packs() bool {
+	return !stg.step.LongRunning && (!stg.step.BestEffort || stg.step.TailTarget == 0)
+}
+
+// accepts reports whether a task of a stage may start on a host where a number of
+// other tasks of the stage are planned.
+func (sta *State) accepts(hos *host, stg *stage, index, planned int) bool {
+	// A former run of the task that is being stopped there would be mistaken for
+	// the new one.
+	return sta.canRun(stg, hos, planned) && !hos.isolates(stg.tasks[index].isSuspect()) && hos.runs[stg.task(index)] == nil
+}
+
 // chooseHost returns the best host for a task of a stage, or nil if there is none.
 // Tasks in planned take up capacity as well.
 func (sta *State) chooseHost(stg *stage, index int, hosts []*host, planned plannedTasks) (best *host) {
 	var bestScore score
-	name := stg.task(index)
+	sta.effort.Hosts += len(hosts)
 	for _, hos := range hosts {
-		// A former run that is being stopped there would be mistaken for the new
-		// one.
-		if hos.runs[name] != nil || !sta.canRun(stg, hos, planned[hos]) || hos.isolates(stg.tasks[index].isSuspect()) {
+		if !sta.accepts(hos, stg, index, planned[hos]) {
 			continue
 		}
 		sco := sta.score(stg, hos, planned[hos])
@@ -212,7 +333,7 @@
 	if ste.MaxPerVM > 0 && hos.countTasks(stg)+planned >= ste.MaxPerVM {
 		return false
 	}
-	if sta.adviceFor(stg.liveJob.spec.Queue) != nil && stg.advice.ticketFor(hos.vm.ID, sta.now) == "" {
+	if sta.needsAdvice(stg.liveJob) && stg.advice.ticketFor(hos.vm.ID, sta.now) == "" {
 		return false
 	}
 	return true
--- a/internal/core/scheduler/crashes.go
+++ b/internal/core/scheduler/crashes.go
@@ -65,6 +65,7 @@
 		stg := pla.stage
 		tas := &stg.tasks[pla.task.Index]
 		tas.crashes++
+		stg.crashed = true
 		sta.markDirty(stg.liveJob)
 		if !tas.isSuspect() {
 			continue
@@ -129,11 +130,11 @@
 // keepFree selects the hosts that get no other tasks while suspects wait: those
 // with the fewest runs that can run a suspect, which are free of other tasks
 // first.
-func (sta *State) keepFree(waiting []waitingStage, hosts map[string][]*host) {
+func (sta *State) keepFree(waiting []waitingStage) {
 	for _, hos := range sta.hostList {
 		hos.keptFree = false
 	}
-	suspects := map[string][]*stage{}
+	suspects := map[*poolRoom][]*stage{}
 	for _, wai := range waiting {
 		for i := range wai.stage.tasks {
 			if tas := &wai.stage.tasks[i]; tas.phase == phaseWaiting && tas.isSuspect() {
@@ -142,9 +143,9 @@
 		}
 	}
 	for pool, stages := range suspects {
-		free := slices.DeleteFunc(slices.Clone(hosts[pool]), func(hos *host) bool { return hos.isolates(false) })
+		free := slices.DeleteFunc(slices.Clone(pool.hosts), func(hos *host) bool { return hos.isolates(false) })
 		slices.SortStableFunc(free, func(one, oth *host) int { return cmp.Compare(len(one.runs), len(oth.runs)) })
-		left := max(1, int(maxKeptFree*float64(len(hosts[pool]))))
+		left := max(1, int(maxKeptFree*float64(len(pool.hosts))))
 		for _, stg := range stages {
 			i := slices.IndexFunc(free, func(hos *host) bool { return !hos.keptFree && hos.suits(stg) })
 			if i < 0 || left == 0 {
--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -60,11 +60,9 @@
 		if hos.vm.Leaving != one.Leaving {
 			sta.logDecision("vm_leaving", "", map[string]any{"vm": one.ID, "leaving": one.Leaving})
 		}
-		moved := hos.vm.Pool != one.Pool
+		sta.unindexHost(hos)
 		hos.vm, hos.unregistered = one, false
-		if moved {
-			sta.indexHosts()
-		}
+		sta.indexHost(hos)
 		return
 	}
 	if hos != nil {
@@ -78,7 +76,7 @@
 		vm: one, runs: map[job.Task]*placement{}, ackable: map[int64]bool{}, leaseExpiry: leaseExpiry, nextPoll: sta.now, idleSince: sta.now, firstSeen: sta.now,
 		pace: pace.NewControl(),
 	}
-	sta.indexHosts()
+	sta.indexHost(sta.hosts[one.ID])
 	sta.logDecision("vm_found", "", map[string]any{"vm": one.ID, "pool": one.Pool, "az": one.AZ})
 }
 
@@ -106,7 +104,7 @@
 	delete(sta.hosts, hos.vm.ID)
 	sta.lostVMs.put(sta.now, hos.vm.ID, hos.vm)
 	sta.emit(Forget{VM: hos.vm})
-	sta.indexHosts()
+	sta.unindexHost(hos)
 }
 
 // release removes a run that is over, or that never started. Its task waits again
@@ -185,7 +183,7 @@
 		return
 	}
 	for _, hos := range sta.hostList {
-		if hos.pollInFlight || sta.now.Before(hos.nextPoll) {
+		if hos.pollInFlight || sta.now.Before(hos.nextPoll) || hos.isGone() {
 			continue
 		}
 		idle := hos.termAccepted && hos.failedPolls == 0 && !hos.listedGone && len(hos.runs) == 0 && !hos.reportDue
@@ -196,6 +194,13 @@
 	}
 }
 
+// isGone reports whether the VM's machine has been ordered down and nothing that
+// ran there is left to learn about. A list of machines shows whether the order had
+// an effect.
+func (hos *host) isGone() bool {
+	return hos.goingDown && !hos.downAnsweredAt.IsZero() && len(hos.runs) == 0
+}
+
 // sendPoll polls a VM and acknowledges its ends.
 func (sta *State) sendPoll(hos *host) {
 	pol := Poll{VM: hos.vm, Acked: hos.ackableUpTo, Slack: min(maxPollSlack, pollSlack<<min(hos.failedPolls, 4))}
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -88,7 +88,9 @@
 	blockers int
 	// waiting counts the tasks without a run, left those that are not done.
 	waiting, left int
-	advice        advice
+	// crashed reports whether VMs have crashed under some of the tasks.
+	crashed bool
+	advice  advice
 }
 
 // task returns the identifier of the stage's task with the given index.
@@ -101,6 +103,29 @@
 	stages []stage
 	// left counts the stages that are not done.
 	left int
+	// rest is what remains to be done; nil if it has to be computed anew.
+	rest *remainder
+}
+
+// remainder is the estimate of what remains of an occurrence, by the client's
+// estimates.
+type remainder struct {
+	// path is the length of the longest chain of steps that are not done, work
+	// the core-seconds of the tasks that are not done.
+	path time.Duration
+	work float64
+}
+
+// remainder returns the estimate of what remains of an occurrence of a job.
+func (occ *occurrence) remainder(spe job.Spec) remainder {
+	if occ.rest == nil {
+		rem := remainder{path: spe.CriticalPath(func(step int) bool { return occ.stages[step].left > 0 }, nil)}
+		for i := range occ.stages {
+			rem.work += occ.stages[i].remainingWork(1)
+		}
+		occ.rest = &rem
+	}
+	return *occ.rest
 }
 
 // liveJob is a job that has not ended.
@@ -118,7 +143,10 @@
 	// are kept when the queue is removed from the configuration.
 	pool        string
 	maxAttempts int
-	cancelled   bool
+	// queue is the job's queue in the configuration with the number queueAsOf.
+	queue     *catalog.Queue
+	queueAsOf int
+	cancelled bool
 	// begun reports whether a task of the job has started.
 	begun bool
 	// excess reports whether the job exceeds its account's allowance.
@@ -279,10 +307,12 @@
 
 // State is the state of the dispatcher. It is not safe for concurrent use.
 type State struct {
-	opt      Options
-	now      time.Time
-	effects  []Effect
-	catalog  catalog.Catalog
+	opt     Options
+	now     time.Time
+	effects []Effect
+	catalog catalog.Catalog
+	// catalogs counts the configurations received.
+	catalogs int
 	zonesOut map[string]bool
 	// outages holds when the last outages of availability zones and racks end, by
 	// host.places.
@@ -301,8 +331,13 @@
 	allowances map[string]allowance.Bucket
 	machines   machines
 	waves      map[int64]*wave
+	// wavesPlannedAt is when the upkeep of waves was last planned.
+	wavesPlannedAt time.Time
+	// hasStops reports whether a run may be being stopped.
+	hasStops   bool
 	commit     commit
 	starts     startWindow
+	effort     Effort
 	jobsLoaded bool
 	// jobsSyncedAt is the time up to which all changes of jobs have been
 	// received.
@@ -347,6 +382,8 @@
 	// received was requested; zero if none was received.
 	requestedAt, asOf time.Time
 	inFlight          bool
+	// checkedAt is when VMs were last looked for that only a list explains.
+	checkedAt time.Time
 	// nextRequest is the earliest time of the next request.
 	nextRequest time.Time
 	// refreshDue reports whether a new list is needed to see the effect of an
--- a/internal/core/scheduler/waves.go
+++ b/internal/core/scheduler/waves.go
@@ -13,6 +13,9 @@
 const (
 	// listInterval is the interval while the scheduler waits for a change.
 	listInterval = 500 * time.Millisecond
+	// listCheckInterval is the interval at which VMs are looked for that only a list
+	// explains.
+	listCheckInterval = 50 * time.Millisecond
 	// listDelayAfterOrder is the interval after a machine order.
 	listDelayAfterOrder = 60 * time.Millisecond
 	// listPauseFactor is the minimum ratio of the pause after a list to the time
@@ -38,8 +41,16 @@
 	sta.emit(SaveWave{Number: evt.Wave.Number, Begun: evt.Begun})
 }
 
+// wavePlanInterval is the time between two plans of upkeep, which look at every
+// machine of the waves. Machines stay cordoned in between.
+const wavePlanInterval = 40 * time.Millisecond
+
 // planWaves orders the upkeep that is due.
 func (sta *State) planWaves() {
+	if sta.now.Sub(sta.wavesPlannedAt) < wavePlanInterval {
+		return
+	}
+	sta.wavesPlannedAt = sta.now
 	for _, hos := range sta.hostList {
 		hos.cordoned = false
 	}
@@ -394,8 +405,17 @@
 	}
 }
 
+// needsListing reports whether a list of machines may show that a host has ended.
+func (sta *State) needsListing(hos *host) bool {
+	_, listed := sta.machines.byVM[hos.vm.ID]
+	return hos.failedPolls >= silentAfterPolls || !listed
+}
+
 // listMachines requests the list of machines if it is due.
 func (sta *State) listMachines() {
+	if sta.machines.inFlight || sta.now.Before(sta.machines.nextRequest) {
+		return
+	}
 	pause := idleListInterval
 	if sta.formerLeasesMayHold() && sta.machines.asOf.Before(sta.opt.Since) {
 		pause = 0
@@ -405,19 +425,19 @@
 			pause = min(pause, listInterval)
 		}
 	}
-	for _, hos := range sta.hostList {
-		_, listed := sta.machines.byVM[hos.vm.ID]
-		if hos.failedPolls >= silentAfterPolls || !listed {
-			pause = min(pause, listInterval)
-		}
-	}
 	if len(sta.moves) > 0 {
 		pause = min(pause, listInterval)
 	}
+	if pause > listInterval && sta.now.Sub(sta.machines.requestedAt) >= listInterval && sta.now.Sub(sta.machines.checkedAt) >= listCheckInterval {
+		sta.machines.checkedAt = sta.now
+		if slices.ContainsFunc(sta.hostList, sta.needsListing) {
+			pause = listInterval
+		}
+	}
 	if sta.machines.refreshDue {
 		pause = min(pause, listDelayAfterOrder)
 	}
-	if sta.machines.inFlight || sta.now.Sub(sta.machines.requestedAt) < pause || sta.now.Before(sta.machines.nextRequest) {
+	if sta.now.Sub(sta.machines.requestedAt) < pause {
 		return
 	}
 	sta.machines.inFlight, sta.machines.refreshDue = true, false
--- a/internal/core/scheduler/window.go
+++ b/internal/core/scheduler/window.go
@@ -7,7 +7,8 @@
 
 // Limits of the starts that are unanswered at the same time. Each carries the
 // payload of its job. A burst of them would otherwise fill the dispatcher's
-// link and delay polls until VMs that run are taken for silent.
+// link, or its processor's queue, and delay polls until VMs that run are taken for
+// silent. Tasks that are not started yet wait in order of priority instead.
 const (
 	// maxStartBacklog is the maximum time that the dispatcher's link takes for all
 	// unanswered starts.
@@ -17,6 +18,16 @@
 	// startPatience is the time for which an unanswered start counts.
 	// Starts that are older are probably lost and must not block others.
 	startPatience = 2 * maxStartBacklog
+	// maxStartLatency is the time to a start's answer above which fewer starts are
+	// sent: VMs answer within milliseconds, so the dispatcher itself is behind.
+	maxStartLatency = 100 * time.Millisecond
+	// minStarts and maxStarts bound the number of starts in flight that results;
+	// it is firstStarts in the beginning.
+	minStarts   = 32
+	maxStarts   = 256
+	firstStarts = 64
+	// slowStartFactor is the ratio by which the number falls with a late answer.
+	slowStartFactor = 0.95
 )
 
 // startWindow limits the starts that are in flight.
@@ -27,15 +38,21 @@
 	inFlight []*placement
 	// bytes is the size of the starts that are in flight.
 	bytes float64
+	// maxCount limits the number of starts that are in flight.
+	maxCount float64
+	// withheldAt is when a start was last withheld that would have fit on a VM.
+	withheldAt time.Time
+	// latency is the average time to an answer, in seconds; 0 before the first.
+	latency float64
 }
 
 // newStartWindow returns a window for a link, whose bandwidth is unlimited if it
 // is 0.
 func newStartWindow(bytesPerSecond float64) startWindow {
 	if bytesPerSecond == 0 {
-		return startWindow{maxBytes: math.Inf(1)}
+		return startWindow{maxBytes: math.Inf(1), maxCount: firstStarts}
 	}
-	return startWindow{maxBytes: bytesPerSecond * maxStartBacklog.Seconds()}
+	return startWindow{maxBytes: bytesPerSecond * maxStartBacklog.Seconds(), maxCount: firstStarts}
 }
 
 // prune drops the starts that have been answered or are probably lost.
@@ -53,7 +70,23 @@
 }
 
 // full reports whether no further start may be sent.
-func (win *startWindow) full() bool { return win.bytes >= win.maxBytes }
+func (win *startWindow) full() bool {
+	return win.bytes >= win.maxBytes || float64(len(win.inFlight)) >= win.maxCount
+}
+
+// answered adapts the number of starts to the time that one took to be answered.
+// Lost starts do not count, as they say nothing about the dispatcher.
+func (win *startWindow) answered(latency time.Duration) {
+	if win.latency == 0 {
+		win.latency = latency.Seconds()
+	}
+	win.latency += (latency.Seconds() - win.latency) * latencyWeight
+	if latency > maxStartLatency {
+		win.maxCount = max(minStarts, win.maxCount*slowStartFactor)
+	} else {
+		win.maxCount = min(maxStarts, win.maxCount+1)
+	}
+}
 
 // add records a start that is being sent.
 func (win *startWindow) add(pla *placement) {
@@ -65,3 +98,26 @@
 func (pla *placement) startBytes() float64 {
 	return float64(startBytes + len(pla.stage.liveJob.spec.Payload))
 }
+
+// latencyWeight is the weight of an answer in the average latency, and
+// withheldSpan how long a withheld start shows that the dispatcher is behind.
+const (
+	latencyWeight = 0.05
+	withheldSpan  = 500 * time.Millisecond
+)
+
+// startsPerSecond returns the number of starts a second that the dispatcher is
+// able to send; 0 if it is unknown.
+func (win *startWindow) startsPerSecond() float64 {
+	if win.latency == 0 {
+		return 0
+	}
+	// By Little's law.
+	return win.maxCount / win.latency
+}
+
+// isBehind reports whether the dispatcher cannot send starts as fast as VMs have
+// room for them.
+func (win *startWindow) isBehind(now time.Time) bool {
+	return !win.withheldAt.IsZero() && now.Sub(win.withheldAt) <= withheldSpan
+}
--- a/internal/manager/dispatcher.go
+++ b/internal/manager/dispatcher.go
@@ -23,8 +23,12 @@
 	// tickInterval is how often the reducer runs when there are no events.
 	tickInterval = 40 * time.Millisecond
 	// batchDelay is how long the loop waits for more events after the first
-	// one, which saves wake-ups.
-	batchDelay = 3 * time.Millisecond
+	// one, which saves wake-ups. After an expensive round it waits batchDelayFactor
+	// times as long as the reducer took, but at most maxBatchDelay, so that most of
+	// the processor is left for calls.
+	batchDelay       = 3 * time.Millisecond
+	batchDelayFactor = 6
+	maxBatchDelay    = 20 * time.Millisecond
 	// eventQueueSize is how many events may wait for the loop.
 	eventQueueSize = 4096
 	// maxTaskLease bounds how long a VM runs tasks without being polled. It is
@@ -40,7 +44,8 @@
 	nod    *Node
 	ten    *election.Tenure
 	sta    *scheduler.State
-	events chan scheduler.Event
+	events chan arrival
+	rounds roundStats
 	load   loadWriter
 	// waveWrites serializes the writes of wave states.
 	waveWrites sync.Mutex
@@ -55,7 +60,7 @@
 	cur := ten.Current()
 	set := nod.settings()
 	bnd := set.Bounds
-	dis := &dispatcher{nod: nod, ten: ten, events: make(chan scheduler.Event, eventQueueSize), ticketSources: advisory.NewPool(nod.now)}
+	dis := &dispatcher{nod: nod, ten: ten, events: make(chan arrival, eventQueueSize), ticketSources: advisory.NewPool(nod.now)}
 	dis.sta = scheduler.New(scheduler.Options{
 		Since: cur.Since, Revision: cur.Revision, Term: cur.Holder.Term,
 		Lease:    min(maxTaskLease, fraction(bnd.MaxTaskLease, leaseFraction)),
@@ -73,7 +78,7 @@
 // send queues an event for the loop.
 func (dis *dispatcher) send(ctx context.Context, evt scheduler.Event) {
 	select {
-	case dis.events <- evt:
+	case dis.events <- arrival{evt, dis.nod.now()}:
 	case <-ctx.Done():
 	}
 }
@@ -83,13 +88,14 @@
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	var batch []scheduler.Event
+	delay := batchDelay
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case evt := <-dis.events:
-			batch = append(batch, evt)
-			time.Sleep(batchDelay)
+		case arr := <-dis.events:
+			batch = dis.receive(batch, arr)
+			time.Sleep(delay)
 		case <-tick.C:
 		}
 		batch = dis.drain(batch)
@@ -103,13 +109,17 @@
 			batch = append(batch, scheduler.AdvisorSlotsChanged{Count: available})
 		}
 		effects := dis.sta.Reduce(now, batch)
-		batch = batch[:0]
+		reduced := dis.nod.now()
+		delay = min(maxBatchDelay, max(batchDelay, batchDelayFactor*reduced.Sub(now)))
 		for _, eff := range effects {
 			dis.perform(ctx, now, eff)
 		}
 		if dis.load.due(now) {
 			dis.writeLoad(ctx, now)
 		}
+		dis.rounds.add(now, reduced, dis.nod.now(), len(batch), len(effects))
+		dis.logRounds(now)
+		batch = batch[:0]
 	}
 }
 
@@ -136,8 +146,8 @@
 func (dis *dispatcher) drain(batch []scheduler.Event) []scheduler.Event {
 	for {
 		select {
-		case evt := <-dis.events:
-			batch = append(batch, evt)
+		case arr := <-dis.events:
+			batch = dis.receive(batch, arr)
 		default:
 			return batch
 		}
--- a/internal/manager/registrations_test.go
+++ b/internal/manager/registrations_test.go
@@ -17,7 +17,7 @@
 // registration was found by a watch and went away while the history was lost.
 func TestVMGoneWithHistory(t *testing.T) {
 	ctx := context.Background()
-	dis := &dispatcher{nod: &Node{log: decisionlog.New(io.Discard, "test", time.Now)}, events: make(chan scheduler.Event, 100)}
+	dis := &dispatcher{nod: &Node{log: decisionlog.New(io.Discard, "test", time.Now), now: time.Now}, events: make(chan arrival, 100)}
 	reg := newRegistrations(dis)
 	item := func(id string, revision kv.Revision) kv.Item {
 		return kv.Item{
@@ -27,7 +27,7 @@
 	}
 	sent := func() (all []string) {
 		for len(dis.events) > 0 {
-			switch evt := (<-dis.events).(type) {
+			switch evt := (<-dis.events).event.(type) {
 			case scheduler.VMRegistered:
 				all = append(all, "+"+evt.VM.ID)
 			case scheduler.VMUnregistered:
@@ -56,7 +56,7 @@
 // The pages of a list are not a snapshot, and the watch begins at the first.
 func TestOlderRegistrationAfterList(t *testing.T) {
 	ctx := context.Background()
-	dis := &dispatcher{nod: &Node{log: decisionlog.New(io.Discard, "test", time.Now)}, events: make(chan scheduler.Event, 100)}
+	dis := &dispatcher{nod: &Node{log: decisionlog.New(io.Discard, "test", time.Now), now: time.Now}, events: make(chan arrival, 100)}
 	reg := newRegistrations(dis)
 	item := func(port int, revision kv.Revision) kv.Item {
 		return kv.Item{
@@ -66,7 +66,7 @@
 	}
 	addresses := func() (all []string) {
 		for len(dis.events) > 0 {
-			if evt, ok := (<-dis.events).(scheduler.VMRegistered); ok {
+			if evt, ok := (<-dis.events).event.(scheduler.VMRegistered); ok {
 				all = append(all, evt.VM.Address)
 			} else {
 				all = append(all, "gone")
