soak/ledger: tasks and jobs that wait without a reason are lost

The ledger saw a lost job only by its state at the end. New checks: a run after its job was reported as completed, runs of failed jobs at the end, another state after an acknowledged cancellation. Violations of a job carry its history. Each check has a history that violates it.

--- a/internal/soak/ledger/ledger.go
+++ b/internal/soak/ledger/ledger.go
@@ -33,12 +33,19 @@
 	VMMillicores int64
 	// Attempts is the number of failed runs after which a task fails.
 	Attempts int
+	// Wait is the time for which a task, or a job that runs nothing, may wait while
+	// nothing prevents a start.
+	Wait time.Duration
+	// Repeat is the time after a job was first reported as completed from which no
+	// run of it may start.
+	Repeat time.Duration
 }
 
 // PlatformBounds are the limits that the platform's specification sets for its
 // smaller sites.
 var PlatformBounds = Bounds{
 	Revoke: 5 * time.Second, Evacuate: 5 * time.Second, Cancel: 3 * time.Second, Overrun: 0.1, VMMillicores: 16_000, Attempts: 4,
+	Wait: 5 * time.Second, Repeat: time.Second,
 }
 
 // Step is a group of equal tasks of a job.
@@ -74,6 +81,11 @@
 	Unanswered
 )
 
+// String returns the outcome as a history shows it.
+func (out SubmissionOutcome) String() string {
+	return [...]string{"accepted", "refused", "not answered"}[out]
+}
+
 // Ledger records observations of callers, VMs and operators, and the violations
 // that they show. It is safe for concurrent use.
 type Ledger struct {
@@ -103,12 +115,20 @@
 	// mayBeAccepted is set if a submission was accepted or not answered.
 	accepted, mayBeAccepted bool
 	cancelled               time.Time
-	// reported is the state last reported to the caller.
+	// reported is the state last reported to the caller, endedAt the time at which a
+	// final state was first reported; it is zero before.
 	reported string
+	endedAt  time.Time
+	// idle is the time for which no task of the job has run without a reason.
+	idle wait
+	// history describes everything observed of the job, in its order.
+	history []string
 }
 
 type taskRecord struct {
 	running int
+	// wait is the time for which the task has not run without a reason.
+	wait wait
 	// failed counts the failed runs, failedAcked those whose end was acknowledged
 	// to the VM.
 	failed, failedAcked int
@@ -144,7 +164,25 @@
 }
 
 func (led *Ledger) addViolation(now time.Time, format string, args ...any) {
-	led.violations = append(led.violations, now.Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
+	led.violations = append(led.violations, now.Format(timeFormat)+fmt.Sprintf(format, args...))
+}
+
+// addJobViolation records a violation with the history of its job.
+func (led *Ledger) addJobViolation(now time.Time, rec *jobRecord, format string, args ...any) {
+	led.addViolation(now, "%s; history of the job:\n      %s", fmt.Sprintf(format, args...), strings.Join(rec.history, "\n      "))
+}
+
+// note adds a line to the history of a job.
+func (rec *jobRecord) note(now time.Time, format string, args ...any) {
+	rec.history = append(rec.history, now.Format(timeFormat)+fmt.Sprintf(format, args...))
+}
+
+// timeFormat is the format of the times of violations and of lines of a history.
+const timeFormat = "15:04:05.000 "
+
+// isFinal reports whether a state of a job never changes.
+func isFinal(state string) bool {
+	return state == "completed" || state == "failed" || state == "cancelled"
 }
 
 // AddViolation records a violation that was detected outside the ledger.
@@ -170,6 +208,7 @@
 	led.mu.Lock()
 	defer led.mu.Unlock()
 	rec := led.jobs[id]
+	rec.note(now, "submission %s", out)
 	rec.openSubmissions--
 	rec.mayBeAccepted = rec.mayBeAccepted || out != Refused
 	rec.accepted = rec.accepted || out == Accepted
@@ -218,7 +257,9 @@
 func (led *Ledger) Cancelled(now time.Time, id string) {
 	led.mu.Lock()
 	defer led.mu.Unlock()
-	led.jobs[id].cancelled = now
+	rec := led.jobs[id]
+	rec.note(now, "cancelled")
+	rec.cancelled = now
 }
 
 // StateReported records the state of an accepted job that was reported to its
@@ -227,18 +268,25 @@
 	led.mu.Lock()
 	defer led.mu.Unlock()
 	rec := led.jobs[id]
-	final := map[string]bool{"completed": true, "failed": true, "cancelled": true}
+	if state != rec.reported {
+		rec.note(now, "reported as %s", state)
+	}
+	if rec.endedAt.IsZero() && isFinal(state) {
+		rec.endedAt = now
+	}
 	switch {
 	case state == "gone":
-		led.addViolation(now, "job %s was accepted but is reported as not existing", id)
-	case final[rec.reported] && state != rec.reported:
-		led.addViolation(now, "job %s is reported as %s after %s", id, state, rec.reported)
+		led.addJobViolation(now, rec, "job %s was accepted but is reported as not existing", id)
+	case isFinal(rec.reported) && state != rec.reported:
+		led.addJobViolation(now, rec, "job %s is reported as %s after %s", id, state, rec.reported)
+	case !rec.cancelled.IsZero() && state != "cancelled":
+		led.addJobViolation(now, rec, "job %s is reported as %s after its cancellation was acknowledged", id, state)
 	case state == "cancelled" && rec.cancelled.IsZero():
-		led.addViolation(now, "job %s is reported as cancelled, but no caller cancelled it", id)
+		led.addJobViolation(now, rec, "job %s is reported as cancelled, but no caller cancelled it", id)
 	case state == "completed":
 		led.checkTasksDone(now, rec, len(rec.Steps))
 	case state == "failed" && led.maxFailedRuns(rec) < led.bounds.Attempts:
-		led.addViolation(now, "job %s is reported as failed after %d failed runs of a task", id, led.maxFailedRuns(rec))
+		led.addJobViolation(now, rec, "job %s is reported as failed after %d failed runs of a task", id, led.maxFailedRuns(rec))
 	}
 	rec.reported = state
 }
@@ -249,7 +297,7 @@
 	for i, ste := range rec.Steps[:steps] {
 		for j := range ste.Count {
 			if name := taskName(rec.ID, i, j); !led.task(name).done {
-				led.addViolation(now, "job %s is reported as completed, but %s is not done", rec.ID, name)
+				led.addJobViolation(now, rec, "job %s is reported as completed, but %s is not done", rec.ID, name)
 			}
 		}
 	}
@@ -311,23 +359,25 @@
 	}
 	tas := led.task(task)
 	if tas.running > 0 {
-		led.addViolation(now, "%s run %d starts on %s while another run is active", task, run, vm)
+		led.addJobViolation(now, rec, "%s run %d starts on %s while another run is active", task, run, vm)
 	}
 	if tas.done && tas.acked && !ste.Lasting {
-		led.addViolation(now, "%s run %d starts on %s after its end was acknowledged", task, run, vm)
+		led.addJobViolation(now, rec, "%s run %d starts on %s after its end was acknowledged", task, run, vm)
 	}
 	if tas.failedAcked >= led.bounds.Attempts && !ste.Lasting {
-		led.addViolation(now, "%s run %d starts on %s after %d failed runs", task, run, vm, tas.failedAcked)
+		led.addJobViolation(now, rec, "%s run %d starts on %s after %d failed runs", task, run, vm, tas.failedAcked)
 	}
 	for _, dep := range ste.After {
 		for j := range rec.Steps[dep].Count {
 			if predecessor := taskName(rec.ID, dep, j); !led.task(predecessor).done {
-				led.addViolation(now, "%s run %d starts before %s is done", task, run, predecessor)
+				led.addJobViolation(now, rec, "%s run %d starts before %s is done", task, run, predecessor)
 			}
 		}
 	}
+	rec.note(now, "%s run %d starts on %s in %s", task, run, vm, zone)
 	led.checkStartAllowed(now, rec, vm, zone, task)
 	tas.running++
+	tas.wait.since, rec.idle.since = time.Time{}, time.Time{}
 	led.vmCPU[vm] += ste.CPU
 	led.accountCPU[rec.Account] += ste.CPU
 	if led.vmCPU[vm] > led.bounds.VMMillicores {
@@ -342,10 +392,13 @@
 // callers and against the availability zones that are out.
 func (led *Ledger) checkStartAllowed(now time.Time, rec *jobRecord, vm, zone, task string) {
 	if !rec.cancelled.IsZero() && now.Sub(rec.cancelled) > led.bounds.Cancel && !led.mayArriveLate(vm, rec.cancelled) {
-		led.addViolation(now, "%s starts %v after its job was cancelled", task, now.Sub(rec.cancelled))
+		led.addJobViolation(now, rec, "%s starts %v after its job was cancelled", task, now.Sub(rec.cancelled))
+	}
+	if rec.reported == "completed" && now.Sub(rec.endedAt) > led.bounds.Repeat && !led.mayArriveLate(vm, rec.endedAt) {
+		led.addJobViolation(now, rec, "%s starts %v after its job was reported as completed", task, now.Sub(rec.endedAt))
 	}
 	if rec.openSubmissions == 0 && !rec.mayBeAccepted {
-		led.addViolation(now, "%s starts, but every submission of its job was refused", task)
+		led.addJobViolation(now, rec, "%s starts, but every submission of its job was refused", task)
 	}
 	if out, ok := led.zonesOut[zone]; ok && now.Sub(out) > led.bounds.Evacuate && !led.mayArriveLate(vm, out) {
 		led.addViolation(now, "%s starts in zone %s, which has been out for %v", task, zone, now.Sub(out))
@@ -354,13 +407,14 @@
 
 // Ended records the end of a run with the outcome that its VM reports, or "gone"
 // if the VM ended with it.
-func (led *Ledger) Ended(vm, task, outcome string) {
+func (led *Ledger) Ended(now time.Time, vm, task string, run int, outcome string) {
 	led.mu.Lock()
 	defer led.mu.Unlock()
 	rec, ste := led.stepOf(task)
 	if rec == nil {
 		return
 	}
+	rec.note(now, "%s run %d ends on %s as %s", task, run, vm, outcome)
 	tas := led.task(task)
 	tas.running--
 	led.vmCPU[vm] -= ste.CPU
@@ -372,12 +426,14 @@
 }
 
 // Acknowledged records that the end of a run was acknowledged to its VM.
-func (led *Ledger) Acknowledged(task, outcome string) {
+func (led *Ledger) Acknowledged(now time.Time, task string, run int, outcome string) {
 	led.mu.Lock()
 	defer led.mu.Unlock()
-	if rec, _ := led.stepOf(task); rec == nil {
+	rec, _ := led.stepOf(task)
+	if rec == nil {
 		return
 	}
+	rec.note(now, "end of %s run %d acknowledged", task, run)
 	switch outcome {
 	case "done":
 		led.task(task).acked = true
@@ -395,15 +451,19 @@
 		rec := led.jobs[id]
 		lasting := slices.ContainsFunc(rec.Steps, func(ste Step) bool { return ste.Lasting })
 		if rec.accepted && rec.cancelled.IsZero() && !lasting && rec.reported != "completed" && rec.reported != "failed" {
-			led.addViolation(now, "job %s was accepted, but its state at the end is %q", id, rec.reported)
+			led.addJobViolation(now, rec, "job %s was accepted, but its state at the end is %q", id, rec.reported)
+		}
+		state := rec.reported
+		if !rec.cancelled.IsZero() {
+			state = "cancelled"
 		}
-		if rec.cancelled.IsZero() {
+		if !isFinal(state) {
 			continue
 		}
 		for i, ste := range rec.Steps {
 			for j := range ste.Count {
 				if name := taskName(id, i, j); led.task(name).running > 0 {
-					led.addViolation(now, "%s is running at the end, but its job is cancelled", name)
+					led.addJobViolation(now, rec, "%s is running at the end, but its job is %s", name, state)
 				}
 			}
 		}
--- a/internal/soak/ledger/ledger_test.go
+++ b/internal/soak/ledger/ledger_test.go
@@ -23,8 +23,15 @@
 // play records a run of a task from its start to its acknowledged end.
 func play(led *Ledger, task string, run int, how string) {
 	led.Started(noon, "vm", "az0", task, run, "p")
-	led.Ended("vm", task, how)
-	led.Acknowledged(task, how)
+	led.Ended(noon, "vm", task, run, how)
+	led.Acknowledged(noon, task, run, how)
+}
+
+// pause checks the waits four times a second for a time, with a single VM.
+func pause(led *Ledger, from time.Time, span time.Duration, vm string) {
+	for at := time.Duration(0); at <= span; at += 250 * time.Millisecond {
+		led.CheckWaiting(from.Add(at), []string{vm})
+	}
 }
 
 const first, second = "j.0.0.0", "j.0.0.1"
@@ -106,6 +113,67 @@
 		led.Started(noon.Add(6*time.Second), "vm", "az0", first, 1, "p")
 	}, "starts in zone az0, which has been out for 6s"},
 	{"lost job", func(led *Ledger) { led.Finish(noon) }, `was accepted, but its state at the end is ""`},
+	{"task never started again after its VM crashed", func(led *Ledger) {
+		led.Started(noon, "vm", "az0", first, 1, "p")
+		led.Started(noon, "vm", "az0", second, 1, "p")
+		led.Ended(noon, "vm", first, 1, "gone")
+		pause(led, noon, 6*time.Second, "oth")
+	}, "LOST: j.0.0.0 of accepted job j has not run for 5s while capacity is free"},
+	{"successor never started", func(led *Ledger) {
+		play(led, first, 1, "done")
+		play(led, second, 1, "done")
+		pause(led, noon, 6*time.Second, "oth")
+	}, "LOST: "},
+	{"job without an end whose VM took the last end along", func(led *Ledger) {
+		play(led, first, 1, "done")
+		led.Started(noon, "vm", "az0", second, 1, "p")
+		led.Ended(noon, "vm", second, 1, "done")
+		pause(led, noon, 6*time.Second, "oth")
+	}, "LOST: accepted job j has not ended and has run nothing for 5s while capacity is free"},
+	{"lasting task never started again", func(led *Ledger) {
+		led.Submitted(Job{ID: "l", Account: "large", Payload: "p", Steps: []Step{{Count: 2, CPU: 500, Lasting: true}}})
+		led.Answered(noon, noon, "l", "k", Accepted)
+		led.StateReported(noon, "j", "running")
+		led.Cancelled(noon, "j")
+		led.Started(noon, "vm", "az0", "l.0.0.0", 1, "p")
+		for run := range 5 {
+			play(led, "l.0.0.1", run+1, "failed")
+		}
+		pause(led, noon, 6*time.Second, "oth")
+	}, "LOST: l.0.0.1 of accepted job l"},
+	{"waits that have a reason or are short", func(led *Ledger) {
+		pause(led, noon, 4*time.Second, "oth")
+		led.Submitted(Job{ID: "b", Account: "large", Payload: "p", Steps: []Step{{Count: 1, CPU: 15_000}}})
+		led.Answered(noon, noon, "b", "k", Accepted)
+		led.Started(noon, "oth", "az0", "b.0.0.0", 1, "p")
+		pause(led, noon.Add(4*time.Second), 8*time.Second, "oth")
+		led.Ended(noon, "oth", "b.0.0.0", 1, "done")
+		led.StateReported(noon, "b", "completed")
+		pause(led, noon.Add(12*time.Second), 4*time.Second, "oth")
+		play(led, first, 1, "done")
+		play(led, second, 1, "done")
+		pause(led, noon.Add(16*time.Second), 4*time.Second, "oth")
+	}, ""},
+	{"run after the job was reported as completed", func(led *Ledger) {
+		play(led, first, 1, "done")
+		play(led, second, 1, "done")
+		led.Started(noon, "vm", "az0", "j.0.1.0", 1, "p")
+		led.Ended(noon, "vm", "j.0.1.0", 1, "done")
+		led.StateReported(noon, "j", "completed")
+		led.Started(noon.Add(2*time.Second), "oth", "az0", "j.0.1.0", 2, "p")
+	}, "starts 2s after its job was reported as completed"},
+	{"failed job running at the end", func(led *Ledger) {
+		for run := range 4 {
+			play(led, first, run+1, "failed")
+		}
+		led.Started(noon, "vm", "az0", second, 1, "p")
+		led.StateReported(noon, "j", "failed")
+		led.Finish(noon)
+	}, "is running at the end, but its job is failed"},
+	{"another state after the cancellation", func(led *Ledger) {
+		led.Cancelled(noon, "j")
+		led.StateReported(noon, "j", "running")
+	}, "reported as running after its cancellation was acknowledged"},
 	{"accepted job reported as gone", func(led *Ledger) { led.StateReported(noon, "j", "gone") }, "reported as not existing"},
 	{"completed before its last task", func(led *Ledger) {
 		play(led, first, 1, "done")
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -121,9 +121,11 @@
 func (obs observer) Started(vm, zone, task string, run int, payload string) {
 	obs.led.Started(time.Now(), vm, zone, task, run, payload)
 }
-func (obs observer) Ended(vm, task string, _ int, outcome string) { obs.led.Ended(vm, task, outcome) }
-func (obs observer) Acknowledged(_, task string, _ int, outcome string) {
-	obs.led.Acknowledged(task, outcome)
+func (obs observer) Ended(vm, task string, run int, outcome string) {
+	obs.led.Ended(time.Now(), vm, task, run, outcome)
+}
+func (obs observer) Acknowledged(_, task string, run int, outcome string) {
+	obs.led.Acknowledged(time.Now(), task, run, outcome)
 }
 func (obs observer) Violation(violation string) { obs.led.AddViolation(time.Now(), violation) }
 
