standin/site: VMs that carry orders out late, lose answers, or start again under their id

Orders that are late or not answered, restarts under the same id, registrations written by others: what the platform's pages describe and the stand-in could not play.

--- a/internal/standin/site/machines.go
+++ b/internal/standin/site/machines.go
@@ -95,7 +95,7 @@
 	case state != machineUp:
 		return "busy"
 	}
-	wor.endIncarnation(machineMoving, moveTime, pool)
+	wor.endIncarnation(machineMoving, moveTime, pool, false)
 	return ""
 }
 
@@ -133,6 +133,6 @@
 	wor.mu.Lock()
 	wor.begun[number], wor.lastWave = true, number
 	wor.mu.Unlock()
-	wor.endIncarnation(machineUpkeep, upkeepTime, "")
+	wor.endIncarnation(machineUpkeep, upkeepTime, "", false)
 	return ""
 }
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -140,7 +140,7 @@
 			return err
 		}
 	}
-	wor.beginIncarnation(pool)
+	wor.beginIncarnation(pool, false)
 	sit.Workers = append(sit.Workers, wor)
 	return nil
 }
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -81,6 +81,14 @@
 	return sto.revision
 }
 
+// PutRaw writes a value that need not be JSON, as another writer may.
+func (sto *Store) PutRaw(key string, raw []byte) {
+	sto.mu.Lock()
+	defer sto.mu.Unlock()
+	sto.revision++
+	sto.put(key, raw, 0)
+}
+
 // Delete removes a key.
 func (sto *Store) Delete(key string) {
 	sto.mu.Lock()
--- a/internal/standin/site/worker.go
+++ b/internal/standin/site/worker.go
@@ -42,6 +42,10 @@
 	// changed is closed and replaced when a run ends.
 	changed chan struct{}
 	silent  bool
+	// orderDelay is the time after which orders are carried out, and answersLost is
+	// set if they get no answer.
+	orderDelay  time.Duration
+	answersLost bool
 	// begun holds the waves in which the machine's upkeep has begun; lastWave is the
 	// last of them.
 	begun    map[int64]bool
@@ -91,29 +95,75 @@
 	wor.silent = silent
 }
 
+// SetOrderDelay starts a fault in which the VM carries out each order only after a
+// delay, or ends it with 0.
+func (wor *Worker) SetOrderDelay(delay time.Duration) {
+	wor.mu.Lock()
+	defer wor.mu.Unlock()
+	wor.orderDelay = delay
+}
+
+// SetAnswersLost starts or ends a fault in which the VM carries out orders and
+// closes the connection without an answer.
+func (wor *Worker) SetAnswersLost(lost bool) {
+	wor.mu.Lock()
+	defer wor.mu.Unlock()
+	wor.answersLost = lost
+}
+
+// RunningVM returns the id of the VM that runs on the machine, the machine's pool,
+// and whether there is a VM that answers.
+func (wor *Worker) RunningVM() (id, pool string, ok bool) {
+	wor.mu.Lock()
+	defer wor.mu.Unlock()
+	return wor.id, wor.pool, wor.state == machineUp && !wor.silent
+}
+
+// Zone returns the machine's availability zone.
+func (wor *Worker) Zone() string { return wor.zone() }
+
 // beginIncarnation starts a VM in a pool and registers it. Machines of a standby
-// pool get no registration.
-func (wor *Worker) beginIncarnation(pool string) {
+// pool get no registration. The VM has the id of the last one if sameID is set.
+func (wor *Worker) beginIncarnation(pool string, sameID bool) {
 	wor.mu.Lock()
 	defer wor.mu.Unlock()
-	wor.id = fmt.Sprintf("vm-%d", wor.index)
-	if wor.incarnations > 0 {
-		wor.id = fmt.Sprintf("vm-%d.%d", wor.index, wor.incarnations)
+	if !sameID {
+		wor.id = fmt.Sprintf("vm-%d", wor.index)
+		if wor.incarnations > 0 {
+			wor.id = fmt.Sprintf("vm-%d.%d", wor.index, wor.incarnations)
+		}
+		wor.incarnations++
 	}
-	wor.incarnations++
 	wor.pool, wor.state, wor.born = pool, machineUp, time.Now()
 	wor.vmToken, wor.deadline, wor.lastSequence = 0, 0, 0
 	wor.runs, wor.unacked, wor.highestRuns, wor.changed = map[string]*activeRun{}, nil, map[string]int{}, make(chan struct{})
-	if wor.sit.isStandby(pool) {
+	wor.register()
+}
+
+// Register writes the registration of the VM again, as a VM does after another
+// writer has changed it.
+func (wor *Worker) Register() {
+	wor.mu.Lock()
+	defer wor.mu.Unlock()
+	if wor.state == machineUp {
+		wor.register()
+	}
+}
+
+func (wor *Worker) register() {
+	if wor.sit.isStandby(wor.pool) {
 		return
 	}
-	wor.sit.Store.Put("servers/"+wor.id, map[string]any{
-		"service": pool, "address": wor.address, "zone": wor.zone(), "version": "v1", "slots": 8,
+	wor.sit.Store.Put(registrationPrefix+wor.id, map[string]any{
+		"service": wor.pool, "address": wor.address, "zone": wor.zone(), "version": "v1", "slots": 8,
 		"state": "ready", "cold-remaining-ms": 0, "sequence": 1, "born": wor.born.UnixMilli(),
 		"capacity": map[string]int64{"cpu": workerMillicores, "mem-mb": workerMemoryMB, "gpu": 0}, "labels": []string{"a", wor.rack()},
 	})
 }
 
+// registrationPrefix is the prefix of the keys under which VMs register.
+const registrationPrefix = "servers/"
+
 // Capacity of a VM.
 const (
 	workerMillicores = 16000
@@ -139,12 +189,20 @@
 
 // Crash ends the current incarnation, if there is one, with all its runs. The
 // next one starts after the downtime.
-func (wor *Worker) Crash(downtime time.Duration) { wor.endIncarnation(machineDown, downtime, "") }
+func (wor *Worker) Crash(downtime time.Duration) {
+	wor.endIncarnation(machineDown, downtime, "", false)
+}
+
+// Restart is like Crash, but the next incarnation has the id of the current one.
+func (wor *Worker) Restart(downtime time.Duration) {
+	wor.endIncarnation(machineDown, downtime, "", true)
+}
 
 // endIncarnation ends the current incarnation, if there is one, and starts the
 // next one after the downtime, in the given pool or in the same one if it is
-// empty. The registration is removed after registrationLag.
-func (wor *Worker) endIncarnation(state machineState, downtime time.Duration, pool string) {
+// empty. The registration is removed after registrationLag, unless a VM of that id
+// runs by then.
+func (wor *Worker) endIncarnation(state machineState, downtime time.Duration, pool string, sameID bool) {
 	wor.mu.Lock()
 	defer wor.mu.Unlock()
 	if wor.state != machineUp {
@@ -164,8 +222,17 @@
 		pool = wor.pool
 	}
 	id := wor.id
-	time.AfterFunc(registrationLag, func() { wor.sit.Store.Delete("servers/" + id) })
-	time.AfterFunc(downtime, func() { wor.beginIncarnation(pool) })
+	time.AfterFunc(registrationLag, func() { wor.unregister(id) })
+	time.AfterFunc(downtime, func() { wor.beginIncarnation(pool, sameID) })
+}
+
+// unregister removes the registration of a VM that has ended.
+func (wor *Worker) unregister(id string) {
+	wor.mu.Lock()
+	defer wor.mu.Unlock()
+	if wor.state != machineUp || wor.id != id {
+		wor.sit.Store.Delete(registrationPrefix + id)
+	}
 }
 
 // order is the body of every order to a VM. Each path uses a part of it.
@@ -190,6 +257,14 @@
 	}
 	wor.mu.Lock()
 	defer wor.mu.Unlock()
+	if delay := wor.orderDelay; delay > 0 {
+		wor.mu.Unlock()
+		time.Sleep(delay)
+		wor.mu.Lock()
+	}
+	if wor.answersLost {
+		defer panic(http.ErrAbortHandler)
+	}
 	if wor.silent {
 		wor.mu.Unlock()
 		<-req.Context().Done()
