soak: series of faults that overlap, odd registrations, connections used to their end

The soak drew single faults. A second seeded schedule adds: shutdowns that overlap, are killed or paused; one holder of the duty after the other ended, or paused; a kill right after an acceptance; all processes killed; VMs that start again under their id, zones of VMs down, orders late, unanswered or lost; odd registrations; several configurations in a row. One caller for each process uses its connection until the process closes it, at times with a body that arrives late, which keeps a shutdown waiting. A process that ends without a signal is a violation. After the last fault, tasks and jobs that wait while capacity is free are reported as lost; lasting jobs run until then. The states of ended jobs are read once more at the end. The single faults of a seed are the same as before.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -56,7 +56,7 @@
 		job := cal.newJob()
 		seed := cal.rng.Uint64()
 		if cal.submit(ctx, job) {
-			polls.Go(func() { cal.pollJob(ctx, settleCtx, job, rand.New(rand.NewPCG(seed, 1))) })
+			polls.Go(func() { cal.pollJob(settleCtx, job, rand.New(rand.NewPCG(seed, 1))) })
 		}
 		clock.Pause(ctx, time.Duration(cal.rng.Int64N(int64(600*time.Millisecond))))
 	}
@@ -105,7 +105,7 @@
 		key := cal.run.key(job.Account)
 		cal.run.ledger.Submitted(job)
 		sent := time.Now()
-		status, _ := cal.call(cal.rng, http.MethodPost, job, key, text)
+		nod, status, _ := cal.call(cal.rng, http.MethodPost, job, key, text)
 		out := ledger.Unanswered
 		switch status {
 		case http.StatusOK:
@@ -118,6 +118,7 @@
 		}
 		cal.run.ledger.Answered(time.Now(), sent, job.ID, key, out)
 		if out == ledger.Accepted {
+			cal.run.answered(nod)
 			return true
 		}
 		clock.Pause(ctx, retryInterval)
@@ -126,32 +127,27 @@
 }
 
 // pollJob requests the state of a job until it has ended. One job in 8 is
-// cancelled after a few polls, lasting jobs when submission ends.
-func (cal *caller) pollJob(ctx, settleCtx context.Context, job ledger.Job, rng *rand.Rand) {
+// cancelled after a few polls, lasting jobs once all faults have long ended.
+func (cal *caller) pollJob(settleCtx context.Context, job ledger.Job, rng *rand.Rand) {
 	cancelAfter := -1
 	if rng.IntN(8) == 0 {
 		cancelAfter = rng.IntN(4)
 	}
 	for polls := 0; settleCtx.Err() == nil; polls++ {
 		clock.Pause(settleCtx, pollInterval)
-		endLasting := job.Steps[0].Lasting && ctx.Err() != nil
+		endLasting := false
+		if job.Steps[0].Lasting {
+			select {
+			case <-cal.run.calm:
+				endLasting = true
+			default:
+			}
+		}
 		if (polls == cancelAfter || endLasting) && cal.cancel(settleCtx, rng, job) {
 			return
 		}
-		status, text := cal.call(rng, http.MethodGet, job, cal.run.key(job.Account), "")
-		state := ""
-		switch status {
-		case http.StatusGone:
-			state = "gone"
-		case http.StatusOK:
-			var ans struct {
-				State string `json:"state"`
-			}
-			if err := json.Unmarshal([]byte(text), &ans); err != nil {
-				cal.run.ledger.AddViolation(time.Now(), fmt.Sprintf("state of job %s: %q: %v", job.ID, text, err))
-			}
-			state = ans.State
-		default:
+		state := cal.state(rng, job)
+		if state == "" {
 			continue
 		}
 		cal.run.ledger.StateReported(time.Now(), job.ID, state)
@@ -161,11 +157,31 @@
 	}
 }
 
+// state queries the state of a job, which is "gone" if the reply is that no such
+// job exists. It is empty if there was no reply.
+func (cal *caller) state(rng *rand.Rand, job ledger.Job) string {
+	_, status, text := cal.call(rng, http.MethodGet, job, cal.run.key(job.Account), "")
+	switch status {
+	case http.StatusGone:
+		return "gone"
+	case http.StatusOK:
+		var ans struct {
+			State string `json:"state"`
+		}
+		if err := json.Unmarshal([]byte(text), &ans); err != nil {
+			cal.run.ledger.AddViolation(time.Now(), fmt.Sprintf("state of job %s: %q: %v", job.ID, text, err))
+		}
+		return ans.State
+	default:
+		return ""
+	}
+}
+
 // cancel cancels a job. It reports whether the cancellation was acknowledged or
 // the job does not exist.
 func (cal *caller) cancel(settleCtx context.Context, rng *rand.Rand, job ledger.Job) bool {
 	for settleCtx.Err() == nil {
-		status, text := cal.call(rng, http.MethodDelete, job, cal.run.key(job.Account), "")
+		_, status, text := cal.call(rng, http.MethodDelete, job, cal.run.key(job.Account), "")
 		switch {
 		case status == http.StatusOK && strings.Contains(text, `"cancelled"`):
 			cal.run.ledger.Cancelled(time.Now(), job.ID)
@@ -182,10 +198,10 @@
 	return false
 }
 
-// call sends a request to a random process. It returns status 0 if no reply was
-// received.
-func (cal *caller) call(rng *rand.Rand, method string, job ledger.Job, key, text string) (status int, answer string) {
-	nod := cal.run.nodes[rng.IntN(len(cal.run.nodes))]
+// call sends a request to a random process, which it returns. The status is 0 if no
+// reply was received.
+func (cal *caller) call(rng *rand.Rand, method string, job ledger.Job, key, text string) (nod *node, status int, answer string) {
+	nod = cal.run.nodes[rng.IntN(len(cal.run.nodes))]
 	req, err := http.NewRequest(method, "http://"+nod.callersAddress+queuePrefix+job.ID, strings.NewReader(text))
 	if err != nil {
 		panic(err)
@@ -199,7 +215,7 @@
 		defer func() { _ = rsp.Body.Close() }()
 		raw, readErr := io.ReadAll(rsp.Body)
 		if readErr == nil {
-			return rsp.StatusCode, string(raw)
+			return nod, rsp.StatusCode, string(raw)
 		}
 		err = readErr
 	}
@@ -209,5 +225,5 @@
 	if took := time.Since(sent); took > unreadWindow && took < callTimeout-unreadWindow && !nod.disruptedAt(sent) && !nod.disruptedAt(time.Now()) {
 		cal.run.ledger.AddViolation(time.Now(), fmt.Sprintf("%s of job %s was cut by %s after %v: %v", method, job.ID, nod.name, took, err))
 	}
-	return 0, ""
+	return nod, 0, ""
 }
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -55,45 +55,62 @@
 	case WaveRequested:
 		run.requestWave()
 	default:
-		panic(fmt.Sprintf("soak: unknown fault %q", fau.Kind))
+		run.injectSeries(fau, afterFault)
 	}
 }
 
 // injectNodeFault injects a fault of one process.
 func (run *Run) injectNodeFault(fau Fault, nod *node, afterFault func(func())) {
-	now := time.Now()
 	switch fau.Kind {
 	case NodeReload:
 		nod.signal(syscall.SIGHUP)
 	case NodePause:
-		if !nod.setDown(true) {
-			return
-		}
-		nod.markDisrupted(now.Add(fau.For + callTimeout))
-		nod.signal(syscall.SIGSTOP)
-		afterFault(func() {
-			nod.setDown(false)
-			nod.signal(syscall.SIGCONT)
-		})
+		run.pauseNode(nod, fau.For, afterFault)
 	case NodeKill:
-		if !nod.setDown(true) {
-			return
-		}
-		nod.markDisrupted(now.Add(fau.For + callTimeout + readyTimeout))
-		nod.kill()
-		afterFault(func() { run.restart(nod) })
+		run.killNode(nod, fau.For)
 	case NodeTerm:
-		// A process that is paused or has ended can't shut down gracefully.
-		if !nod.setDown(true) {
-			return
-		}
-		run.pending.Go(func() {
-			if violation := nod.terminate(); violation != "" {
-				run.ledger.AddViolation(time.Now(), violation)
-			}
-			run.restart(nod)
-		})
+		run.terminateNode(nod)
+	}
+}
+
+// pauseNode pauses a process for a time, unless it is down.
+func (run *Run) pauseNode(nod *node, span time.Duration, afterFault func(func())) {
+	if !nod.setDown(true) {
+		return
 	}
+	nod.markDisrupted(time.Now().Add(span + callTimeout))
+	nod.signal(syscall.SIGSTOP)
+	afterFault(func() {
+		nod.setDown(false)
+		nod.signal(syscall.SIGCONT)
+	})
+}
+
+// killNode kills a process, unless it is down, and restarts it after a time.
+func (run *Run) killNode(nod *node, down time.Duration) {
+	if !nod.setDown(true) {
+		return
+	}
+	nod.markDisrupted(time.Now().Add(down + callTimeout + readyTimeout))
+	nod.kill()
+	run.pending.Go(func() {
+		time.Sleep(down)
+		run.restart(nod)
+	})
+}
+
+// terminateNode shuts a process down gracefully and restarts it. A process that is
+// paused or has ended can't shut down gracefully.
+func (run *Run) terminateNode(nod *node) {
+	if !nod.setDown(true) {
+		return
+	}
+	run.pending.Go(func() {
+		if violation := nod.terminate(); violation != "" {
+			run.ledger.AddViolation(time.Now(), violation)
+		}
+		run.restart(nod)
+	})
 }
 
 // restart starts the process of a node again after it has ended.
--- /dev/null
+++ b/internal/soak/injectseries.go
@@ -0,0 +1,204 @@
+package soak
+
+import (
+	"fmt"
+	"syscall"
+	"time"
+
+	"github.com/balsamgauge/balsamgauge/internal/core/duty"
+)
+
+// Parameters of series of faults.
+const (
+	// pairDelay is the time between two shutdowns that overlap, and between SIGTERM
+	// and a signal that interrupts the shutdown.
+	pairDelay = 25 * time.Millisecond
+	// maxTermPause bounds a pause during a shutdown, which must still end within the
+	// grace period.
+	maxTermPause = 2 * time.Second
+	rollInterval = 300 * time.Millisecond
+	// maxRolled bounds the processes that NodeRoll shuts down.
+	maxRolled = 8
+	// shortDown is the time for which a process is down if others follow it at once.
+	shortDown = 300 * time.Millisecond
+	// holderChanges is the number of holders that HolderSeries ends; each next one is
+	// awaited for holderTimeout.
+	holderChanges = 4
+	holderTimeout = 4 * time.Second
+	holderPoll    = 20 * time.Millisecond
+	// orderDelay is the time after which late orders are carried out. It exceeds the
+	// timeout of an order.
+	orderDelay = 1200 * time.Millisecond
+	// configChanges is the number of configurations that ConfigSeries writes.
+	configChanges  = 6
+	configInterval = 120 * time.Millisecond
+)
+
+// injectSeries injects a fault of ScheduleSeries.
+func (run *Run) injectSeries(fau Fault, afterFault func(func())) {
+	switch fau.Kind {
+	case NodeTermPair:
+		run.terminateNode(run.nodes[fau.Target])
+		run.pending.Go(func() {
+			time.Sleep(pairDelay)
+			run.terminateNode(run.nodes[(fau.Target+1)%len(run.nodes)])
+		})
+	case NodeTermKill, NodeTermPause:
+		run.interruptShutdown(fau, run.nodes[fau.Target])
+	case NodeRoll:
+		run.pending.Go(func() {
+			for i := range min(len(run.nodes), maxRolled) {
+				run.terminateNode(run.nodes[(fau.Target+i)%len(run.nodes)])
+				time.Sleep(rollInterval)
+			}
+		})
+	case NodeKillAll:
+		for _, nod := range run.nodes {
+			run.killNode(nod, shortDown)
+		}
+	case NodeAckKill:
+		run.killAfterAnswer.Store(int64(fau.For))
+	case HolderSeries:
+		run.pending.Go(run.endHolders)
+	case HolderPause:
+		if nod := run.holder(); nod != nil {
+			run.pauseNode(nod, fau.For, afterFault)
+		}
+	case ConfigSeries:
+		run.pending.Go(func() {
+			for i := range configChanges {
+				run.rotateKeys(accounts[:i%2]...)
+				time.Sleep(configInterval)
+			}
+		})
+	case OddEntry:
+		key := fmt.Sprintf("servers/odd-%d", fau.Target)
+		run.sit.Store.PutRaw(key, []byte(oddEntries[fau.Target]))
+		afterFault(func() { run.sit.Store.Delete(key) })
+	default:
+		run.injectVMSeries(fau, afterFault)
+	}
+}
+
+// injectVMSeries injects a fault of VMs.
+func (run *Run) injectVMSeries(fau Fault, afterFault func(func())) {
+	wor := run.sit.Workers[fau.Target%len(run.sit.Workers)]
+	switch fau.Kind {
+	case VMRestart:
+		wor.Restart(fau.For)
+	case VMZoneDown:
+		zone := run.sit.Zones()[fau.Target]
+		for _, wor := range run.sit.Workers {
+			if wor.Zone() == zone {
+				wor.Crash(fau.For)
+			}
+		}
+	case VMOrdersLate:
+		machine := fmt.Sprintf("vm-%d", fau.Target)
+		wor.SetOrderDelay(orderDelay)
+		run.ledger.LinkCut(time.Now(), machine)
+		afterFault(func() {
+			wor.SetOrderDelay(0)
+			run.ledger.LinkCut(time.Now().Add(orderDelay+cutDrainTime), machine)
+		})
+	case VMAnswersLost:
+		wor.SetAnswersLost(true)
+		afterFault(func() { wor.SetAnswersLost(false) })
+	case VMMute:
+		wor.SetSilent(true)
+		afterFault(func() { wor.SetSilent(false) })
+	case OddRegistration:
+		if id, _, ok := wor.RunningVM(); ok {
+			run.sit.Store.PutRaw("servers/"+id, []byte(oddEntries[fau.Target%len(oddEntries)]))
+			afterFault(wor.Register)
+		}
+	default:
+		panic(fmt.Sprintf("soak: unknown fault %q", fau.Kind))
+	}
+}
+
+// interruptShutdown kills a process while it shuts down, or pauses it.
+func (run *Run) interruptShutdown(fau Fault, nod *node) {
+	if !nod.setDown(true) {
+		return
+	}
+	nod.markDisrupted(time.Now().Add(fau.For + callTimeout + readyTimeout))
+	run.pending.Go(func() {
+		if fau.Kind == NodeTermKill {
+			nod.signal(syscall.SIGTERM)
+			time.Sleep(pairDelay)
+			nod.kill()
+		} else {
+			pause := min(fau.For, maxTermPause)
+			run.pending.Go(func() {
+				time.Sleep(pairDelay)
+				nod.signal(syscall.SIGSTOP)
+				time.Sleep(pause)
+				nod.signal(syscall.SIGCONT)
+			})
+			if violation := nod.terminate(); violation != "" {
+				run.ledger.AddViolation(time.Now(), violation)
+			}
+			// The process that starts next must not receive the signals.
+			time.Sleep(pairDelay + pause)
+		}
+		run.restart(nod)
+	})
+}
+
+// holder returns the process that holds the duty, or nil if there is none.
+func (run *Run) holder() *node {
+	raw := run.sit.Store.Value(duty.HolderKey)
+	if raw == nil {
+		return nil
+	}
+	hol, err := duty.DecodeHolder(raw)
+	if err != nil {
+		run.ledger.AddViolation(time.Now(), err.Error())
+		return nil
+	}
+	for _, nod := range run.nodes {
+		if nod.name == hol.Name {
+			return nod
+		}
+	}
+	return nil
+}
+
+// endHolders kills or shuts down the holder, then the process that takes over from
+// it, and so on.
+func (run *Run) endHolders() {
+	var last *node
+	for i := range holderChanges {
+		hol := run.holder()
+		for end := time.Now().Add(holderTimeout); (hol == nil || hol == last) && time.Now().Before(end); hol = run.holder() {
+			time.Sleep(holderPoll)
+		}
+		switch {
+		case hol == nil:
+		case i%2 == 0:
+			run.killNode(hol, shortDown)
+		default:
+			run.terminateNode(hol)
+		}
+		last = hol
+	}
+}
+
+// answered is called when a process has accepted a job. It kills the process if
+// NodeAckKill asked for that.
+func (run *Run) answered(nod *node) {
+	if down := time.Duration(run.killAfterAnswer.Swap(0)); down > 0 {
+		run.killNode(nod, down)
+	}
+}
+
+// usableVMs returns the VMs of the queue's pool that run.
+func (run *Run) usableVMs() (ids []string) {
+	for _, wor := range run.sit.Workers {
+		if id, pool, ok := wor.RunningVM(); ok && pool == queuePool {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -41,6 +41,10 @@
 	disruptedUntil time.Time
 	// starts counts the starts of the process and numbers its log files.
 	starts int
+	// mayEnd is set once the process was sent a signal that ends it.
+	mayEnd bool
+	// endedItself is called if the process ends without such a signal. It may be nil.
+	endedItself func(state string)
 }
 
 // newNode opens the proxy to the store and writes the settings file of a process.
@@ -86,12 +90,18 @@
 		return errors.Join(fmt.Errorf("start process %s: %w", nod.name, err), out.Close())
 	}
 	done := make(chan struct{})
-	nod.cmd, nod.done = cmd, done
+	nod.cmd, nod.done, nod.mayEnd = cmd, done, false
 	go func() {
 		// The callers of signal read the exit status from the process state.
 		_ = cmd.Wait()
 		_ = out.Close()
+		nod.mu.Lock()
+		itself := !nod.mayEnd && nod.endedItself != nil
+		nod.mu.Unlock()
 		close(done)
+		if itself {
+			nod.endedItself(cmd.ProcessState.String())
+		}
 	}()
 	return nil
 }
@@ -101,6 +111,7 @@
 func (nod *node) signal(sig syscall.Signal) (cmd *exec.Cmd, done <-chan struct{}) {
 	nod.mu.Lock()
 	defer nod.mu.Unlock()
+	nod.mayEnd = nod.mayEnd || sig == syscall.SIGTERM || sig == syscall.SIGKILL
 	// If the process has already ended, done is closed.
 	_ = nod.cmd.Process.Signal(sig)
 	return nod.cmd, nod.done
@@ -135,14 +146,17 @@
 
 // terminate shuts the process down gracefully. It returns the violation if the
 // process exceeds the grace period or its exit status is not 0.
-func (nod *node) terminate() (violation string) {
+func (nod *node) terminate() (violation string) { return nod.terminateWithin(gracePeriod) }
+
+// terminateWithin is terminate with another time limit.
+func (nod *node) terminateWithin(limit time.Duration) (violation string) {
 	cmd, done := nod.signal(syscall.SIGTERM)
 	select {
 	case <-done:
-	case <-time.After(gracePeriod):
+	case <-time.After(limit):
 		nod.signal(syscall.SIGKILL)
 		<-done
-		return fmt.Sprintf("process %s has not ended %v after SIGTERM", nod.name, gracePeriod)
+		return fmt.Sprintf("process %s has not ended %v after SIGTERM", nod.name, limit)
 	}
 	if cmd.ProcessState.Success() || nod.outputEmpty() && cmd.ProcessState.ExitCode() < 0 {
 		return ""
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -34,11 +34,14 @@
 	WaveRequested     Kind = "wave_asked"
 )
 
-// weights holds the relative frequency of each kind.
-var weights = []struct {
+// weighted is a kind of fault with its relative frequency.
+type weighted struct {
 	kind   Kind
 	weight int
-}{
+}
+
+// weights holds the relative frequency of each kind.
+var weights = []weighted{
 	{NodeKill, 3}, {NodeTerm, 4}, {NodePause, 3}, {NodeReload, 1},
 	{LinkReset, 2}, {LinkSilence, 2}, {LinkCutUp, 2}, {LinkCutDown, 2}, {LinkDelay, 2},
 	{VMReset, 2}, {VMSilence, 2}, {VMCut, 2}, {VMCrash, 2},
@@ -77,22 +80,9 @@
 // same seed gives the same faults.
 func Schedule(seed uint64, span time.Duration, nodes, vms, zones int) (faults []Fault) {
 	rng := rand.New(rand.NewPCG(seed, 7))
-	total := 0
-	for _, wei := range weights {
-		total += wei.weight
-	}
-	draw := func() Kind {
-		at := rng.IntN(total)
-		for _, wei := range weights {
-			if at -= wei.weight; at < 0 {
-				return wei.kind
-			}
-		}
-		panic("soak: draw exceeds the sum of the weights")
-	}
 	at := time.Second
 	for at < span {
-		fau := Fault{At: at, Kind: draw(), For: minFaultTime + time.Duration(rng.Int64N(int64(maxFaultTime-minFaultTime)))}
+		fau := Fault{At: at, Kind: drawKind(rng, weights), For: minFaultTime + time.Duration(rng.Int64N(int64(maxFaultTime-minFaultTime)))}
 		switch fau.Kind {
 		case VMReset, VMSilence, VMCut, VMCrash:
 			fau.Target = rng.IntN(vms)
@@ -111,3 +101,18 @@
 	}
 	return faults
 }
+
+// drawKind draws a kind of fault by its weight.
+func drawKind(rng *rand.Rand, weights []weighted) Kind {
+	total := 0
+	for _, wei := range weights {
+		total += wei.weight
+	}
+	at := rng.IntN(total)
+	for _, wei := range weights {
+		if at -= wei.weight; at < 0 {
+			return wei.kind
+		}
+	}
+	panic("soak: draw exceeds the sum of the weights")
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/balsamgauge/balsamgauge/internal/clock"
@@ -42,7 +43,7 @@
 const (
 	// settleTimeout is the time after the last fault within which all jobs must
 	// end.
-	settleTimeout = 25 * time.Second
+	settleTimeout = 32 * time.Second
 	readyTimeout  = 15 * time.Second
 	// waveTimeout bounds the duration of a wave of upkeep, waveMaxDown the number
 	// of machines that it may take down at the same time.
@@ -57,6 +58,11 @@
 	// taskFailProbability is the probability that a run of a task fails.
 	taskFailProbability = 0.03
 	callerCount         = 6
+	// watchInterval is the time between two checks for tasks that wait.
+	watchInterval = 100 * time.Millisecond
+	// keepEnded is the time for which the state of an ended job can be queried, less
+	// the time that queries at the end of a run take.
+	keepEnded = 100 * time.Second
 )
 
 // smallCapMillicores is the cap of the account that has one, in millicores: about
@@ -77,6 +83,12 @@
 	configVersion int
 	keys          map[string]string
 	waves         int
+	// killAfterAnswer is the time for which the process that next accepts a job is
+	// killed; 0 kills none.
+	killAfterAnswer atomic.Int64
+	// calm is closed once the system has had time to start everything that waits,
+	// after the last fault. Lasting jobs are cancelled then.
+	calm chan struct{}
 	// pending tracks the faults in progress and the restarts that follow them. Their
 	// goroutines record violations in the ledger.
 	pending sync.WaitGroup
@@ -85,12 +97,13 @@
 // Execute executes a run. It returns an error if the run could not be set up;
 // violated invariants are in the report.
 func Execute(ctx context.Context, opt Options) (rep Report, err error) {
-	run := &Run{opt: opt, keys: map[string]string{}, ledger: ledger.New(ledger.PlatformBounds, map[string]int64{accounts[0]: smallCapMillicores})}
+	run := &Run{opt: opt, keys: map[string]string{}, calm: make(chan struct{}), ledger: ledger.New(ledger.PlatformBounds, map[string]int64{accounts[0]: smallCapMillicores})}
 	defer run.close()
 	if err := run.start(); err != nil {
 		return Report{}, fmt.Errorf("soak with seed %d: %w", opt.Seed, err)
 	}
-	rep.Faults = Schedule(opt.Seed, opt.For, opt.Processes, len(run.vmProxies), len(run.sit.Zones()))
+	vms, zones := len(run.vmProxies), len(run.sit.Zones())
+	rep.Faults = merge(Schedule(opt.Seed, opt.For, opt.Processes, vms, zones), ScheduleSeries(opt.Seed, opt.For, opt.Processes, vms, zones))
 	submitCtx, stopSubmitting := context.WithTimeout(ctx, opt.For)
 	defer stopSubmitting()
 	settleCtx, stop := context.WithTimeout(ctx, opt.For+settleTimeout)
@@ -100,9 +113,23 @@
 		cal := newCaller(run, i)
 		work.Go(func() { cal.work(submitCtx, settleCtx) })
 	}
+	lingerCtx, stopLingering := context.WithCancel(settleCtx)
+	defer stopLingering()
+	var lingerers sync.WaitGroup
+	for i, nod := range run.nodes {
+		lingerers.Go(func() { newLingerer(run, nod, i).work(lingerCtx) })
+	}
 	run.injectSchedule(submitCtx, rep.Faults)
 	run.pending.Wait()
+	watchCtx, stopWatching := context.WithCancel(settleCtx)
+	var watch sync.WaitGroup
+	watch.Go(func() { run.watchWaiting(watchCtx) })
 	work.Wait()
+	stopWatching()
+	watch.Wait()
+	stopLingering()
+	lingerers.Wait()
+	run.pollEnded(ctx)
 	// Tasks cancelled last may still be stopping, and tasks on a VM that a fault
 	// disconnected run until its lease expires.
 	clock.Pause(ctx, ledger.PlatformBounds.Cancel+vmLease)
@@ -170,6 +197,12 @@
 		if err != nil {
 			return err
 		}
+		nod.endedItself = func(state string) {
+			run.ledger.AddViolation(time.Now(), fmt.Sprintf("process %s ended by itself with %s", nod.name, state))
+			if nod.setDown(true) {
+				run.restart(nod)
+			}
+		}
 		run.nodes = append(run.nodes, nod)
 		if err := nod.start(); err != nil {
 			return err
@@ -181,12 +214,47 @@
 // pools returns the pools of the stand-in. Only the first has a queue.
 func (run *Run) pools() []site.Pool {
 	return []site.Pool{
-		{Name: "lots", Workers: run.opt.Machines}, {Name: "kiosk", Workers: run.opt.Machines}, {Name: "spare", Workers: 2, Standby: true},
+		{Name: queuePool, Workers: run.opt.Machines}, {Name: "kiosk", Workers: run.opt.Machines}, {Name: "spare", Workers: 2, Standby: true},
+	}
+}
+
+// queuePrefix is the path prefix of jobs, queuePool the pool that runs them.
+const (
+	queuePrefix = "/gate/"
+	queuePool   = "lots"
+)
+
+// watchWaiting checks for tasks that wait without a reason, from the time at which
+// the leases of VMs that faults disconnected have expired. It ends the period in
+// which lasting jobs must run after the longest time that a task may wait.
+func (run *Run) watchWaiting(ctx context.Context) {
+	clock.Pause(ctx, vmLease)
+	calmAt := time.Now().Add(ledger.PlatformBounds.Wait + 10*watchInterval)
+	for ended := false; ctx.Err() == nil; clock.Pause(ctx, watchInterval) {
+		run.ledger.CheckWaiting(time.Now(), run.usableVMs())
+		if !ended && time.Now().After(calmAt) {
+			ended = true
+			close(run.calm)
+		}
+	}
+}
+
+// pollEnded queries the states of the jobs that have ended once more.
+func (run *Run) pollEnded(ctx context.Context) {
+	cal := newCaller(run, callerCount)
+	for _, job := range run.ledger.EndedSince(time.Now().Add(-keepEnded)) {
+		for tries := 0; tries < endedTries && ctx.Err() == nil; tries++ {
+			if state := cal.state(cal.rng, job); state != "" {
+				run.ledger.StateReported(time.Now(), job.ID, state)
+				break
+			}
+			clock.Pause(ctx, retryInterval)
+		}
 	}
 }
 
-// queuePrefix is the path prefix of jobs.
-const queuePrefix = "/gate/"
+// endedTries is the number of times that a query of an ended job is tried.
+const endedTries = 20
 
 // close kills the processes that still run and stops the proxies and the
 // stand-in.
@@ -237,7 +305,7 @@
 	}
 	cfg := site.Config{
 		Version: run.configVersion, Pools: run.pools(),
-		Queues: []site.Queue{{Name: "gate", Prefix: queuePrefix, Pool: "lots", Attempts: ledger.PlatformBounds.Attempts}},
+		Queues: []site.Queue{{Name: "gate", Prefix: queuePrefix, Pool: queuePool, Attempts: ledger.PlatformBounds.Attempts}},
 	}
 	for _, name := range accounts {
 		acc := site.Account{Name: name, Keys: []string{run.keys[name]}}
