manager: a dispatcher that waits for the configuration sees its confirmation

The dispatcher waits until the operator's keys are confirmed, and wakes up when they change. The first confirmation follows the first read but was no change: a dispatcher that took the duty before, and looked between the two, waited for the operator's next change, held the duty and dispatched nothing. TestDispatcherBeforeFirstConfirmation fails on the code before.

--- a/internal/manager/dispatcher.go
+++ b/internal/manager/dispatcher.go
@@ -146,12 +146,9 @@
 
 // readState reads the stored state, and follows its changes from then on.
 func (dis *dispatcher) readState(ctx context.Context) {
-	sna := dis.nod.operator.snapshot()
-	for sna.view.Confirmed.IsZero() {
-		var ok bool
-		if sna, ok = dis.nextSnapshot(ctx, sna); !ok {
-			return
-		}
+	sna, ok := dis.firstSnapshot(ctx)
+	if !ok {
+		return
 	}
 	dis.sendOperatorState(ctx, sna)
 	progress, ok := dis.readProgress(ctx)
@@ -339,6 +336,15 @@
 	}
 }
 
+// firstSnapshot waits until the operator's keys have been read and confirmed.
+func (dis *dispatcher) firstSnapshot(ctx context.Context) (sna snapshot, ok bool) {
+	sna, ok = dis.nod.operator.snapshot(), true
+	for ok && sna.view.Confirmed.IsZero() {
+		sna, ok = dis.nextSnapshot(ctx, sna)
+	}
+	return sna, ok
+}
+
 // nextSnapshot waits until the operator's keys change.
 func (dis *dispatcher) nextSnapshot(ctx context.Context, sna snapshot) (next snapshot, ok bool) {
 	select {
--- a/internal/manager/view.go
+++ b/internal/manager/view.go
@@ -22,7 +22,7 @@
 	zones map[string]bool
 	// waves holds the waves by store key, as a deletion names only the key.
 	waves map[string]upkeep.Wave
-	// changed is closed and replaced at each change.
+	// changed is closed and replaced at each change, and at the first confirmation.
 	changed chan struct{}
 }
 
@@ -58,12 +58,18 @@
 	return opv.view
 }
 
-// confirm records that the view was the newest when a read or watch was sent.
+// confirm records that the view was the newest when a read or watch was sent. The
+// first confirmation counts as a change, because the dispatcher waits for it.
 func (opv *operatorView) confirm(sent time.Time) {
 	opv.mu.Lock()
 	defer opv.mu.Unlock()
-	if opv.view.Catalog.Revision != 0 && sent.After(opv.view.Confirmed) {
-		opv.view.Confirmed, opv.view.LastContact = sent, opv.now()
+	if opv.view.Catalog.Revision == 0 || !sent.After(opv.view.Confirmed) {
+		return
+	}
+	first := opv.view.Confirmed.IsZero()
+	opv.view.Confirmed, opv.view.LastContact = sent, opv.now()
+	if first {
+		opv.notify()
 	}
 }
 
