--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -63,6 +63,14 @@
 	polls.Wait()
 }
 
+// One job in wideJobRatio has wide steps, of wideStepTasks small tasks each. Every
+// second one of them has slow tasks, which more faults fall on.
+const (
+	wideJobRatio  = 8
+	wideStepTasks = 8
+	wideStepCPU   = 500
+)
+
 // newJob returns a random job: one in 20 has lasting tasks, the others have up to
 // three steps.
 func (cal *caller) newJob() ledger.Job {
@@ -77,6 +85,9 @@
 	}
 	for i := range 1 + cal.rng.IntN(3) {
 		ste := ledger.Step{Count: 1 + cal.rng.IntN(4), CPU: 500 * (1 + cal.rng.Int64N(4))}
+		if cal.sent%wideJobRatio == 0 {
+			ste.Count, ste.CPU, ste.Slow = wideStepTasks, wideStepCPU, cal.sent%(2*wideJobRatio) == 0
+		}
 		if i > 0 {
 			ste.After = []int{i - 1}
 		}
@@ -85,14 +96,25 @@
 	return job
 }
 
-// taskEstimate is the duration that callers estimate for a task.
-const taskEstimate = 300 * time.Millisecond
+// Durations that callers estimate for tasks.
+const (
+	taskEstimate     = 300 * time.Millisecond
+	slowTaskEstimate = 2 * time.Second
+)
+
+// estimate returns the duration that callers estimate for the tasks of a step.
+func estimate(ste ledger.Step) time.Duration {
+	if ste.Slow {
+		return slowTaskEstimate
+	}
+	return taskEstimate
+}
 
 // jobBody returns the request body that submits a job.
 func jobBody(job ledger.Job) string {
 	steps := make([]site.Step, len(job.Steps))
 	for i, ste := range job.Steps {
-		steps[i] = site.Step{Count: ste.Count, CPU: ste.CPU, Estimate: taskEstimate, After: ste.After, Lasting: ste.Lasting}
+		steps[i] = site.Step{Count: ste.Count, CPU: ste.CPU, Estimate: estimate(ste), After: ste.After, Lasting: ste.Lasting}
 	}
 	return site.JobBody(job.Payload, steps)
 }
--- a/internal/soak/ledger/ledger.go
+++ b/internal/soak/ledger/ledger.go
@@ -59,6 +59,8 @@
 	After []int
 	// Lasting tasks run until their job is cancelled.
 	Lasting bool
+	// Slow tasks take several times as long as others.
+	Slow bool
 }
 
 // Job is a job as its caller submits it.
@@ -355,12 +357,14 @@
 	return rec, &rec.Steps[num]
 }
 
-// Lasts reports whether a task runs until its job is cancelled.
-func (led *Ledger) Lasts(task string) bool {
+// StepOf returns the step of a task, which is empty if no caller submitted it.
+func (led *Ledger) StepOf(task string) Step {
 	led.mu.Lock()
 	defer led.mu.Unlock()
-	_, ste := led.stepOf(task)
-	return ste != nil && ste.Lasting
+	if _, ste := led.stepOf(task); ste != nil {
+		return *ste
+	}
+	return Step{}
 }
 
 // Started records a run that started on a VM of an availability zone, and checks
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -168,7 +168,8 @@
 	run.sit, err = site.Start(site.Options{
 		Pools: run.pools(),
 		Outcome: func(task string, _ int) (time.Duration, string) {
-			if run.ledger.Lasts(task) {
+			ste := run.ledger.StepOf(task)
+			if ste.Lasting {
 				return lastingTaskTime, "failed"
 			}
 			mu.Lock()
@@ -178,7 +179,7 @@
 				outcome = "failed"
 			}
 			// Runs take from 0.3 to 1.8 times the estimate.
-			return time.Duration(float64(taskEstimate) * (0.3 + 1.5*rng.Float64())), outcome
+			return time.Duration(float64(estimate(ste)) * (0.3 + 1.5*rng.Float64())), outcome
 		},
 		Expose: func(_, address string) (string, error) {
 			prx, err := proxy.New(address)
