--- a/internal/soak/injectseries.go
+++ b/internal/soak/injectseries.go
@@ -13,6 +13,8 @@
 	// pairDelay is the time between two shutdowns that overlap, and between SIGTERM
 	// and a signal that interrupts the shutdown.
 	pairDelay = 25 * time.Millisecond
+	// maxHold bounds the time for which an open call keeps a shutdown waiting.
+	maxHold = 2 * time.Second
 	// maxTermPause bounds a pause during a shutdown, which must still end within the
 	// grace period.
 	maxTermPause = 2 * time.Second
@@ -38,11 +40,12 @@
 func (run *Run) injectSeries(fau Fault, afterFault func(func())) {
 	switch fau.Kind {
 	case NodeTermPair:
-		run.terminateNode(run.nodes[fau.Target])
-		run.pending.Go(func() {
+		for i := range 2 {
+			nod := run.nodes[(fau.Target+i)%len(run.nodes)]
+			run.holdCall(nod, min(fau.For, maxHold))
+			run.terminateNode(nod)
 			time.Sleep(pairDelay)
-			run.terminateNode(run.nodes[(fau.Target+1)%len(run.nodes)])
-		})
+		}
 	case NodeTermKill, NodeTermPause:
 		run.interruptShutdown(fau, run.nodes[fau.Target])
 	case NodeRoll:
@@ -123,6 +126,7 @@
 		return
 	}
 	nod.markDisrupted(time.Now().Add(fau.For + callTimeout + readyTimeout))
+	run.holdCall(nod, min(fau.For, maxHold))
 	run.pending.Go(func() {
 		if fau.Kind == NodeTermKill {
 			nod.signal(syscall.SIGTERM)
--- a/internal/soak/lingerer.go
+++ b/internal/soak/lingerer.go
@@ -65,15 +65,53 @@
 		if err == nil {
 			continue
 		}
-		took, partial := time.Since(sent), received.bytes > before
-		if (partial || took > unreadWindow && took < callTimeout-unreadWindow) && !lin.nod.disruptedAt(sent) && !lin.nod.disruptedAt(time.Now()) {
-			lin.run.ledger.AddViolation(time.Now(), fmt.Sprintf("%s on an open connection was cut by %s after %v and %d bytes: %v",
-				text, lin.nod.name, took, received.bytes-before, err))
-		}
+		lin.run.checkCut(lin.nod, text, sent, received.bytes-before, err)
 		return
 	}
 }
 
+// checkCut checks that a process was allowed to end a connection. A request was sent
+// completely at a given time, and that many bytes of its answer were received.
+func (run *Run) checkCut(nod *node, line string, sent time.Time, received int, err error) {
+	took := time.Since(sent)
+	if (received > 0 || took > unreadWindow && took < callTimeout-unreadWindow) && !nod.disruptedAt(sent) && !nod.disruptedAt(time.Now()) {
+		run.ledger.AddViolation(time.Now(), fmt.Sprintf("%s on an open connection was cut by %s after %v and %d bytes: %v", line, nod.name, took, received, err))
+	}
+}
+
+// holdCall opens a call to a process and sends its body after a time. It returns
+// once the process has probably read the head. A process that shuts down waits for
+// the body and answers.
+func (run *Run) holdCall(nod *node, span time.Duration) {
+	con, err := net.DialTimeout("tcp", nod.callersAddress, callTimeout)
+	if err != nil {
+		return
+	}
+	const line = "POST " + queuePrefix + "ffffffffffffffff"
+	if _, err := fmt.Fprintf(con, "%s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n\r\n", line, site.Host, len(invalidJob)); err != nil {
+		_ = con.Close()
+		return
+	}
+	time.Sleep(headReadTime)
+	run.pending.Go(func() {
+		defer func() { _ = con.Close() }()
+		time.Sleep(span)
+		if _, err := io.WriteString(con, invalidJob); err != nil {
+			return
+		}
+		sent, received := time.Now(), &countingReader{from: con}
+		if err := con.SetDeadline(sent.Add(callTimeout)); err != nil {
+			return
+		}
+		if _, err := http.ReadResponse(bufio.NewReader(received), nil); err != nil {
+			run.checkCut(nod, line, sent, received.bytes, err)
+		}
+	})
+}
+
+// headReadTime is the time within which a process reads the head of a request.
+const headReadTime = 10 * time.Millisecond
+
 // invalidJob is the body of a submission that every process rejects.
 const invalidJob = "{}"
 
