soak: all VMs crash after the last other fault

A task that a crash of its VM leaves behind is repaired by the next takeover of the duty, and takeovers are frequent in the soak. So the zones of VMs crash once more after all other faults, while jobs are still submitted.

--- a/internal/soak/injectseries.go
+++ b/internal/soak/injectseries.go
@@ -1,10 +1,12 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"syscall"
 	"time"
 
+	"github.com/balsamgauge/balsamgauge/internal/clock"
 	"github.com/balsamgauge/balsamgauge/internal/core/duty"
 )
 
@@ -34,6 +36,10 @@
 	// configChanges is the number of configurations that ConfigSeries writes.
 	configChanges  = 6
 	configInterval = 120 * time.Millisecond
+	// finalCrashInterval is the time between the crashes of two availability zones at
+	// the end, and finalCrashTime the time for which their VMs are down.
+	finalCrashInterval = 300 * time.Millisecond
+	finalCrashTime     = time.Second
 )
 
 // injectSeries injects a fault of ScheduleSeries.
@@ -90,12 +96,7 @@
 	case VMRestart:
 		wor.Restart(fau.For)
 	case VMZoneDown:
-		zone := run.sit.Zones()[fau.Target]
-		for _, wor := range run.sit.Workers {
-			if wor.Zone() == zone {
-				wor.Crash(fau.For)
-			}
-		}
+		run.crashZone(run.sit.Zones()[fau.Target], fau.For)
 	case VMOrdersLate:
 		machine := fmt.Sprintf("vm-%d", fau.Target)
 		wor.SetOrderDelay(orderDelay)
@@ -120,6 +121,27 @@
 	}
 }
 
+// crashZone crashes all VMs of an availability zone. New ones start after a time.
+func (run *Run) crashZone(zone string, downtime time.Duration) {
+	for _, wor := range run.sit.Workers {
+		if wor.Zone() == zone {
+			wor.Crash(downtime)
+		}
+	}
+}
+
+// crashZones crashes the VMs of one availability zone after the other, once all
+// other faults have ended: no takeover of the duty repairs what these crashes leave
+// behind.
+func (run *Run) crashZones(ctx context.Context) {
+	clock.Pause(ctx, finalCrashTime)
+	for _, zone := range run.sit.Zones() {
+		run.crashZone(zone, finalCrashTime)
+		clock.Pause(ctx, finalCrashInterval)
+	}
+	clock.Pause(ctx, finalCrashTime)
+}
+
 // interruptShutdown kills a process while it shuts down, or pauses it.
 func (run *Run) interruptShutdown(fau Fault, nod *node) {
 	if !nod.setDown(true) {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -18,7 +18,8 @@
 // Options holds the parameters of a run.
 type Options struct {
 	Seed uint64
-	// For is the time for which jobs are submitted and faults injected.
+	// For is the time for which faults are injected. Jobs are submitted until these
+	// have been reverted and the VMs of all availability zones have crashed.
 	For time.Duration
 	// Processes is the number of processes of the program.
 	Processes int
@@ -43,8 +44,8 @@
 
 // Parameters of a run.
 const (
-	// settleTimeout is the time after the last fault within which all jobs must
-	// end.
+	// settleTimeout is the time after the last submission within which all jobs
+	// must end.
 	settleTimeout = 32 * time.Second
 	readyTimeout  = 15 * time.Second
 	// waveTimeout bounds the duration of a wave of upkeep, waveMaxDown the number
@@ -106,9 +107,11 @@
 	}
 	vms, zones := len(run.vmProxies), len(run.sit.Zones())
 	rep.Faults = merge(Schedule(opt.Seed, opt.For, opt.Processes, vms, zones), ScheduleSeries(opt.Seed, opt.For, opt.Processes, vms, zones))
-	submitCtx, stopSubmitting := context.WithTimeout(ctx, opt.For)
+	faultCtx, stopFaults := context.WithTimeout(ctx, opt.For)
+	defer stopFaults()
+	submitCtx, stopSubmitting := context.WithCancel(ctx)
 	defer stopSubmitting()
-	settleCtx, stop := context.WithTimeout(ctx, opt.For+settleTimeout)
+	settleCtx, stop := context.WithCancel(ctx)
 	defer stop()
 	var work sync.WaitGroup
 	for i := range callerCount {
@@ -121,8 +124,12 @@
 	for i, nod := range run.nodes {
 		lingerers.Go(func() { newLingerer(run, nod, i).work(lingerCtx) })
 	}
-	run.injectSchedule(submitCtx, rep.Faults)
+	run.injectSchedule(faultCtx, rep.Faults)
 	run.pending.Wait()
+	run.crashZones(ctx)
+	stopSubmitting()
+	settled := time.AfterFunc(settleTimeout, stop)
+	defer settled.Stop()
 	watchCtx, stopWatching := context.WithCancel(settleCtx)
 	var watch sync.WaitGroup
 	watch.Go(func() { run.watchWaiting(watchCtx) })
