--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -21,6 +21,8 @@
 	// For is the time for which faults are injected. Jobs are submitted until these
 	// have been reverted.
 	For time.Duration
+	// Series adds the faults that come in series to the single ones.
+	Series bool
 	// FinalCrash makes the VMs of all availability zones crash once the other faults
 	// have ended.
 	FinalCrash bool
@@ -108,8 +110,7 @@
 	if err := run.start(); err != nil {
 		return Report{}, fmt.Errorf("soak with seed %d: %w", opt.Seed, err)
 	}
-	vms, zones := len(run.vmProxies), len(run.sit.Zones())
-	rep.Faults = merge(Schedule(opt.Seed, opt.For, opt.Processes, vms, zones), ScheduleSeries(opt.Seed, opt.For, opt.Processes, vms, zones))
+	rep.Faults = run.schedule()
 	faultCtx, stopFaults := context.WithTimeout(ctx, opt.For)
 	defer stopFaults()
 	submitCtx, stopSubmitting := context.WithCancel(ctx)
@@ -156,6 +157,16 @@
 	return rep, nil
 }
 
+// schedule returns the faults of the run.
+func (run *Run) schedule() (faults []Fault) {
+	opt, vms, zones := run.opt, len(run.vmProxies), len(run.sit.Zones())
+	faults = Schedule(opt.Seed, opt.For, opt.Processes, vms, zones)
+	if opt.Series {
+		faults = merge(faults, ScheduleSeries(opt.Seed, opt.For, opt.Processes, vms, zones))
+	}
+	return faults
+}
+
 // observer records the events of the VMs in the ledger, with the current time.
 type observer struct{ led *ledger.Ledger }
 
