--- a/internal/standin/site/worker.go
+++ b/internal/standin/site/worker.go
@@ -258,9 +258,14 @@
 	wor.mu.Lock()
 	defer wor.mu.Unlock()
 	if delay := wor.orderDelay; delay > 0 {
+		born := wor.born
 		wor.mu.Unlock()
 		time.Sleep(delay)
 		wor.mu.Lock()
+		if wor.born != born {
+			// The order ended with the incarnation that had received it.
+			panic(http.ErrAbortHandler)
+		}
 	}
 	if wor.answersLost {
 		defer panic(http.ErrAbortHandler)
