--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -17,6 +17,8 @@
 	clause.Flag("seed", "Seed of the first run; it determines the schedule of faults.").Default("1").Uint64Var(&opt.Seed)
 	runs := clause.Flag("runs", "Number of runs, with consecutive seeds.").Default("1").Int()
 	clause.Flag("for", "Time for which faults are injected in a run.").Default("20s").DurationVar(&opt.For)
+	clause.Flag("series", "Add faults that come in series and overlap.").Default("true").BoolVar(&opt.Series)
+	clause.Flag("final-crash", "Let all VMs crash once the other faults have ended.").Default("true").BoolVar(&opt.FinalCrash)
 	clause.Flag("processes", "Number of processes of the program.").Default("3").IntVar(&opt.Processes)
 	clause.Flag("machines", "Number of VMs that the stand-in has in each of two pools.").Default("4").IntVar(&opt.Machines)
 	dir := clause.Flag("dir", "Directory for settings and logs.").Default(filepath.Join(os.TempDir(), "balsamgauge-soak")).String()
@@ -54,9 +56,17 @@
 
 func (cmd *command) printSoak(opt soak.Options, rep soak.Report) (err error) {
 	_, err = fmt.Fprintf(cmd.out, "seed %d: %d faults, %d jobs accepted, %d runs of tasks, %d invariants violated\n", opt.Seed, len(rep.Faults), rep.Accepted, rep.Started, len(rep.Violations))
-	if err != nil || len(rep.Violations) == 0 {
+	if err != nil {
 		return err
 	}
+	for _, known := range rep.Known {
+		if _, err := fmt.Fprintln(cmd.out, "  KNOWN FAULT", known); err != nil {
+			return err
+		}
+	}
+	if len(rep.Violations) == 0 {
+		return nil
+	}
 	for _, fau := range rep.Faults {
 		if _, err := fmt.Fprintln(cmd.out, "  ", fau); err != nil {
 			return err
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -56,13 +56,21 @@
 		job := cal.newJob()
 		seed := cal.rng.Uint64()
 		if cal.submit(ctx, job) {
-			polls.Go(func() { cal.pollJob(ctx, settleCtx, job, rand.New(rand.NewPCG(seed, 1))) })
+			polls.Go(func() { cal.pollJob(settleCtx, job, rand.New(rand.NewPCG(seed, 1))) })
 		}
 		clock.Pause(ctx, time.Duration(cal.rng.Int64N(int64(600*time.Millisecond))))
 	}
 	polls.Wait()
 }
 
+// One job in wideJobRatio has wide steps, of wideStepTasks small tasks each. Every
+// second one of them has slow tasks, which more faults fall on.
+const (
+	wideJobRatio  = 8
+	wideStepTasks = 8
+	wideStepCPU   = 500
+)
+
 // newJob returns a random job: one in 20 has lasting tasks, the others have up to
 // three steps.
 func (cal *caller) newJob() ledger.Job {
@@ -77,6 +85,9 @@
 	}
 	for i := range 1 + cal.rng.IntN(3) {
 		ste := ledger.Step{Count: 1 + cal.rng.IntN(4), CPU: 500 * (1 + cal.rng.Int64N(4))}
+		if cal.sent%wideJobRatio == 0 {
+			ste.Count, ste.CPU, ste.Slow = wideStepTasks, wideStepCPU, cal.sent%(2*wideJobRatio) == 0
+		}
 		if i > 0 {
 			ste.After = []int{i - 1}
 		}
@@ -85,14 +96,25 @@
 	return job
 }
 
-// taskEstimate is the duration that callers estimate for a task.
-const taskEstimate = 300 * time.Millisecond
+// Durations that callers estimate for tasks.
+const (
+	taskEstimate     = 300 * time.Millisecond
+	slowTaskEstimate = 2 * time.Second
+)
+
+// estimate returns the duration that callers estimate for the tasks of a step.
+func estimate(ste ledger.Step) time.Duration {
+	if ste.Slow {
+		return slowTaskEstimate
+	}
+	return taskEstimate
+}
 
 // jobBody returns the request body that submits a job.
 func jobBody(job ledger.Job) string {
 	steps := make([]site.Step, len(job.Steps))
 	for i, ste := range job.Steps {
-		steps[i] = site.Step{Count: ste.Count, CPU: ste.CPU, Estimate: taskEstimate, After: ste.After, Lasting: ste.Lasting}
+		steps[i] = site.Step{Count: ste.Count, CPU: ste.CPU, Estimate: estimate(ste), After: ste.After, Lasting: ste.Lasting}
 	}
 	return site.JobBody(job.Payload, steps)
 }
@@ -105,7 +127,7 @@
 		key := cal.run.key(job.Account)
 		cal.run.ledger.Submitted(job)
 		sent := time.Now()
-		status, _ := cal.call(cal.rng, http.MethodPost, job, key, text)
+		nod, status, _ := cal.call(cal.rng, http.MethodPost, job, key, text)
 		out := ledger.Unanswered
 		switch status {
 		case http.StatusOK:
@@ -118,6 +140,7 @@
 		}
 		cal.run.ledger.Answered(time.Now(), sent, job.ID, key, out)
 		if out == ledger.Accepted {
+			cal.run.answered(nod)
 			return true
 		}
 		clock.Pause(ctx, retryInterval)
@@ -126,32 +149,27 @@
 }
 
 // pollJob requests the state of a job until it has ended. One job in 8 is
-// cancelled after a few polls, lasting jobs when submission ends.
-func (cal *caller) pollJob(ctx, settleCtx context.Context, job ledger.Job, rng *rand.Rand) {
+// cancelled after a few polls, lasting jobs once all faults have long ended.
+func (cal *caller) pollJob(settleCtx context.Context, job ledger.Job, rng *rand.Rand) {
 	cancelAfter := -1
 	if rng.IntN(8) == 0 {
 		cancelAfter = rng.IntN(4)
 	}
 	for polls := 0; settleCtx.Err() == nil; polls++ {
 		clock.Pause(settleCtx, pollInterval)
-		endLasting := job.Steps[0].Lasting && ctx.Err() != nil
+		endLasting := false
+		if job.Steps[0].Lasting {
+			select {
+			case <-cal.run.calm:
+				endLasting = true
+			default:
+			}
+		}
 		if (polls == cancelAfter || endLasting) && cal.cancel(settleCtx, rng, job) {
 			return
 		}
-		status, text := cal.call(rng, http.MethodGet, job, cal.run.key(job.Account), "")
-		state := ""
-		switch status {
-		case http.StatusGone:
-			state = "gone"
-		case http.StatusOK:
-			var ans struct {
-				State string `json:"state"`
-			}
-			if err := json.Unmarshal([]byte(text), &ans); err != nil {
-				cal.run.ledger.AddViolation(time.Now(), fmt.Sprintf("state of job %s: %q: %v", job.ID, text, err))
-			}
-			state = ans.State
-		default:
+		state := cal.state(rng, job)
+		if state == "" {
 			continue
 		}
 		cal.run.ledger.StateReported(time.Now(), job.ID, state)
@@ -161,11 +179,31 @@
 	}
 }
 
+// state queries the state of a job, which is "gone" if the reply is that no such
+// job exists. It is empty if there was no reply.
+func (cal *caller) state(rng *rand.Rand, job ledger.Job) string {
+	_, status, text := cal.call(rng, http.MethodGet, job, cal.run.key(job.Account), "")
+	switch status {
+	case http.StatusGone:
+		return "gone"
+	case http.StatusOK:
+		var ans struct {
+			State string `json:"state"`
+		}
+		if err := json.Unmarshal([]byte(text), &ans); err != nil {
+			cal.run.ledger.AddViolation(time.Now(), fmt.Sprintf("state of job %s: %q: %v", job.ID, text, err))
+		}
+		return ans.State
+	default:
+		return ""
+	}
+}
+
 // cancel cancels a job. It reports whether the cancellation was acknowledged or
 // the job does not exist.
 func (cal *caller) cancel(settleCtx context.Context, rng *rand.Rand, job ledger.Job) bool {
 	for settleCtx.Err() == nil {
-		status, text := cal.call(rng, http.MethodDelete, job, cal.run.key(job.Account), "")
+		_, status, text := cal.call(rng, http.MethodDelete, job, cal.run.key(job.Account), "")
 		switch {
 		case status == http.StatusOK && strings.Contains(text, `"cancelled"`):
 			cal.run.ledger.Cancelled(time.Now(), job.ID)
@@ -182,10 +220,10 @@
 	return false
 }
 
-// call sends a request to a random process. It returns status 0 if no reply was
-// received.
-func (cal *caller) call(rng *rand.Rand, method string, job ledger.Job, key, text string) (status int, answer string) {
-	nod := cal.run.nodes[rng.IntN(len(cal.run.nodes))]
+// call sends a request to a random process, which it returns. The status is 0 if no
+// reply was received.
+func (cal *caller) call(rng *rand.Rand, method string, job ledger.Job, key, text string) (nod *node, status int, answer string) {
+	nod = cal.run.nodes[rng.IntN(len(cal.run.nodes))]
 	req, err := http.NewRequest(method, "http://"+nod.callersAddress+queuePrefix+job.ID, strings.NewReader(text))
 	if err != nil {
 		panic(err)
@@ -199,7 +237,7 @@
 		defer func() { _ = rsp.Body.Close() }()
 		raw, readErr := io.ReadAll(rsp.Body)
 		if readErr == nil {
-			return rsp.StatusCode, string(raw)
+			return nod, rsp.StatusCode, string(raw)
 		}
 		err = readErr
 	}
@@ -209,5 +247,5 @@
 	if took := time.Since(sent); took > unreadWindow && took < callTimeout-unreadWindow && !nod.disruptedAt(sent) && !nod.disruptedAt(time.Now()) {
 		cal.run.ledger.AddViolation(time.Now(), fmt.Sprintf("%s of job %s was cut by %s after %v: %v", method, job.ID, nod.name, took, err))
 	}
-	return 0, ""
+	return nod, 0, ""
 }
