scheduler: suspects leave half of a pool's VMs to others

A serving task waited as long as suspects ran, as each of them had a VM of its own and they took every VM of the pool (found by the review of a lost job). Suspects run on half of a pool's VMs at most, and on one at least. TestServingTaskStartsBesideSuspects failed before; the tests of tasks that crash VMs pass.

--- a/internal/core/scheduler/assign.go
+++ b/internal/core/scheduler/assign.go
@@ -244,6 +244,9 @@
 		if sta.starts.full() || !sta.withinCap(stg, 1) || !room.mayFit(stg.step.Reservation()) {
 			return
 		}
+		if tas.isSuspect() && !room.admitsSuspect() {
+			continue
+		}
 		if hos == nil || !stg.packs() || !sta.accepts(hos, stg, i, 0) {
 			hos = sta.chooseHost(stg, i, room.hosts, nil)
 		}
--- a/internal/core/scheduler/crashes.go
+++ b/internal/core/scheduler/crashes.go
@@ -23,6 +23,9 @@
 	startupTime = 5 * time.Second
 	// maxKeptFree is the part of a pool's VMs that may be kept free for suspects.
 	maxKeptFree = 0.25
+	// maxIsolated is the part of a pool's VMs on which suspects may run. The others
+	// are left to the tasks that may not run beside them.
+	maxIsolated = 0.5
 )
 
 // isSuspect reports whether the task may be what crashes its VMs.
@@ -109,6 +112,17 @@
 	return hos.suspects > 0 || suspect && hos.finite > 0 || !suspect && hos.keptFree
 }
 
+// admitsSuspect reports whether a suspect may start on one more VM of the pool.
+func (rom *poolRoom) admitsSuspect() bool {
+	isolated := 0
+	for _, hos := range rom.hosts {
+		if hos.suspects > 0 {
+			isolated++
+		}
+	}
+	return isolated < max(1, int(maxIsolated*float64(len(rom.hosts))))
+}
+
 // setSuspect records whether a run on the host is a suspect's.
 func (hos *host) setSuspect(pla *placement, suspect bool) {
 	switch {
