--- a/internal/core/scheduler/suspect_test.go
+++ b/internal/core/scheduler/suspect_test.go
@@ -64,3 +64,21 @@
 	}
 	assert.Equal(t, sta.jobs[spe.ID].final, job.State(""))
 }
+
+// TestOutageOfFleetGivesUpNoJob guards against giving up a job because all VMs
+// crashed several times while its tasks ran on every one.
+func TestOutageOfFleetGivesUpNoJob(t *testing.T) {
+	emu := newEmulator(1, testCatalog())
+	emu.addVMs("lots", 6, 3, job.Size{CPU: 16_000, Memory: 32_768})
+	emu.takeOver(testOptions())
+	spe := job.Spec{ID: jobName(1), Queue: "gate", Account: "large", Payload: "x", Steps: []job.Step{
+		{Count: 6, Size: job.Size{CPU: 16_000, Memory: 512}, Estimate: 6 * time.Second},
+	}}
+	emu.after(time.Second, func() { emu.submit(spe) })
+	for i := range maxCrashes {
+		emu.after(time.Duration(3+6*i)*time.Second, emu.crashAll)
+	}
+	emu.run(40 * time.Second)
+	assert.Equal(t, emu.stateOf(t, spe.ID), job.StateCompleted)
+	assert.DeepEqual(t, emu.violations, []string(nil))
+}
