--- a/internal/soak/injectseries.go
+++ b/internal/soak/injectseries.go
@@ -81,9 +81,7 @@
 			}
 		})
 	case OddEntry:
-		key := fmt.Sprintf("servers/odd-%d", fau.Target)
-		run.sit.Store.PutRaw(key, []byte(oddEntries[fau.Target]))
-		afterFault(func() { run.sit.Store.Delete(key) })
+		afterFault(run.sit.RegisterOdd(fau.Target))
 	default:
 		run.injectVMSeries(fau, afterFault)
 	}
@@ -112,10 +110,8 @@
 		wor.SetSilent(true)
 		afterFault(func() { wor.SetSilent(false) })
 	case OddRegistration:
-		if id, _, ok := wor.RunningVM(); ok {
-			run.sit.Store.PutRaw("servers/"+id, []byte(oddEntries[fau.Target%len(oddEntries)]))
-			afterFault(wor.Register)
-		}
+		wor.RegisterOdd(fau.Target)
+		afterFault(wor.Register)
 	default:
 		panic(fmt.Sprintf("soak: unknown fault %q", fau.Kind))
 	}
--- a/internal/soak/series.go
+++ b/internal/soak/series.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/balsamgauge/balsamgauge/internal/standin/site"
 )
 
 // Kinds of faults that come in series or overlap with others. The holder is the
@@ -74,7 +76,7 @@
 		case VMZoneDown:
 			fau.Target = rng.IntN(zones)
 		case OddEntry:
-			fau.Target = rng.IntN(len(oddEntries))
+			fau.Target = rng.IntN(site.OddRegistrations())
 		default:
 			fau.Target = rng.IntN(nodes)
 		}
--- a/internal/soak/odd.go
+++ b/internal/standin/site/odd.go
@@ -1,10 +1,13 @@
-package soak
+package site
 
-import "strings"
+import (
+	"fmt"
+	"strings"
+)
 
-// oddEntries are registrations that name no VM to use: with missing fields, fields
+// oddRegistrations are registrations that name no VM to use: with missing fields, fields
 // of other types, numbers out of range, deep nesting, or no JSON at all.
-var oddEntries = []string{
+var oddRegistrations = []string{
 	``,
 	`null`,
 	`[]`,
@@ -35,6 +38,25 @@
 	`{"service":"` + strings.Repeat("lots", 50_000) + `","address":"127.0.0.1:9","zone":"az0","state":"ready","capacity":{"cpu":1}}`,
 }
 
+// OddRegistrations is the number of odd registrations.
+func OddRegistrations() int { return len(oddRegistrations) }
+
+// RegisterOdd writes an odd registration, by its number, under a key of its own. It
+// returns a function that removes it.
+func (sit *Site) RegisterOdd(num int) (remove func()) {
+	key := fmt.Sprintf("%sodd-%d", registrationPrefix, num)
+	sit.Store.PutRaw(key, []byte(oddRegistrations[num]))
+	return func() { sit.Store.Delete(key) }
+}
+
+// RegisterOdd writes an odd registration over that of the VM, if one runs, until
+// Register is called.
+func (wor *Worker) RegisterOdd(num int) {
+	if id, _, ok := wor.RunningVM(); ok {
+		wor.sit.Store.PutRaw(registrationPrefix+id, []byte(oddRegistrations[num%len(oddRegistrations)]))
+	}
+}
+
 // oddVM returns a registration with all fields, of which some have odd values.
 func oddVM(address, capacity, cold, born string) string {
 	return `{"service":"lots","address":"` + address + `","zone":"az0","version":"v1","slots":8,"state":"ready","cold-remaining-ms":` + cold +
