cli: SIGHUP does not end a process that starts or shuts down

The settings are followed only between start and shutdown. Before and after, SIGHUP had its default action: it ended the process within its grace period and cut the calls that were open. TestReloadDuringShutdown fails on the code before with 'ended with signal: hangup' and passes twice on this one.

--- a/internal/cli/manage.go
+++ b/internal/cli/manage.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/balsamgauge/balsamgauge/internal/manager"
@@ -18,6 +20,9 @@
 }
 
 func (cmd *command) manage(ctx context.Context, path string) error {
+	// Without a receiver SIGHUP would end the process, also while it starts or shuts
+	// down, when the settings are not followed.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	set, err := platform.LoadSettings(path)
 	if err != nil {
 		return &usageError{err}
