--- a/internal/manager/registrations_test.go
+++ b/internal/manager/registrations_test.go
@@ -10,6 +10,7 @@
 	"github.com/balsamgauge/balsamgauge/internal/core/scheduler"
 	"github.com/balsamgauge/balsamgauge/internal/decisionlog"
 	"github.com/balsamgauge/balsamgauge/internal/kv"
+	"github.com/balsamgauge/balsamgauge/internal/standin/site"
 	"gotest.tools/v3/assert"
 )
 
@@ -22,7 +23,7 @@
 	item := func(id string, revision kv.Revision) kv.Item {
 		return kv.Item{
 			Key: "servers/" + id, Revision: revision,
-			Value: []byte(`{"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready","capacity":{"cpu":1,"mem-mb":1}}`),
+			Value: site.Registration("10.0.0.1:80"),
 		}
 	}
 	sent := func() (all []string) {
@@ -61,7 +62,7 @@
 	item := func(port int, revision kv.Revision) kv.Item {
 		return kv.Item{
 			Key: "servers/vm", Revision: revision,
-			Value: fmt.Appendf(nil, `{"service":"s","address":"10.0.0.1:%d","zone":"z","state":"ready","capacity":{"cpu":1,"mem-mb":1}}`, port),
+			Value: site.Registration(fmt.Sprintf("10.0.0.1:%d", port)),
 		}
 	}
 	addresses := func() (all []string) {
