scheduler: records of ended jobs are stored before progress

With half the processor the transactions don't keep up at the turn of note-issue: up to 423 records were due, and those of ended jobs waited up to 6 s, in which clients see their jobs running. They now come first; the log line rounds has the records that are due.

--- a/internal/core/scheduler/effort.go
+++ b/internal/core/scheduler/effort.go
@@ -11,6 +11,9 @@
 	// StartsInFlight is the number of unanswered starts after the last call, and
 	// MaxStartsInFlight its present limit.
 	StartsInFlight, MaxStartsInFlight int
+	// RecordsDue is the number of jobs whose records were due to be stored when the
+	// last transaction was composed.
+	RecordsDue int
 }
 
 // Effort returns the work of all calls of Reduce so far.
--- a/internal/core/scheduler/save.go
+++ b/internal/core/scheduler/save.go
@@ -35,10 +35,7 @@
 	}
 	var txn kv.Txn
 	var writes []jobWrite
-	for _, liv := range sta.jobList {
-		if liv.dirtySince.IsZero() || liv.final == "" && sta.now.Sub(liv.dirtySince) < saveDelay {
-			continue
-		}
+	for _, liv := range sta.dueRecords() {
 		need := progressEntries
 		if liv.final != "" {
 			need = finalEntries
--- a/internal/manager/rounds.go
+++ b/internal/manager/rounds.go
@@ -73,6 +73,7 @@
 		"reduce_ms": sts.reducing.Milliseconds(), "longest_reduce_ms": sts.longest.Milliseconds(), "perform_ms": sts.performing.Milliseconds(),
 		"waiting_stages": eff.Backlog, "stages_tried": eff.Stages - sts.effort.Stages, "vms_examined": eff.Hosts - sts.effort.Hosts,
 		"starts_in_flight": eff.StartsInFlight, "max_starts_in_flight": eff.MaxStartsInFlight, "goroutines": runtime.NumGoroutine(),
+		"records_due": eff.RecordsDue,
 	})
 	*sts = roundStats{loggedAt: now, effort: eff}
 }
