scheduler: failing test of final records that queue behind slow writes

One transaction is in flight at a time and holds five final records. With half the processor a write takes 50 to 60 ms, so that no more than about 100 jobs a second can be shown as completed, while more end; the queue is bounded by nothing, and the load does not have it.

--- a/internal/core/scheduler/records_test.go
+++ b/internal/core/scheduler/records_test.go
@@ -69,3 +69,39 @@
 		assert.Assert(t, commit < jobs)
 	}
 }
+
+// TestRecordsKeepUp guards against jobs that have ended and are shown as completed
+// seconds later: with one transaction of five final records in flight, a dispatcher
+// whose writes take 60 ms stores 83 records a second, and others queue.
+func TestRecordsKeepUp(t *testing.T) {
+	const write, between = 60 * time.Millisecond, 8 * time.Millisecond
+	now := time.Date(2026, 1, 2, 3, 0, 0, 0, time.UTC)
+	opt := testOptions()
+	opt.Since, opt.Term, opt.MachineOrdersPerSecond = now, 1, 0
+	sta := New(opt)
+	vm := testVM("vm-1")
+	sta.Reduce(now, []Event{CatalogChanged{Catalog: testCatalog()}, VMRegistered{VM: vm}, JobsLoaded{}})
+	answers := map[time.Time][]Event{}
+	var worst time.Duration
+	for i := range 300 {
+		now = now.Add(between)
+		spe := fanOut(i+1, "large", 1, 500, time.Second)
+		spe.Accepted = now
+		events := append(answers[now], JobAccepted{Spec: spe, Revision: 2}, JobWatchProgressed{At: now})
+		sta.Reduce(now, events)
+		// Any end of a job is stored in the same way.
+		sta.finish(sta.jobs[spe.ID], job.StateFailed, reasonAttempts)
+		for _, eff := range sta.Reduce(now, []Event{Tick{}}) {
+			if _, ok := eff.(Commit); ok {
+				at := now.Add(write).Truncate(between)
+				answers[at] = append(answers[at], Committed{Revision: 9})
+			}
+		}
+		for _, liv := range sta.jobList {
+			if !liv.dirtySince.IsZero() {
+				worst = max(worst, now.Sub(liv.dirtySince))
+			}
+		}
+	}
+	assert.Assert(t, worst <= 3*write, "a final record waited for %v to be written", worst)
+}
