scheduler: up to four transactions of records in flight

A transaction has 32 entries, which five final records fill, and one was in flight at a time. With half the processor each takes 50 to 60 ms, so jobs were shown as completed seconds after their end. Further transactions are now sent while five or more records are due; a job has one write in flight, as its condition is the revision of the last.

TestRecordsKeepUp passes (2.3 s before).

TestMachineWithUnstoredEnd's check of a write in flight names the first lane, the same state as before; the emulator passes the lane on.

--- a/internal/core/scheduler/effect.go
+++ b/internal/core/scheduler/effect.go
@@ -55,7 +55,11 @@
 
 // Commit writes to the store. The caller adds the condition that this process
 // still holds the duty.
-type Commit struct{ Txn kv.Txn }
+type Commit struct {
+	Txn kv.Txn
+	// Lane identifies the write among those in flight.
+	Lane int
+}
 
 // QueryAdvisor asks the advisor which VMs may run a step.
 type QueryAdvisor struct {
--- a/internal/core/scheduler/emulator_test.go
+++ b/internal/core/scheduler/emulator_test.go
@@ -990,7 +990,7 @@
 	answer := func(span time.Duration, rev kv.Revision, err error) {
 		emu.after(span, func() {
 			if term == emu.term {
-				emu.deliver(Committed{Revision: rev, Err: err})
+				emu.deliver(Committed{Revision: rev, Err: err, Lane: eff.Lane})
 			}
 		})
 	}
--- a/internal/core/scheduler/event.go
+++ b/internal/core/scheduler/event.go
@@ -87,6 +87,8 @@
 type Committed struct {
 	Revision kv.Revision
 	Err      error
+	// Lane is that of the Commit.
+	Lane int
 }
 
 // AdvisorAnswered answers a QueryAdvisor. Tickets is nil if the query failed.
--- a/internal/core/scheduler/records_test.go
+++ b/internal/core/scheduler/records_test.go
@@ -92,9 +92,9 @@
 		// Any end of a job is stored in the same way.
 		sta.finish(sta.jobs[spe.ID], job.StateFailed, reasonAttempts)
 		for _, eff := range sta.Reduce(now, []Event{Tick{}}) {
-			if _, ok := eff.(Commit); ok {
+			if com, ok := eff.(Commit); ok {
 				at := now.Add(write).Truncate(between)
-				answers[at] = append(answers[at], Committed{Revision: 9})
+				answers[at] = append(answers[at], Committed{Revision: 9, Lane: com.Lane})
 			}
 		}
 		for _, liv := range sta.jobList {
--- a/internal/core/scheduler/save.go
+++ b/internal/core/scheduler/save.go
@@ -18,6 +18,16 @@
 	saveRetryDelay = 60 * time.Millisecond
 )
 
+// Limits of writes. A transaction holds few records, so that one at a time does not
+// keep up while each takes long.
+const (
+	// maxCommits is the number of writes that may be in flight.
+	maxCommits = 4
+	// minExtraRecords is the number of records that are due from which on more than one
+	// is.
+	minExtraRecords = 5
+)
+
 // reservedEntries is the number of transaction entries that the caller of
 // Reduce adds: the condition that this process still holds the duty.
 const reservedEntries = 1
@@ -28,31 +38,49 @@
 	finalEntries    = 6
 )
 
-// saveRecords writes the unstored records, as many as fit into a transaction.
+// saveRecords writes the records that are due. Further transactions are sent while
+// the first is in flight only if there are many.
 func (sta *State) saveRecords() {
-	if sta.commit.inFlight || sta.now.Before(sta.commit.retryAt) {
-		return
+	due := sta.dueRecords()
+	for lane := range sta.commits {
+		if sta.commits[lane].inFlight || sta.now.Before(sta.commits[lane].retryAt) {
+			continue
+		}
+		if lane > 0 && len(due) < minExtraRecords {
+			return
+		}
+		due = sta.saveIn(lane, due)
 	}
+}
+
+// saveIn writes as many records as fit into a transaction, and returns the others.
+func (sta *State) saveIn(lane int, due []*liveJob) (left []*liveJob) {
 	var txn kv.Txn
 	var writes []jobWrite
-	for _, liv := range sta.dueRecords() {
+	for _, liv := range due {
 		need := progressEntries
 		if liv.final != "" {
 			need = finalEntries
 		}
 		if txn.Len()+need+reservedEntries > kv.MaxTxnEntries {
+			left = append(left, liv)
 			continue
 		}
 		if wri, ok := sta.addRecord(&txn, liv); ok {
+			liv.saving = true
 			writes = append(writes, wri)
 		}
 	}
-	purged := sta.purge(&txn)
+	purged := 0
+	if lane == 0 {
+		purged = sta.purge(&txn)
+	}
 	if len(writes) == 0 && purged == 0 {
-		return
+		return left
 	}
-	sta.commit = commit{inFlight: true, jobs: writes, purged: purged}
-	sta.emit(Commit{Txn: txn})
+	sta.commits[lane] = commit{inFlight: true, jobs: writes, purged: purged}
+	sta.emit(Commit{Txn: txn, Lane: lane})
+	return left
 }
 
 // addRecord adds a job's record to a transaction.
@@ -106,8 +134,12 @@
 
 // committed handles the answer to a write.
 func (sta *State) committed(evt Committed) {
-	writes, purged := sta.commit.jobs, sta.commit.purged
-	sta.commit = commit{}
+	com := &sta.commits[evt.Lane]
+	writes, purged := com.jobs, com.purged
+	*com = commit{}
+	for _, wri := range writes {
+		wri.liveJob.saving = false
+	}
 	var con *kv.ConflictError
 	switch {
 	case evt.Err == nil:
@@ -120,7 +152,7 @@
 			sta.recordConflicted(wri, con)
 		}
 	default:
-		sta.commit.retryAt = sta.now.Add(saveRetryDelay)
+		com.retryAt = sta.now.Add(saveRetryDelay)
 		sta.logDecision("write_failed", "", map[string]any{"jobs": len(writes), "error": evt.Err.Error()})
 		for _, wri := range writes {
 			sta.retryRecord(wri)
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -155,7 +155,10 @@
 	final job.State
 	// dirtySince is the time of the first change that is not stored; zero if
 	// everything is.
-	dirtySince  time.Time
+	dirtySince time.Time
+	// saving reports whether a write of the record is in flight. There is one at a
+	// time, as its condition is the revision of the last.
+	saving      bool
 	progressRev kv.Revision
 	// acks lists the ends to acknowledge once the job's next record is stored.
 	acks []ack
@@ -335,7 +338,7 @@
 	wavesPlannedAt time.Time
 	// hasStops reports whether a run may be being stopped.
 	hasStops   bool
-	commit     commit
+	commits    [maxCommits]commit
 	starts     startWindow
 	effort     Effort
 	jobsLoaded bool
@@ -410,7 +413,7 @@
 	since time.Time
 }
 
-// commit is the write to the store that is in flight.
+// commit is a write to the store that may be in flight.
 type commit struct {
 	inFlight bool
 	retryAt  time.Time
--- a/internal/core/scheduler/unstored_test.go
+++ b/internal/core/scheduler/unstored_test.go
@@ -49,7 +49,7 @@
 		reduce(running(oth, 1), list())
 		assert.Assert(t, !sta.hosts[one.ID].goingDown, "the end is not stored")
 	}
-	assert.Assert(t, sta.commit.inFlight)
+	assert.Assert(t, sta.commits[0].inFlight)
 	assert.Assert(t, sta.hosts[one.ID].cordoned, "no new tasks start on the machine")
 	reduce(Committed{Revision: 20}, running(oth, 1), list())
 	assert.Assert(t, sta.hosts[one.ID].ackableUpTo == 1)
--- a/internal/manager/effects.go
+++ b/internal/manager/effects.go
@@ -45,7 +45,7 @@
 	case scheduler.Commit:
 		go func() {
 			rev, err := dis.commit(ctx, eff.Txn)
-			dis.send(ctx, scheduler.Committed{Revision: rev, Err: err})
+			dis.send(ctx, scheduler.Committed{Revision: rev, Err: err, Lane: eff.Lane})
 		}()
 	case scheduler.QueryAdvisor:
 		go dis.queryAdvisor(ctx, eff)
