scheduler: VMs that have not answered count against caps after a takeover

Cause: only restored jobs waited until every VM had answered or the former leases had ended. Tasks of new jobs started before, and what a silent VM runs was not known.

Until then an account now counts, besides its known runs, the whole capacity of each VM that has not answered. A VM can hold no more, except for best-effort tasks, which reserve no CPU: those of restored jobs that no VM has reported count one by one. While no list of machines shows which VMs exist, accounts with a cap wait. Accounts without a cap go on as before, and those whose cap leaves room beside the silent VMs too. If all VMs have answered, or once the former leases have ended, nothing is added.

--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -41,6 +41,11 @@
 	return Size{siz.CPU * int64(n), siz.Memory * int64(n), siz.Accelerators * int64(n)}
 }
 
+// Max returns the greater of each component of siz and oth.
+func (siz Size) Max(oth Size) Size {
+	return Size{max(siz.CPU, oth.CPU), max(siz.Memory, oth.Memory), max(siz.Accelerators, oth.Accelerators)}
+}
+
 // Fits reports whether no component of siz exceeds that of limit.
 func (siz Size) Fits(limit Size) bool {
 	return siz.CPU <= limit.CPU && siz.Memory <= limit.Memory && siz.Accelerators <= limit.Accelerators
--- a/internal/core/scheduler/assign.go
+++ b/internal/core/scheduler/assign.go
@@ -76,10 +76,10 @@
 // queueStages collects the waiting stages.
 func (sta *State) queueStages() (que stageQueue) {
 	que.rooms = map[string]*poolRoom{}
-	formerRunsMayExist := sta.formerRunsMayExist()
+	sta.former = sta.boundFormerRuns()
 	sta.effort.Backlog = 0
 	for _, liv := range sta.jobList {
-		if liv.final != "" || liv.restored && formerRunsMayExist {
+		if liv.final != "" || liv.restored && sta.former.mayExist {
 			continue
 		}
 		for _, occ := range liv.occs {
@@ -262,13 +262,13 @@
 }
 
 // withinCap reports whether n more tasks of a stage fit under the cap of its
-// account.
+// account, whatever the VMs run that have not answered since the takeover.
 func (sta *State) withinCap(stg *stage, n int) bool {
 	acc := sta.catalog.Account(stg.liveJob.spec.Account)
 	if acc == nil {
 		return true
 	}
-	sum := sta.usage[acc.Name].Plus(stg.step.Size.Times(n))
+	sum := sta.usageLimit(acc.Name).Plus(stg.step.Size.Times(n))
 	return (acc.Cap.CPU == 0 || sum.CPU <= acc.Cap.CPU) &&
 		(acc.Cap.Memory == 0 || sum.Memory <= acc.Cap.Memory) &&
 		(acc.Cap.Accelerators == 0 || sum.Accelerators <= acc.Cap.Accelerators)
--- /dev/null
+++ b/internal/core/scheduler/former.go
@@ -0,0 +1,91 @@
+package scheduler
+
+import (
+	"math"
+
+	"github.com/balsamgauge/balsamgauge/internal/core/job"
+	"github.com/balsamgauge/balsamgauge/internal/core/worker"
+)
+
+// formerRuns bounds the runs that a former dispatcher started, that may still be
+// active and that no VM has reported to this one.
+type formerRuns struct {
+	// mayExist reports whether there may be any. The other fields are zero if not.
+	mayExist bool
+	// size is what the VMs hold that have not answered, apart from the CPU of
+	// best-effort tasks, which reserve none. It exceeds all caps until it is known
+	// which VMs exist.
+	size job.Size
+	// bestEffortCPU is, by client account, the CPU of the best-effort tasks of
+	// live jobs that may run on these VMs. Runs that outlast their job there are not
+	// counted, as their size is unknown.
+	bestEffortCPU map[string]int64
+}
+
+// unknownSize exceeds every cap, also added to others.
+var unknownSize = job.Size{CPU: math.MaxInt64 / 2, Memory: math.MaxInt64 / 2, Accelerators: math.MaxInt64 / 2}
+
+// boundFormerRuns returns the bounds of the runs that a former dispatcher started
+// and that no VM has reported.
+func (sta *State) boundFormerRuns() (frm formerRuns) {
+	if !sta.formerLeasesMayHold() {
+		return formerRuns{}
+	}
+	if sta.machines.asOf.Before(sta.opt.Since) {
+		return formerRuns{mayExist: true, size: unknownSize}
+	}
+	for _, mac := range sta.machines.byName {
+		if mac.VM == "" || mac.State != worker.MachineUp {
+			continue
+		}
+		hos := sta.hosts[mac.VM]
+		switch {
+		case hos == nil:
+			frm.add(mac.Capacity)
+		case !hos.termAccepted:
+			frm.add(mac.Capacity.Max(hos.vm.Capacity))
+		}
+	}
+	for _, hos := range sta.hostList {
+		if mac, ok := sta.machines.byName[sta.machines.byVM[hos.vm.ID]]; !hos.termAccepted && (!ok || mac.State != worker.MachineUp) {
+			frm.add(hos.vm.Capacity)
+		}
+	}
+	if frm.mayExist {
+		frm.bestEffortCPU = sta.unplacedBestEffortCPU()
+	}
+	return frm
+}
+
+// add adds a VM that has not answered.
+func (frm *formerRuns) add(capacity job.Size) {
+	frm.mayExist = true
+	frm.size = frm.size.Plus(capacity)
+}
+
+// unplacedBestEffortCPU returns, by client account, the CPU of the best-effort
+// tasks that a former dispatcher may have started and that no VM has reported.
+func (sta *State) unplacedBestEffortCPU() map[string]int64 {
+	sums := map[string]int64{}
+	for _, liv := range sta.jobList {
+		if !liv.restored {
+			continue
+		}
+		for _, occ := range liv.occs {
+			for i := range occ.stages {
+				if stg := &occ.stages[i]; stg.step.BestEffort {
+					sums[liv.spec.Account] += stg.step.Size.Times(stg.waiting).CPU
+				}
+			}
+		}
+	}
+	return sums
+}
+
+// usageLimit returns an upper limit of the size of an account's runs that may be
+// active.
+func (sta *State) usageLimit(account string) job.Size {
+	limit := sta.usage[account].Plus(sta.former.size)
+	limit.CPU += sta.former.bestEffortCPU[account]
+	return limit
+}
--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -409,28 +409,3 @@
 		}
 	}
 }
-
-// formerRunsMayExist reports whether a VM may still run tasks that a former
-// dispatcher started and that it has not reported.
-func (sta *State) formerRunsMayExist() bool {
-	if !sta.formerLeasesMayHold() {
-		return false
-	}
-	if sta.machines.asOf.Before(sta.opt.Since) {
-		return true
-	}
-	for _, mac := range sta.machines.byName {
-		if mac.VM == "" || mac.State != worker.MachineUp {
-			continue
-		}
-		if hos := sta.hosts[mac.VM]; hos == nil || !hos.termAccepted {
-			return true
-		}
-	}
-	for _, hos := range sta.hostList {
-		if !hos.termAccepted {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -329,8 +329,10 @@
 	// allowances holds the leaky buckets that meter the accounts' new jobs.
 	usage      map[string]job.Size
 	allowances map[string]allowance.Bucket
-	machines   machines
-	waves      map[int64]*wave
+	// former bounds the unreported runs of a former dispatcher, in a call of Reduce.
+	former   formerRuns
+	machines machines
+	waves    map[int64]*wave
 	// wavesPlannedAt is when the upkeep of waves was last planned.
 	wavesPlannedAt time.Time
 	// hasStops reports whether a run may be being stopped.
