scheduler: runs that outlast their job count against caps after a takeover

A new dispatcher adopts the runs of a job that is gone, for example cancelled just before the takeover, and stops them.

While former leases may hold, the part of such a VM's capacity that is not known to be used counts against every cap, as that of a VM that has not answered. Best-effort tasks of jobs that are gone are still not counted, beyond that part.

--- a/internal/core/scheduler/former.go
+++ b/internal/core/scheduler/former.go
@@ -8,16 +8,18 @@
 )
 
 // formerRuns bounds the runs that a former dispatcher started, that may still be
-// active and that no VM has reported to this one.
+// active and that count against no account: no VM has reported them to this
+// dispatcher, or their job is gone.
 type formerRuns struct {
-	// mayExist reports whether there may be any. The other fields are zero if not.
+	// mayExist reports whether there may be runs that no VM has reported.
 	mayExist bool
-	// size is what the VMs hold that have not answered, apart from the CPU of
+	// size is what the VMs hold that have not answered, and what those can hold
+	// besides the known runs that run tasks of unknown jobs, apart from the CPU of
 	// best-effort tasks, which reserve none. It exceeds all caps until it is known
 	// which VMs exist.
 	size job.Size
 	// bestEffortCPU is, by client account, the CPU of the best-effort tasks of
-	// live jobs that may run on these VMs. Runs that outlast their job there are not
+	// live jobs that may run on these VMs. Those that outlast their job are not
 	// counted, as their size is unknown.
 	bestEffortCPU map[string]int64
 }
@@ -26,7 +28,7 @@
 var unknownSize = job.Size{CPU: math.MaxInt64 / 2, Memory: math.MaxInt64 / 2, Accelerators: math.MaxInt64 / 2}
 
 // boundFormerRuns returns the bounds of the runs that a former dispatcher started
-// and that no VM has reported.
+// and that count against no account.
 func (sta *State) boundFormerRuns() (frm formerRuns) {
 	if !sta.formerLeasesMayHold() {
 		return formerRuns{}
@@ -47,6 +49,9 @@
 		}
 	}
 	for _, hos := range sta.hostList {
+		if hos.termAccepted && hos.hasOrphanRuns() {
+			frm.size = frm.size.Plus(hos.vm.Capacity.Minus(hos.used).Max(job.Size{}))
+		}
 		if mac, ok := sta.machines.byName[sta.machines.byVM[hos.vm.ID]]; !hos.termAccepted && (!ok || mac.State != worker.MachineUp) {
 			frm.add(hos.vm.Capacity)
 		}
