--- a/internal/core/scheduler/crashes.go
+++ b/internal/core/scheduler/crashes.go
@@ -23,9 +23,6 @@
 	startupTime = 5 * time.Second
 	// maxKeptFree is the part of a pool's VMs that may be kept free for suspects.
 	maxKeptFree = 0.25
-	// maxIsolated is the part of a pool's VMs on which suspects may run. The others
-	// are left to the tasks that may not run beside them.
-	maxIsolated = 0.5
 )
 
 // isSuspect reports whether the task may be what crashes its VMs.
@@ -112,7 +109,9 @@
 	return hos.suspects > 0 || suspect && hos.finite > 0 || !suspect && hos.keptFree
 }
 
-// admitsSuspect reports whether a suspect may start on one more VM of the pool.
+// admitsSuspect reports whether a suspect may start on one more VM of the pool. One
+// VM is left to the tasks that may not run beside suspects; if it were more, many
+// suspects would wait for each other.
 func (rom *poolRoom) admitsSuspect() bool {
 	isolated := 0
 	for _, hos := range rom.hosts {
@@ -120,7 +119,7 @@
 			isolated++
 		}
 	}
-	return isolated < max(1, int(maxIsolated*float64(len(rom.hosts))))
+	return isolated < max(1, len(rom.hosts)-1)
 }
 
 // setSuspect records whether a run on the host is a suspect's.
--- a/internal/core/scheduler/outage_test.go
+++ b/internal/core/scheduler/outage_test.go
@@ -255,3 +255,19 @@
 	fix.run(3 * time.Second)
 	assert.Assert(t, fix.sta.jobs[serving.ID].begun)
 }
+
+// TestSuspectsUseFreeVMs guards against an accepted job that is lost as its tasks
+// wait for other suspects beside free VMs.
+func TestSuspectsUseFreeVMs(t *testing.T) {
+	fix := newOutageFixture(8)
+	spe := job.Spec{ID: jobName(1), Queue: "gate", Account: "large", Payload: "x", Accepted: fix.now, Steps: []job.Step{
+		{Count: 7, Size: job.Size{CPU: 2000, Memory: 2400}, Estimate: 20 * time.Second},
+	}}
+	var progress job.Progress
+	for i := range spe.Steps[0].Count {
+		progress.Tasks = append(progress.Tasks, job.TaskRecord{Index: i, Crashes: suspectCrashes, Run: 2})
+	}
+	fix.reduce(JobAccepted{Spec: spe, Revision: 11, Progress: progress})
+	fix.run(time.Second)
+	assert.Equal(t, len(fix.starts), 7)
+}
