--- a/internal/core/scheduler/assign.go
+++ b/internal/core/scheduler/assign.go
@@ -244,7 +244,7 @@
 		if sta.starts.full() || !sta.withinCap(stg, 1) || !room.mayFit(stg.step.Reservation()) {
 			return
 		}
-		if tas.isSuspect() && !room.admitsSuspect() {
+		if tas.isSuspect() && room.leftForSuspects() <= 0 {
 			continue
 		}
 		if hos == nil || !stg.packs() || !sta.accepts(hos, stg, i, 0) {
--- a/internal/core/scheduler/crashes.go
+++ b/internal/core/scheduler/crashes.go
@@ -109,17 +109,17 @@
 	return hos.suspects > 0 || suspect && hos.finite > 0 || !suspect && hos.keptFree
 }
 
-// admitsSuspect reports whether a suspect may start on one more VM of the pool. One
-// VM is left to the tasks that may not run beside suspects; if it were more, many
-// suspects would wait for each other.
-func (rom *poolRoom) admitsSuspect() bool {
-	isolated := 0
+// leftForSuspects returns the number of further VMs of the pool on which suspects
+// may start. One VM is left to the tasks that may not run beside suspects; if it were
+// more, many suspects would wait for each other.
+func (rom *poolRoom) leftForSuspects() int {
+	left := max(1, len(rom.hosts)-1)
 	for _, hos := range rom.hosts {
 		if hos.suspects > 0 {
-			isolated++
+			left--
 		}
 	}
-	return isolated < max(1, len(rom.hosts)-1)
+	return left
 }
 
 // setSuspect records whether a run on the host is a suspect's.
@@ -158,10 +158,10 @@
 	for pool, stages := range suspects {
 		free := slices.DeleteFunc(slices.Clone(pool.hosts), func(hos *host) bool { return hos.isolates(false) })
 		slices.SortStableFunc(free, func(one, oth *host) int { return cmp.Compare(len(one.runs), len(oth.runs)) })
-		left := max(1, int(maxKeptFree*float64(len(pool.hosts))))
+		left := min(max(1, int(maxKeptFree*float64(len(pool.hosts)))), pool.leftForSuspects())
 		for _, stg := range stages {
 			i := slices.IndexFunc(free, func(hos *host) bool { return !hos.keptFree && hos.suits(stg) })
-			if i < 0 || left == 0 {
+			if i < 0 || left <= 0 {
 				continue
 			}
 			free[i].keptFree = true
