--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -53,7 +53,6 @@
 	nodes     []*node
 	cloud     *cloud
 	late      *lateWrite
-	store     string
 	advisor   string
 	dir       string
 	// version is that of the configuration.
