--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -40,6 +40,10 @@
 	born    time.Time
 	server  *http.Server
 	conns   map[net.Conn]bool
+	// wire is nil if the executor is reached at its own address.
+	wire *wire
+	// keepID is set if the next life has the id of the last.
+	keepID bool
 	// cut is set while no process of the system can reach the executor.
 	cut      bool
 	token    int64
@@ -86,7 +90,10 @@
 	exe.mu.Lock()
 	defer exe.mu.Unlock()
 	exe.lives++
-	exe.id, exe.address, exe.service = fmt.Sprintf("e%d-%d", exe.index, exe.lives), lis.Addr().String(), service
+	if !exe.keepID {
+		exe.id = fmt.Sprintf("e%d-%d", exe.index, exe.lives)
+	}
+	exe.address, exe.service = lis.Addr().String(), service
 	exe.born, exe.state, exe.token, exe.deadline, exe.lastEnd = time.Now(), "up", 0, 0, 0
 	exe.runs, exe.ended, exe.ends, exe.changed = map[string]*run{}, map[string]int{}, nil, make(chan struct{})
 	life := exe.lives
@@ -172,13 +179,15 @@
 		exe.mu.Lock()
 		living := exe.lives == life && exe.state == "up"
 		entry := map[string]any{
-			"service": exe.service, "address": exe.address, "zone": exe.zone(), "version": "v1", "slots": 8, "state": "ready",
+			"service": exe.service, "address": exe.registered(), "zone": exe.zone(), "version": "v1", "slots": 8, "state": "ready",
 			"cold-remaining-ms": 0, "sequence": sequence, "born": exe.born.UnixMilli(), "labels": exe.labels(), "capacity": capacity(),
 		}
 		exe.mu.Unlock()
 		if !living {
 			time.Sleep(2 * heartbeat)
-			exe.wld.sit.Store.Delete("servers/" + id)
+			if exe.wld.living(id) == nil {
+				exe.wld.sit.Store.Delete("servers/" + id)
+			}
 			return
 		}
 		exe.wld.sit.Store.Put("servers/"+id, entry)
@@ -186,6 +195,14 @@
 	}
 }
 
+// registered returns the address in the registration. The lock must be held.
+func (exe *executor) registered() string {
+	if exe.wire != nil {
+		return exe.wire.address
+	}
+	return exe.address
+}
+
 func (exe *executor) zone() string { return fmt.Sprintf("az%d", exe.index%2) }
 
 func (exe *executor) labels() []string { return []string{"a", fmt.Sprintf("r%d", exe.index/4+1)} }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -32,6 +32,7 @@
 	"stale":   {staleSetup, playStale},
 	"pending": {pendingSetup, playPending},
 	"one":     {oneSetup, playOne},
+	"reborn":  {rebornSetup, playReborn},
 	"avail":   {givenUpSetup, playGivenUp},
 }
 
--- a/review/standin/plays.go
+++ b/review/standin/plays.go
@@ -378,3 +378,43 @@
 	defer wld.cloud.mu.Unlock()
 	return wld.cloud.stale, nil
 }
+
+// rebornSetup has executors that are reached over a wire.
+var rebornSetup = options{nodes: 3, executors: 4, rate: 1, wires: true}
+
+// Times of playReborn.
+const (
+	// startDelay is how long the start is on its way; it gets no answer. The site file
+	// has 2 to 12 s.
+	startDelay = 2 * time.Second
+	// restartTime is how long the executor is down.
+	restartTime = 200 * time.Millisecond
+)
+
+// playReborn lets an executor crash and start again under its id while a start for it
+// is on its way.
+func playReborn(wld *world) (broken []string, err error) {
+	const id = "00000000000000e9"
+	time.Sleep(3 * time.Second)
+	exe := wld.executors[0]
+	held := make(<-chan struct{})
+	if wld.trouble {
+		held = exe.wire.delay(id, startDelay)
+	}
+	if err = wld.submit("jobs", id, step{count: 1, cpu: 16000, time: 4 * time.Second}); err != nil {
+		return nil, err
+	}
+	if wld.trouble {
+		select {
+		case <-held:
+		case <-time.After(10 * time.Second):
+			return nil, errors.New("the start goes to another executor")
+		}
+		exe.mu.Lock()
+		exe.keepID = true
+		exe.mu.Unlock()
+		exe.die("down", "", restartTime)
+	}
+	time.Sleep(10 * time.Second)
+	return overlaps(wld.startsOf(id)), nil
+}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -27,6 +27,8 @@
 	rate float64
 	// advice is set if the queue "ask" needs advice.
 	advice bool
+	// wires is set if the executors are reached over a wire.
+	wires bool
 	// attempts is the number of failed runs after which a task fails.
 	attempts int
 }
@@ -104,6 +106,12 @@
 	for i := range wld.setup.executors {
 		exe := &executor{wld: wld, index: i, rate: wld.setup.rate}
 		wld.executors = append(wld.executors, exe)
+		if wld.setup.wires {
+			exe.wire = &wire{exe: exe}
+			if exe.wire.address, err = listen(exe.wire); err != nil {
+				return err
+			}
+		}
 		if err = exe.live("lots"); err != nil {
 			return err
 		}
