--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -143,7 +143,15 @@
 func (exe *executor) resetConnections() {
 	exe.mu.Lock()
 	defer exe.mu.Unlock()
-	exe.wld.rec.note("%d connections of executor %s are reset", len(exe.conns), exe.id)
+	all := len(exe.conns)
+	for _, oth := range exe.wld.executors {
+		if oth != exe {
+			oth.mu.Lock()
+			all += len(oth.conns)
+			oth.mu.Unlock()
+		}
+	}
+	exe.wld.rec.note("%d connections of executor %s are reset, of %d between the dispatcher and all executors", len(exe.conns), exe.id, all)
 	for con := range exe.conns {
 		if tcp, ok := con.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0)
--- a/review/standin/plays.go
+++ b/review/standin/plays.go
@@ -379,16 +379,22 @@
 	return wld.cloud.stale, nil
 }
 
-// rebornSetup has executors that are reached over a wire.
-var rebornSetup = options{nodes: 3, executors: 4, rate: 1, wires: true}
+// rebornSetup has executors that are reached over a wire. One of eight is 0.125 of them,
+// below the site file's 0.14.
+var rebornSetup = options{nodes: 3, executors: 8, rate: 1, wires: true}
 
-// Times of playReborn.
+// Times and sizes of playReborn.
 const (
 	// startDelay is how long the start is on its way; it gets no answer. The site file
 	// has 2 to 12 s.
 	startDelay = 2 * time.Second
 	// restartTime is how long the executor is down.
 	restartTime = 200 * time.Millisecond
+	// otherJobs come beside, one each otherPause, so that the late start is one of many
+	// orders: the site file has a share of 0.06.
+	otherJobs  = 12
+	otherPause = 400 * time.Millisecond
+	lateShare  = 0.06
 )
 
 // playReborn lets an executor crash and start again under its id while a start for it
@@ -396,25 +402,38 @@
 func playReborn(wld *world) (broken []string, err error) {
 	const id = "00000000000000e9"
 	time.Sleep(3 * time.Second)
-	exe := wld.executors[0]
-	held := make(<-chan struct{})
+	go func() {
+		for i := range otherJobs {
+			if err := wld.submit("jobs", fmt.Sprintf("00000000000001%02d", i), step{count: 6, cpu: 1000, time: 300 * time.Millisecond}); err != nil {
+				wld.rec.note("%v", err)
+			}
+			time.Sleep(otherPause)
+		}
+	}()
+	time.Sleep(time.Second)
 	if wld.trouble {
-		held = exe.wire.delay(id, startDelay)
+		wld.lateStart.delay(id, startDelay)
 	}
 	if err = wld.submit("jobs", id, step{count: 1, cpu: 16000, time: 4 * time.Second}); err != nil {
 		return nil, err
 	}
 	if wld.trouble {
 		select {
-		case <-held:
+		case exe := <-wld.lateStart.taken:
+			exe.mu.Lock()
+			exe.keepID = true
+			exe.mu.Unlock()
+			exe.die("down", "", restartTime)
 		case <-time.After(10 * time.Second):
-			return nil, errors.New("the start goes to another executor")
+			return nil, errors.New("no start was sent")
 		}
-		exe.mu.Lock()
-		exe.keepID = true
-		exe.mu.Unlock()
-		exe.die("down", "", restartTime)
 	}
 	time.Sleep(10 * time.Second)
+	if orders := wld.lateStart.count(); wld.trouble {
+		wld.rec.note("1 of %d orders to executors in %v was late", orders, lateWindow)
+		if lateShare*float64(orders) < 1 {
+			return nil, fmt.Errorf("1 of %d orders was late, more than a share of %g", orders, lateShare)
+		}
+	}
 	return overlaps(wld.startsOf(id)), nil
 }
--- a/review/standin/wire.go
+++ b/review/standin/wire.go
@@ -10,38 +10,57 @@
 	"time"
 )
 
-// wire is the way to one executor. On demand it delivers one start late. The executor
-// is registered under its address, over all lives.
+// wire is the way to one executor. The executor is registered under its address, over
+// all lives.
 type wire struct {
 	exe     *executor
 	address string
+}
 
+// lateStart is a start that is delivered late, on any wire.
+type lateStart struct {
 	mu sync.Mutex
-	// hold is how long the next start of a job is on its way; held is closed when
-	// there is one.
-	hold time.Duration
+	// job is that of the start; empty if there is none to delay.
 	job  string
-	held chan struct{}
+	hold time.Duration
+	// taken gets the executor for which the start is.
+	taken chan *executor
+	// since is when the delay was asked for, and orders counts the orders from then on.
+	since  time.Time
+	orders int
 }
 
 // delay makes the next start of a job late.
-func (wir *wire) delay(job string, hold time.Duration) (held <-chan struct{}) {
-	wir.mu.Lock()
-	defer wir.mu.Unlock()
-	wir.job, wir.hold, wir.held = job, hold, make(chan struct{})
-	return wir.held
+func (lat *lateStart) delay(job string, hold time.Duration) {
+	lat.mu.Lock()
+	defer lat.mu.Unlock()
+	lat.job, lat.hold, lat.since, lat.orders = job, hold, time.Now(), 0
 }
 
-// takeHold returns how long an order is on its way.
-func (wir *wire) takeHold(path string, raw []byte) (hold time.Duration) {
-	wir.mu.Lock()
-	defer wir.mu.Unlock()
-	if wir.job == "" || path != "/run-start" || !strings.Contains(string(raw), wir.job) {
+// lateWindow is the time in which orders are counted, that of the site file's
+// applied_late.
+const lateWindow = 5200 * time.Millisecond
+
+// take counts an order and returns how long it is on its way.
+func (lat *lateStart) take(exe *executor, path string, raw []byte) (hold time.Duration) {
+	lat.mu.Lock()
+	defer lat.mu.Unlock()
+	if time.Since(lat.since) < lateWindow {
+		lat.orders++
+	}
+	if lat.job == "" || path != "/run-start" || !strings.Contains(string(raw), lat.job) {
 		return 0
 	}
-	wir.job = ""
-	close(wir.held)
-	return wir.hold
+	lat.job = ""
+	lat.taken <- exe
+	return lat.hold
+}
+
+// count returns the number of orders in the window.
+func (lat *lateStart) count() int {
+	lat.mu.Lock()
+	defer lat.mu.Unlock()
+	return lat.orders
 }
 
 // ServeHTTP passes an order on to the life that is there when it arrives.
@@ -51,7 +70,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	ctx := req.Context()
-	hold := wir.takeHold(req.URL.Path, raw)
+	hold := wir.exe.wld.lateStart.take(wir.exe, req.URL.Path, raw)
 	if hold > 0 {
 		wir.exe.wld.rec.note("a start for machine %s is on its way for %v: %s", wir.exe.machine(), hold, raw)
 		time.Sleep(hold)
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -55,6 +55,7 @@
 	nodes     []*node
 	cloud     *cloud
 	late      *lateWrite
+	lateStart *lateStart
 	advisor   string
 	dir       string
 	// version is that of the configuration.
@@ -102,6 +103,7 @@
 		return err
 	}
 	wld.late = &lateWrite{done: make(chan struct{})}
+	wld.lateStart = &lateStart{taken: make(chan *executor, 1)}
 	wld.configure(true)
 	for i := range wld.setup.executors {
 		exe := &executor{wld: wld, index: i, rate: wld.setup.rate}
