scheduler: a list of machines says nothing about VMs first seen after its request

Cause: the list of machines that was on its way had been read before the VM started. applyListing took the VM for gone and released its runs without waiting for their leases. Two of the three uses of a list of machines left out VMs that the list can't show; the removal after a failed poll didn't.

Change: machinesListed itself leaves out each VM first seen after the list was requested, so that no use of the list can forget to. The checks of each use go.

Why it works: a list requested after the VM's registration was received is read after the VM started, so a VM that it doesn't show has ended.

--- a/internal/core/scheduler/outage_test.go
+++ b/internal/core/scheduler/outage_test.go
@@ -40,6 +40,13 @@
 	return fix
 }
 
+// add registers a further VM.
+func (fix *outageFixture) add(id string) {
+	vm := testVM(id)
+	fix.vms = append(fix.vms, vm)
+	fix.reduce(VMRegistered{vm})
+}
+
 // reduce passes events 50 ms later, and then the answers of the VMs and of the
 // platform: VMs that are up carry out each order, the others stay silent.
 func (fix *outageFixture) reduce(events ...Event) {
--- a/internal/core/scheduler/waves.go
+++ b/internal/core/scheduler/waves.go
@@ -353,9 +353,14 @@
 		}
 	}
 	sta.machineNames = slices.Sorted(maps.Keys(sta.machines.byName))
+	var covered []*host
 	for _, hos := range sta.hostList {
+		if !hos.coveredBy(evt.RequestedAt) {
+			continue
+		}
+		covered = append(covered, hos)
 		name, ok := sta.machines.byVM[hos.vm.ID]
-		hos.listedGone = (!ok || sta.machines.byName[name].State == worker.MachineDown) && !evt.RequestedAt.Before(hos.firstSeen)
+		hos.listedGone = !ok || sta.machines.byName[name].State == worker.MachineDown
 		if hos.listedGone {
 			hos.nextPoll = sta.now
 		}
@@ -365,15 +370,20 @@
 		sta.noticeOrder(hos, sta.machines.byName[name], evt.RequestedAt)
 	}
 	sta.detectOutages()
-	for _, hos := range slices.Clone(sta.hostList) {
+	for _, hos := range covered {
 		sta.applyListing(hos, evt.RequestedAt)
 	}
 }
 
+// coveredBy reports whether a list of machines that was requested at a given time
+// shows the VM's state. An earlier one may have been read before the VM started, and
+// then shows the machine as it was before.
+func (hos *host) coveredBy(requestedAt time.Time) bool { return !requestedAt.Before(hos.firstSeen) }
+
 // noticeOrder records that a host's machine goes down by an order, of a former
 // dispatcher or without a valid answer, as its listing shows.
 func (sta *State) noticeOrder(hos *host, mac worker.Machine, requestedAt time.Time) {
-	if hos.goingDown || requestedAt.Before(hos.firstSeen) || mac.State != worker.MachineMoving && mac.State != worker.MachineUpkeep {
+	if hos.goingDown || mac.State != worker.MachineMoving && mac.State != worker.MachineUpkeep {
 		return
 	}
 	sta.logDecision("order_noticed", "", map[string]any{"machine": mac.Name, "vm": hos.vm.ID, "state": mac.State})
@@ -381,8 +391,8 @@
 	sta.machines.refreshDue = true
 }
 
-// applyListing updates a host from a list of machines that was requested at a
-// given time.
+// applyListing updates a host from a list of machines that covers it and was
+// requested at a given time.
 func (sta *State) applyListing(hos *host, requestedAt time.Time) {
 	name, ok := sta.machines.byVM[hos.vm.ID]
 	mac := sta.machines.byName[name]
@@ -397,7 +407,7 @@
 		}
 	case ordered:
 		sta.removeHost(hos, "the machine went down as ordered")
-	case (!ok || mac.State != worker.MachineUp) && !hos.termAccepted && !requestedAt.Before(hos.firstSeen):
+	case (!ok || mac.State != worker.MachineUp) && !hos.termAccepted:
 		// Registrations outlast a VM by some seconds.
 		sta.removeHost(hos, "no listed machine runs this VM")
 	case hos.failedPolls > 0 && (!ok || mac.State == worker.MachineDown):
