vmclock: a lease by an old reading of a VM's clock lasts no longer than others

Cause: idle VMs aren't polled, and the deadline of a start was the last reading of the VM's clock plus the time since on the dispatcher's clock plus the lease. A clock that is 2% slow shows 1.4 s less after 70 s, and the lease is longer by that. The time after which the runs count as over allowed for the slow clock only during the lease itself.

Change: package vmclock counts a deadline from the least that the clock can show, so that no lease outlasts LongestLease, however old the reading is. All deadlines, of starts and polls, come from it. As such a lease is up to 2.9% of the reading's age too short, idle VMs are polled before their reading is 20 s old.

Why it works: the VM's clock has advanced by at least the time since the reading was received, divided by the drift; the rest of the deadline is the lease itself, whose real length has the bound that a takeover and expireLeases wait for.

--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -7,17 +7,12 @@
 
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
 	"github.com/balsamgauge/balsamgauge/internal/core/pace"
+	"github.com/balsamgauge/balsamgauge/internal/core/vmclock"
 	"github.com/balsamgauge/balsamgauge/internal/core/worker"
 )
 
 // Parameters of polls and leases.
 const (
-	// clockDriftFactor is an upper limit for the real time that passes in one unit
-	// of time on a VM's clock, which may be 2% slow.
-	clockDriftFactor = 1.03
-	// leaseExpirySlack is the delay with which a VM notices that a lease has
-	// expired.
-	leaseExpirySlack = 100 * time.Millisecond
 	// pollWait is how long a VM with active runs waits for an end before it
 	// answers a poll.
 	pollWait = 800 * time.Millisecond
@@ -83,7 +78,7 @@
 // maxLeaseTime returns the longest real time from the extension of a lease to
 // its end, on the slowest clock.
 func (sta *State) maxLeaseTime() time.Duration {
-	return time.Duration(float64(sta.opt.Lease)*clockDriftFactor) + leaseExpirySlack
+	return vmclock.LongestLease(sta.opt.Lease)
 }
 
 // formerLeasesMayHold reports whether leases granted by a former dispatcher
@@ -170,11 +165,11 @@
 	if end := sta.now.Add(sta.maxLeaseTime()); end.After(hos.leaseExpiry) {
 		hos.leaseExpiry = end
 	}
-	return hos.clock + sta.now.Sub(hos.clockAt) + sta.opt.Lease
+	return hos.clock.Deadline(sta.now, sta.opt.Lease)
 }
 
-// pollHosts polls the VMs that are due. Idle VMs are not polled, except to
-// acknowledge their last ends.
+// pollHosts polls the VMs that are due. Idle VMs are only polled to acknowledge
+// their last ends, and to read their clocks before the last readings are too old.
 //
 // No VM is polled before all jobs are loaded: the runs of jobs not yet loaded
 // would be stopped.
@@ -187,7 +182,7 @@
 			continue
 		}
 		idle := hos.termAccepted && hos.failedPolls == 0 && !hos.listedGone && len(hos.runs) == 0 && !hos.reportDue
-		if idle && (!hos.ackDue || sta.now.Sub(hos.lastPoll) < idleAckDelay) {
+		if idle && !hos.clock.IsOld(sta.now) && (!hos.ackDue || sta.now.Sub(hos.lastPoll) < idleAckDelay) {
 			continue
 		}
 		sta.sendPoll(hos)
@@ -268,7 +263,7 @@
 	}
 	hos.failedPolls = 0
 	hos.termAccepted, hos.listedGone = true, false
-	hos.clock, hos.clockAt = evt.Report.Clock, sta.now
+	hos.clock = vmclock.NewReading(evt.Report.Clock, sta.now)
 	if len(evt.Report.Ends) > 0 {
 		hos.markAcknowledgedBefore(evt.Report.Ends[0].Number)
 	}
--- a/internal/core/scheduler/outage.go
+++ b/internal/core/scheduler/outage.go
@@ -64,7 +64,7 @@
 		return hos.termAccepted && hos.failedPolls == 0
 	}
 	for _, pla := range hos.runList {
-		if pla.stage == nil || !pla.stage.step.LongRunning || pla.state != runRunning || hos.clockAt.Sub(pla.since) <= startupTime {
+		if pla.stage == nil || !pla.stage.step.LongRunning || pla.state != runRunning || hos.clock.ReceivedAt().Sub(pla.since) <= startupTime {
 			return false
 		}
 	}
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -9,6 +9,7 @@
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
 	"github.com/balsamgauge/balsamgauge/internal/core/pace"
 	"github.com/balsamgauge/balsamgauge/internal/core/upkeep"
+	"github.com/balsamgauge/balsamgauge/internal/core/vmclock"
 	"github.com/balsamgauge/balsamgauge/internal/core/worker"
 	"github.com/balsamgauge/balsamgauge/internal/kv"
 )
@@ -239,10 +240,9 @@
 	// termAccepted reports whether the VM has answered a poll of this term, and so
 	// refuses the orders of former dispatchers.
 	termAccepted bool
-	// clock is the VM's clock at the time clockAt.
-	clock   time.Duration
-	clockAt time.Time
-	runs    map[job.Task]*placement
+	// clock is the VM's clock as of its last report.
+	clock vmclock.Reading
+	runs  map[job.Task]*placement
 	// runList holds the runs in the order in which they were recorded.
 	runList []*placement
 	used    job.Size
