platform: an order for a machine leaves the process only while the duty is held

Cause: machineOrder checked that the duty is held and then called the client, where the order waited for one of four connections, for up to 2 s. With answers of 200 ms and 48 orders they went out until 1.5 s after the lease had ended. The next dispatcher waits 0.6 s for orders in transit.

Change: the check is part of the call. The body of an order asks for a permit when the transport has a connection and reads the body to write it, after all waiting and dialing. An order without a permit isn't sent and counts as refused. Besides, what is sent must arrive in the time that the next dispatcher waits: connections to the machines API are given up once sent bytes are unacknowledged for MaxOrderTransit (500 ms), where they were kept for 1.5 s.

Why it works: nothing lies between the check and the write to the socket but the transport's own goroutine; what the network holds up after it ends before the next dispatcher may order.

--- a/internal/core/scheduler/waves.go
+++ b/internal/core/scheduler/waves.go
@@ -109,11 +109,15 @@
 	}
 }
 
+// MaxOrderTransit is how long a machine order may take from when it is sent to its
+// arrival, or else never arrives.
+const MaxOrderTransit = 500 * time.Millisecond
+
 // machineOrderDelay is how long after the start of its tenure a dispatcher
 // gives no machine orders. The former dispatcher stopped sending them before
 // its lease ended, but some may still be in transit, and machines do not check
 // terms.
-const machineOrderDelay = 600 * time.Millisecond
+const machineOrderDelay = MaxOrderTransit + 100*time.Millisecond
 
 // mayOrderMachines reports whether machine orders may be given. After a
 // takeover they wait for a list of machines that shows the last orders of the
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -96,6 +96,9 @@
 	cancel context.CancelFunc
 }
 
+// NewTenure returns a tenure that has just begun.
+func NewTenure(ten duty.Tenure) *Tenure { return &Tenure{ten: ten} }
+
 // End ends the tenure: it stops the dispatcher and the renewal of the lease,
 // which is then revoked. The dispatcher calls it when another process holds the
 // duty, or to give the duty up.
@@ -222,7 +225,7 @@
 		}
 		return nil, err
 	}
-	return &Tenure{ten: duty.NewTenure(hol, lea, rev, sent, ele.opt.Now())}, nil
+	return NewTenure(duty.NewTenure(hol, lea, rev, sent, ele.opt.Now())), nil
 }
 
 // readDuty reads the item with the latest term, and whether a process holds the
--- a/internal/manager/effects.go
+++ b/internal/manager/effects.go
@@ -159,20 +159,27 @@
 
 // machineOrder sends an order for a machine. Unlike a VM, the machines API
 // doesn't reject an order with an old term, so the duty must be guaranteed to
-// be held when the order is sent.
+// be held when the order leaves the process. Until then it may wait for a
+// connection behind others.
 func (dis *dispatcher) machineOrder(ctx context.Context, machine string, wave int64, order func(context.Context, platform.OrderIssuer) (worker.MachineResult, error)) {
 	callCtx, cancel := context.WithTimeout(ctx, machinesTimeout)
 	defer cancel()
-	res, err := worker.MachineRefused, errNotHeld
-	if cur := dis.ten.Current(); cur.Holds(dis.nod.now()) {
-		res, err = order(callCtx, platform.OrderIssuer{Holder: cur.Holder.Name, Term: cur.Holder.Term})
-	}
+	hol := dis.ten.Current().Holder
+	res, err := order(callCtx, platform.OrderIssuer{Holder: hol.Name, Term: hol.Term, Permit: dis.checkHeld})
 	if err != nil {
 		dis.nod.log.Event("machine_order_failed", decisionlog.Fields{"machine": machine, "wave": wave, "error": err.Error()})
 	}
 	dis.send(ctx, scheduler.MachineAnswered{Machine: machine, Wave: wave, Result: res})
 }
 
+// checkHeld fails unless the duty is guaranteed to be held.
+func (dis *dispatcher) checkHeld() error {
+	if !dis.ten.Holds(dis.nod.now()) {
+		return errNotHeld
+	}
+	return nil
+}
+
 // wavePrefix is the prefix of the keys that hold, for each wave, the names of
 // the machines whose upkeep has begun.
 const wavePrefix = "upkeep/"
--- a/internal/manager/node.go
+++ b/internal/manager/node.go
@@ -16,6 +16,7 @@
 	"github.com/balsamgauge/balsamgauge/internal/clock"
 	"github.com/balsamgauge/balsamgauge/internal/core/duty"
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
+	"github.com/balsamgauge/balsamgauge/internal/core/scheduler"
 	"github.com/balsamgauge/balsamgauge/internal/decisionlog"
 	"github.com/balsamgauge/balsamgauge/internal/election"
 	"github.com/balsamgauge/balsamgauge/internal/follow"
@@ -77,7 +78,7 @@
 	log := decisionlog.New(out, set.Name, clo.Now)
 	nod = &Node{
 		log: log, now: clo.Now, store: platform.NewStore(set.Store), executors: platform.NewExecutors(),
-		machines: platform.NewMachines(set.Machines), relay: advisory.NewRelay(platform.NewAdvisor(set.Advisor), log),
+		machines: platform.NewMachines(set.Machines, scheduler.MaxOrderTransit), relay: advisory.NewRelay(platform.NewAdvisor(set.Advisor), log),
 		operator: newOperatorView(log, clo.Now), load: &loadView{log: log, now: clo.Now}, metrics: metrics.NewRegistry(),
 	}
 	nod.set.Store(&set)
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -32,10 +32,15 @@
 
 // New returns a transport that opens at most the given number of connections to
 // each address and keeps them for reuse. Failed dials return ErrNotSent.
-func New(connections int) *http.Transport {
+func New(connections int) *http.Transport { return NewWithin(connections, unackedTimeout) }
+
+// NewWithin returns a transport like New that closes a connection once sent bytes
+// have been unacknowledged for unacked. Bytes that have not arrived by then are not sent
+// again.
+func NewWithin(connections int, unacked time.Duration) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: time.Second, Interval: time.Second, Count: 2,
-	}, Control: setUnackedTimeout}
+	}, Control: setUnackedTimeout(unacked)}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			con, err := dialer.DialContext(ctx, network, address)
@@ -49,12 +54,14 @@
 	}
 }
 
-// setUnackedTimeout sets the TCP_USER_TIMEOUT option of a socket before it
-// connects.
-func setUnackedTimeout(_, _ string, raw syscall.RawConn) error {
-	var sockErr error
-	err := raw.Control(func(fd uintptr) {
-		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout/time.Millisecond))
-	})
-	return errors.Join(err, sockErr)
+// setUnackedTimeout returns a function that sets the TCP_USER_TIMEOUT option of a
+// socket before it connects.
+func setUnackedTimeout(unacked time.Duration) func(_, _ string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var sockErr error
+		err := raw.Control(func(fd uintptr) {
+			sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacked/time.Millisecond))
+		})
+		return errors.Join(err, sockErr)
+	}
 }
