scheduler: no order for a machine that may run a VM which no list shows yet

Cause: a machine's VM is known from the last list of machines only. A VM that has crashed, or has left its address to another, is followed by one that registers and gets tasks before a list shows it. Until then the machine counts as one without a VM, or as one with the former VM, which is idle, and goes down or moves at once.

Change: runsListedVM. A machine gets no order while the VM that is listed there was lost after the list was requested, or while a VM that the list doesn't cover has the machine's availability zone, kind and rack and the listed VM hasn't answered since it appeared.

--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -47,7 +47,7 @@
 
 // register applies a VM's registration.
 func (sta *State) register(one worker.VM) {
-	if old, ok := sta.lostVMs.get(one.ID); ok && old.SameIncarnation(one) {
+	if old, ok := sta.lostVMs.get(one.ID); ok && old.vm.SameIncarnation(one) {
 		return
 	}
 	hos := sta.hosts[one.ID]
@@ -97,7 +97,7 @@
 		sta.release(hos, pla)
 	}
 	delete(sta.hosts, hos.vm.ID)
-	sta.lostVMs.put(sta.now, hos.vm.ID, hos.vm)
+	sta.lostVMs.put(sta.now, hos.vm.ID, lostVM{hos.vm, sta.now})
 	sta.emit(Forget{VM: hos.vm})
 	sta.unindexHost(hos)
 }
--- a/internal/core/scheduler/moves_test.go
+++ b/internal/core/scheduler/moves_test.go
@@ -11,6 +11,9 @@
 	"gotest.tools/v3/assert"
 )
 
+// machinesPerRack is the number of the machines of poolsOfMachines on each rack.
+const machinesPerRack = 4
+
 // poolsOfMachines returns a dispatcher with idle machines in one pool, and the
 // time.
 func poolsOfMachines(machines int) (sta *State, now time.Time) {
@@ -26,9 +29,12 @@
 	var list []worker.Machine
 	for i := range machines {
 		name := fmt.Sprintf("m-%03d", i)
-		vm := worker.VM{ID: "vm-" + name, Address: name, Pool: "idle", Capacity: job.Size{CPU: 16_000, Memory: 32_768}}
+		vm := worker.VM{
+			ID: "vm-" + name, Address: name, Pool: "idle", Capacity: job.Size{CPU: 16_000, Memory: 32_768},
+			Labels: []string{"a", fmt.Sprintf("r%d", i/machinesPerRack)},
+		}
 		events = append(events, VMRegistered{VM: vm})
-		list = append(list, worker.Machine{Name: name, Pool: "idle", State: worker.MachineUp, VM: vm.ID, Capacity: vm.Capacity})
+		list = append(list, worker.Machine{Name: name, Pool: "idle", State: worker.MachineUp, VM: vm.ID, Capacity: vm.Capacity, Labels: vm.Labels})
 	}
 	for _, eff := range sta.Reduce(now, append(events, MachinesListed{RequestedAt: now, Machines: list})) {
 		if pol, ok := eff.(Poll); ok {
@@ -93,3 +99,35 @@
 	})
 	assert.Assert(t, len(moved) > 0)
 }
+
+// TestMoveOfMachineWithUnlistedVM guards against a move that ends tasks unseen: the
+// idle VM that the last list of machines shows has ended, and its machine runs one
+// that the list doesn't show yet.
+func TestMoveOfMachineWithUnlistedVM(t *testing.T) {
+	sta, now := poolsOfMachines(12)
+	next := worker.VM{ID: "vm-m-004+", Address: "m-004", Pool: "idle", Capacity: job.Size{CPU: 16_000, Memory: 32_768}, Labels: []string{"a", "r1"}}
+	moved := map[string]bool{}
+	answer := func(now time.Time, eff Effect) []Event {
+		switch eff := eff.(type) {
+		case Move:
+			moved[eff.Machine] = true
+		case Poll:
+			if eff.VM.ID == "vm-m-004" {
+				return []Event{PollAnswered{VM: eff.VM, Sent: now, Result: worker.ResultUnknown}}
+			}
+			return []Event{PollAnswered{VM: eff.VM, Sent: now, Report: worker.Report{Clock: time.Minute}}}
+		}
+		return nil
+	}
+	now = now.Add(3 * time.Second)
+	var answers []Event
+	for _, eff := range sta.Reduce(now, []Event{VMRegistered{VM: next}}) {
+		answers = append(answers, answer(now, eff)...)
+	}
+	now = now.Add(10 * time.Millisecond)
+	sta.Reduce(now, answers)
+	advance(sta, now.Add(10*time.Millisecond), 2*time.Second, answer)
+	assert.Assert(t, len(moved) > 0)
+	assert.Assert(t, !moved["m-004"])
+	assert.Assert(t, sta.runsListedVM(sta.machines.byName["m-005"]), "the VM of m-005 has answered since")
+}
--- a/internal/core/scheduler/outage_test.go
+++ b/internal/core/scheduler/outage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -21,6 +22,10 @@
 	starts map[string]int
 	// deadly reports whether each start crashes its VM before it is answered.
 	deadly bool
+	// holdLists reports whether lists of machines are not answered.
+	holdLists bool
+	// orders lists the machines that were ordered to move or to go down.
+	orders []string
 }
 
 // newOutageFixture returns a dispatcher that all VMs have answered.
@@ -88,10 +93,19 @@
 			}
 		}
 		return []Event{PollAnswered{VM: eff.VM, Sent: fix.now, Report: rep}}
+	case Upkeep:
+		fix.orders = append(fix.orders, eff.Machine)
+		return nil
+	case Move:
+		fix.orders = append(fix.orders, eff.Machine)
+		return nil
 	case ListMachines:
+		if fix.holdLists {
+			return nil
+		}
 		var all []worker.Machine
 		for _, vm := range fix.vms {
-			mac := worker.Machine{Name: "m-" + vm.ID, Pool: vm.Pool, State: worker.MachineUp, VM: vm.ID, Capacity: vm.Capacity, AZ: vm.AZ}
+			mac := worker.Machine{Name: "m-" + strings.TrimRight(vm.ID, "+"), Pool: vm.Pool, State: worker.MachineUp, VM: vm.ID, Capacity: vm.Capacity, AZ: vm.AZ}
 			if fix.down[vm.ID] {
 				mac.State = worker.MachineDown
 			}
@@ -132,13 +146,18 @@
 func (fix *outageFixture) reboot() {
 	for i := range fix.vms {
 		if vm := &fix.vms[i]; fix.down[vm.ID] {
-			delete(fix.down, vm.ID)
-			vm.ID += "+"
-			fix.reduce(VMRegistered{*vm})
+			fix.restart(vm)
 		}
 	}
 }
 
+// restart replaces a VM by the next one on its machine.
+func (fix *outageFixture) restart(vm *worker.VM) {
+	delete(fix.down, vm.ID)
+	vm.ID += "+"
+	fix.reduce(VMRegistered{*vm})
+}
+
 // TestOutageOfIdleVMsGivesUpNoJob guards against an accepted job that is lost in
 // the outage of an availability zone: its tasks are ordered on one idle VM after
 // the other that is down as well, and each counted as crashed by them.
--- a/internal/core/scheduler/rebalance.go
+++ b/internal/core/scheduler/rebalance.go
@@ -135,6 +135,7 @@
 		return
 	}
 	sta.movesPlannedAt = sta.now
+	sta.noteUnlisted()
 	pools := sta.rebalancePools()
 	sta.logPools(pools)
 	most := int(math.Ceil(sta.opt.MachineOrdersPerSecond * moveOrderShare * movePlanInterval.Seconds()))
@@ -213,7 +214,7 @@
 			if longRunning > 0 {
 				longRunningHosts++
 			}
-			if name, ok := sta.machines.byVM[hos.vm.ID]; ok && hos.isIdle() {
+			if name, ok := sta.machines.byVM[hos.vm.ID]; ok && hos.isIdle() && sta.runsListedVM(sta.machines.byName[name]) {
 				rbp.Idle = append(rbp.Idle, rebalance.IdleMachine{Machine: name, IdleFor: sta.now.Sub(hos.idleSince)})
 			}
 		}
--- a/internal/core/scheduler/stalelist_test.go
+++ b/internal/core/scheduler/stalelist_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
+	"github.com/balsamgauge/balsamgauge/internal/core/upkeep"
 	"github.com/balsamgauge/balsamgauge/internal/core/worker"
 	"gotest.tools/v3/assert"
 )
@@ -40,3 +41,30 @@
 		})
 	}
 }
+
+// TestUpkeepOfMachineWithUnlistedVM guards against upkeep that ends tasks unseen:
+// the last list of machines shows the machine with a former VM, and tasks run on a
+// VM that the list doesn't show yet.
+func TestUpkeepOfMachineWithUnlistedVM(t *testing.T) {
+	for _, known := range []bool{true, false} {
+		fix := newOutageFixture(2)
+		fix.run(5 * time.Second)
+		fix.holdLists = true
+		if known {
+			fix.reduce(PollAnswered{VM: fix.vms[0], Sent: fix.now, Result: worker.ResultOtherIncarnation})
+		}
+		fix.restart(&fix.vms[0])
+		fix.down["vm-0"] = true
+		fix.submit(1, 8)
+		fix.submit(2, 8)
+		fix.submit(3, 8)
+		assert.Assert(t, fix.starts["vm-0+"] > 0)
+		fix.reduce(WaveRequested{Wave: upkeep.Wave{Number: 1, Machines: []string{"m-vm-0"}, Duration: 40 * time.Second, Cap: 1}})
+		fix.run(time.Second)
+		assert.Equal(t, len(fix.orders), 0, "the loss of vm-0 is known: %v; orders for %v", known, fix.orders)
+		fix.holdLists = false
+		fix.reduce(MachinesListed{RequestedAt: fix.now})
+		fix.run(60 * time.Second)
+		assert.DeepEqual(t, fix.orders, []string{"m-vm-0"})
+	}
+}
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -354,7 +354,10 @@
 	endedJobs []EndedJob
 	// lostVMs holds the VMs that ended recently, by ID. Their registrations last
 	// some seconds longer.
-	lostVMs *recentMap[string, worker.VM]
+	lostVMs *recentMap[string, lostVM]
+	// unlisted holds the hosts that the last list of machines doesn't cover and
+	// doesn't show, as of the last plan of waves or moves.
+	unlisted []*host
 	// runtimeRatios holds, by queue, the ratio of actual to estimated run times.
 	runtimeRatios map[string]*runtimeRatio
 	steppedDown   bool
@@ -396,6 +399,12 @@
 	refreshDue bool
 }
 
+// lostVM is a VM that has ended, with the time at which that became known.
+type lostVM struct {
+	vm worker.VM
+	at time.Time
+}
+
 // wave is the plan of a wave of upkeep with its outstanding orders.
 type wave struct {
 	plan upkeep.Plan
@@ -437,7 +446,7 @@
 		opt: opt, starts: newStartWindow(opt.LinkBytesPerSecond), jobsSyncedAt: opt.Since, zonesOut: map[string]bool{}, outages: map[string]time.Time{}, jobs: map[job.ID]*liveJob{}, hosts: map[string]*host{},
 		pools: map[string][]*host{}, usage: map[string]job.Size{}, allowances: map[string]allowance.Bucket{}, waves: map[int64]*wave{},
 		machines: machines{byName: map[string]worker.Machine{}, byVM: map[string]string{}},
-		ended:    newRecentMap[job.ID, bool](), lostVMs: newRecentMap[string, worker.VM](), runtimeRatios: map[string]*runtimeRatio{},
+		ended:    newRecentMap[job.ID, bool](), lostVMs: newRecentMap[string, lostVM](), runtimeRatios: map[string]*runtimeRatio{},
 		demands: map[string]*demand{}, moves: map[string]pendingMove{}, forbiddenMoves: map[string]bool{},
 	}
 }
--- a/internal/core/scheduler/waves.go
+++ b/internal/core/scheduler/waves.go
@@ -51,6 +51,7 @@
 		return
 	}
 	sta.wavesPlannedAt = sta.now
+	sta.noteUnlisted()
 	for _, hos := range sta.hostList {
 		hos.cordoned = false
 	}
@@ -167,7 +168,7 @@
 func (sta *State) candidate(name string) upkeep.Candidate {
 	mac := sta.machines.byName[name]
 	hos := sta.hosts[mac.VM]
-	can := upkeep.Candidate{Machine: name, Up: mac.State == worker.MachineUp}
+	can := upkeep.Candidate{Machine: name, Up: mac.State == worker.MachineUp && sta.runsListedVM(mac)}
 	if hos == nil {
 		// The registrations of VMs may arrive later than the list of machines.
 		// Until the leases of a former dispatcher have expired, an unknown VM may
@@ -384,6 +385,42 @@
 // then shows the machine as it was before.
 func (hos *host) coveredBy(requestedAt time.Time) bool { return !requestedAt.Before(hos.firstSeen) }
 
+// noteUnlisted updates the hosts that the last list of machines doesn't cover and
+// doesn't show.
+func (sta *State) noteUnlisted() {
+	sta.unlisted = sta.unlisted[:0]
+	for _, hos := range sta.hostList {
+		if _, listed := sta.machines.byVM[hos.vm.ID]; !listed && !hos.coveredBy(sta.machines.asOf) {
+			sta.unlisted = append(sta.unlisted, hos)
+		}
+	}
+}
+
+// runsListedVM reports whether a machine is known to run no other VM than the last
+// list of machines shows. An order for the machine would end the other VM's tasks
+// unseen. A registration doesn't name the machine, but its availability zone, kind and
+// rack. If a report of the listed VM can settle it, one is requested.
+func (sta *State) runsListedVM(mac worker.Machine) bool {
+	los, lost := sta.lostVMs.get(mac.VM)
+	if lost && !los.at.Before(sta.machines.asOf) {
+		return false
+	}
+	hos := sta.hosts[mac.VM]
+	for _, oth := range sta.unlisted {
+		if oth.vm.AZ != mac.AZ || !slices.Equal(oth.vm.Labels, mac.Labels) {
+			continue
+		}
+		if hos == nil {
+			return false
+		}
+		if !hos.clock.ReceivedAt().After(oth.firstSeen) {
+			hos.reportDue = true
+			return false
+		}
+	}
+	return true
+}
+
 // noticeOrder records that a host's machine goes down by an order, of a former
 // dispatcher or without a valid answer, as its listing shows.
 func (sta *State) noticeOrder(hos *host, mac worker.Machine, requestedAt time.Time) {
