--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -89,7 +89,14 @@
 
 // removeHost removes a VM that has ended, with all its runs.
 func (sta *State) removeHost(hos *host, reason string) {
-	sta.logDecision("vm_lost", "", map[string]any{"vm": hos.vm.ID, "runs": len(hos.runs), "unstored_ends": hos.lastEnd - hos.ackableUpTo, "reason": reason})
+	fields := map[string]any{
+		"vm": hos.vm.ID, "runs": len(hos.runs), "unstored_ends": hos.lastEnd - hos.ackableUpTo, "reason": reason,
+		"known_for_ms": sta.now.Sub(hos.firstSeen).Milliseconds(),
+	}
+	if !sta.machines.asOf.IsZero() {
+		fields["list_age_ms"] = sta.now.Sub(sta.machines.asOf).Milliseconds()
+	}
+	sta.logDecision("vm_lost", "", fields)
 	if !hos.goingDown && !hos.vm.Leaving {
 		sta.countCrash(hos)
 	}
