upkeep: an order without an answer counts as carried out until a list shows otherwise

Operators saw more machines of a wave down at once than its cap allows (LIMIT): with a cap of 1, all six machines of a pool, while orders for upkeep were carried out and their answers lost. Tasks of a step could also be taken away beyond its budget (AVAIL) where two waves name one machine.

Cause: an order without an answer was dropped from the set of unanswered orders and not added to that of the machines that are down, so that the machine counted as up until the next list. The sets were those of one wave: a second wave ordered the same machine, and its refusal made the host count as one that stays.

Change: upkeep.Orders holds the orders of all waves, one for each machine, from when they are given until a list of machines that was requested after the answer shows the machine as up. Only a refusal drops one before. The sets of each wave are gone.

--- a/internal/core/scheduler/emulator_test.go
+++ b/internal/core/scheduler/emulator_test.go
@@ -49,6 +49,12 @@
 	watchSilent bool
 	// storeDown makes all writes fail.
 	storeDown bool
+	// loseMachineAnswer is the probability that the answer to a machine order is
+	// lost, which takes emulatedMachineTimeout.
+	loseMachineAnswer float64
+	// slowList is how long the list of machines takes to arrive, in addition to the
+	// latency.
+	slowList time.Duration
 	// killOnUpkeep is the probability that the dispatcher is killed as it orders
 	// upkeep.
 	killOnUpkeep float64
@@ -171,7 +177,10 @@
 
 const (
 	emulatedLatency = 2 * time.Millisecond
-	emulatedTTL     = 1500 * time.Millisecond
+	// emulatedMachineTimeout is when a machine order counts as unanswered: its
+	// connection was reset.
+	emulatedMachineTimeout = 20 * time.Millisecond
+	emulatedTTL            = 1500 * time.Millisecond
 )
 
 // newEmulator returns an emulator without VMs and without a dispatcher.
@@ -441,7 +450,7 @@
 		requestedAt := emu.now
 		emu.after(emulatedLatency, func() {
 			all := emu.machines()
-			emu.after(emu.link.receive(emu.now, len(all)*emulatedMachineBytes), func() { emu.deliver(MachinesListed{RequestedAt: requestedAt, Machines: all}) })
+			emu.after(emu.slowList+emu.link.receive(emu.now, len(all)*emulatedMachineBytes), func() { emu.deliver(MachinesListed{RequestedAt: requestedAt, Machines: all}) })
 		})
 	case Upkeep:
 		emu.checkStored(emu.vms[eff.Machine], "upkeep")
@@ -510,7 +519,11 @@
 	}
 	term := emu.term
 	answer := func(res worker.MachineResult) {
-		emu.after(emulatedLatency, func() {
+		span := emulatedLatency
+		if emu.rng.Float64() < emu.loseMachineAnswer {
+			res, span = worker.MachineUnknown, emulatedMachineTimeout
+		}
+		emu.after(span, func() {
 			if term == emu.term {
 				emu.deliver(MachineAnswered{Machine: eff.Machine, Wave: eff.Wave, Result: res})
 			}
--- a/internal/core/scheduler/outage_test.go
+++ b/internal/core/scheduler/outage_test.go
@@ -89,7 +89,7 @@
 		rep := worker.Report{StartedAtMS: eff.VM.StartedAtMS, Clock: fix.now.Sub(fix.sta.opt.Since)}
 		if hos := fix.sta.hosts[eff.VM.ID]; hos != nil {
 			for _, pla := range hos.runList {
-				rep.Running = append(rep.Running, worker.Running{Task: pla.task, Run: pla.run})
+				rep.Running = append(rep.Running, worker.Running{Task: pla.task, Run: pla.run, Percent: percentWorking})
 			}
 		}
 		return []Event{PollAnswered{VM: eff.VM, Sent: fix.now, Report: rep}}
--- a/internal/core/scheduler/rebalance.go
+++ b/internal/core/scheduler/rebalance.go
@@ -253,7 +253,7 @@
 	for _, name := range sta.machineNames {
 		mac := sta.machines.byName[name]
 		_, moves := sta.moves[name]
-		if mac.Pool != pool || mac.State != worker.MachineUp || moves || sta.inUpkeep(name) {
+		if mac.Pool != pool || mac.State != worker.MachineUp || moves || sta.upkeeps.MayBeDown(name) {
 			continue
 		}
 		if hos := sta.hosts[mac.VM]; hos != nil && (hos.vm.Leaving || hos.cordoned || hos.goingDown || !hos.isIdle()) {
@@ -264,19 +264,6 @@
 	return idle
 }
 
-// inUpkeep reports whether the upkeep of a machine is ordered or in progress.
-func (sta *State) inUpkeep(name string) bool {
-	for _, wav := range sta.waves {
-		if wav.ordered[name] {
-			return true
-		}
-		if _, down := wav.down[name]; down {
-			return true
-		}
-	}
-	return false
-}
-
 // coresPerMachine returns the cores with which a machine counts towards a pool's
 // demand: cores, which is those of the pool's largest usable machine, or if that
 // is 0, those of the largest machine of all.
@@ -341,19 +328,12 @@
 	sta.moves[evt.Machine] = mov
 	hos := sta.hosts[mov.vm]
 	switch evt.Result {
-	case worker.MachineOK:
-		sta.machines.refreshDue = true
-		if hos != nil {
-			hos.downAnsweredAt = sta.now
-		}
-	case worker.MachineUnknown:
-		if hos != nil {
-			sta.machineOrderFailed(hos, evt.Result)
-		}
+	case worker.MachineOK, worker.MachineUnknown:
+		sta.noteDown(hos)
 	default:
 		delete(sta.moves, evt.Machine)
 		if hos != nil {
-			sta.machineOrderFailed(hos, evt.Result)
+			hos.goingDown = false
 		}
 		if evt.Result == worker.MachineInvalid {
 			sta.forbiddenMoves[evt.Machine+" "+mov.to] = true
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -336,6 +336,8 @@
 	former   formerRuns
 	machines machines
 	waves    map[int64]*wave
+	// upkeeps holds the orders of all waves.
+	upkeeps *upkeep.Orders
 	// wavesPlannedAt is when the upkeep of waves was last planned.
 	wavesPlannedAt time.Time
 	// hasStops reports whether a run may be being stopped.
@@ -405,25 +407,13 @@
 	at time.Time
 }
 
-// wave is the plan of a wave of upkeep with its outstanding orders.
+// wave is the plan of a wave of upkeep.
 type wave struct {
 	plan upkeep.Plan
-	// down holds the machines whose upkeep was ordered, with the VM that it
-	// ended and the time of the answer.
-	down map[string]downMachine
-	// ordered holds the machines whose upkeep order is unanswered.
-	ordered map[string]bool
 	// completed reports whether the upkeep of all machines has begun.
 	completed bool
 }
 
-// downMachine is a machine that is down for upkeep, with the VM that the
-// upkeep ended.
-type downMachine struct {
-	vm    string
-	since time.Time
-}
-
 // commit is a write to the store that may be in flight.
 type commit struct {
 	inFlight bool
@@ -444,7 +434,7 @@
 func New(opt Options) *State {
 	return &State{
 		opt: opt, starts: newStartWindow(opt.LinkBytesPerSecond), jobsSyncedAt: opt.Since, zonesOut: map[string]bool{}, outages: map[string]time.Time{}, jobs: map[job.ID]*liveJob{}, hosts: map[string]*host{},
-		pools: map[string][]*host{}, usage: map[string]job.Size{}, allowances: map[string]allowance.Bucket{}, waves: map[int64]*wave{},
+		pools: map[string][]*host{}, usage: map[string]job.Size{}, allowances: map[string]allowance.Bucket{}, waves: map[int64]*wave{}, upkeeps: upkeep.NewOrders(),
 		machines: machines{byName: map[string]worker.Machine{}, byVM: map[string]string{}},
 		ended:    newRecentMap[job.ID, bool](), lostVMs: newRecentMap[string, lostVM](), runtimeRatios: map[string]*runtimeRatio{},
 		demands: map[string]*demand{}, moves: map[string]pendingMove{}, forbiddenMoves: map[string]bool{},
--- a/internal/core/scheduler/waves.go
+++ b/internal/core/scheduler/waves.go
@@ -36,7 +36,7 @@
 	for _, name := range evt.Begun {
 		plan = plan.WithBegun(name)
 	}
-	sta.waves[evt.Wave.Number] = &wave{plan: plan, down: map[string]downMachine{}, ordered: map[string]bool{}}
+	sta.waves[evt.Wave.Number] = &wave{plan: plan}
 	sta.logDecision("wave_asked", "", map[string]any{"wave": evt.Wave.Number, "machines": len(evt.Wave.Machines), "cap": evt.Wave.Cap, "duration_ms": evt.Wave.Duration.Milliseconds(), "begun": len(evt.Begun)})
 	sta.emit(SaveWave{Number: evt.Wave.Number, Begun: evt.Begun})
 }
@@ -66,7 +66,7 @@
 // planWave orders the upkeep that is due in one wave.
 func (sta *State) planWave(number int64, wav *wave) {
 	exists := func(name string) bool { _, ok := sta.machines.byName[name]; return ok }
-	if wav.plan.Completed(exists) && len(wav.ordered) == 0 {
+	if wav.plan.Completed(exists) && !sta.upkeeps.Unanswered(number) {
 		wav.completed = true
 		sta.logDecision("wave_completed", "", map[string]any{"wave": number, "age_ms": sta.now.Sub(wav.plan.RequestedAt).Milliseconds()})
 		sta.emit(SaveWave{Number: number, Begun: wav.begun(), Completed: true})
@@ -77,12 +77,12 @@
 	}
 	var cans []upkeep.Candidate
 	for _, name := range wav.plan.Wave.Machines {
-		if _, moves := sta.moves[name]; moves || wav.plan.Begun[name] || wav.ordered[name] || !exists(name) {
+		if _, moves := sta.moves[name]; moves || wav.plan.Begun[name] || sta.upkeeps.MayBeDown(name) || !exists(name) {
 			continue
 		}
 		cans = append(cans, sta.candidate(name))
 	}
-	act := wav.plan.Next(sta.now, cans, sta.countMachinesDown(wav)+len(wav.ordered), sta.opt.UpkeepTime)
+	act := wav.plan.Next(sta.now, cans, sta.countMachinesDown(wav), sta.opt.UpkeepTime)
 	for _, name := range act.Cordon {
 		if hos := sta.hosts[sta.machines.byName[name].VM]; hos != nil {
 			hos.cordoned = true
@@ -101,7 +101,7 @@
 		if hos != nil && hos.hasUnstoredEnds() {
 			continue
 		}
-		wav.ordered[name] = true
+		sta.upkeeps.Give(name, sta.machines.byName[name].VM, number)
 		if hos != nil {
 			hos.goingDown = true
 		}
@@ -144,20 +144,10 @@
 }
 
 // countMachinesDown returns the number of a wave's machines that are down for
-// upkeep: those listed as such and those ordered since. A machine is up again
-// once it is listed as up with another VM.
-func (sta *State) countMachinesDown(wav *wave) int {
-	for name, dow := range wav.down {
-		mac, ok := sta.machines.byName[name]
-		back := mac.State == worker.MachineUp && mac.VM != dow.vm
-		if !ok || back && sta.machines.asOf.After(dow.since) {
-			delete(wav.down, name)
-		}
-	}
-	n := len(wav.down)
+// upkeep or may be, by orders of any wave.
+func (sta *State) countMachinesDown(wav *wave) (n int) {
 	for _, name := range wav.plan.Wave.Machines {
-		_, counted := wav.down[name]
-		if !counted && !wav.ordered[name] && sta.machines.byName[name].State == worker.MachineUpkeep {
+		if sta.upkeeps.MayBeDown(name) || sta.machines.byName[name].State == worker.MachineUpkeep {
 			n++
 		}
 	}
@@ -303,40 +293,32 @@
 		return
 	}
 	wav := sta.waves[evt.Wave]
-	if wav == nil {
-		return
-	}
-	delete(wav.ordered, evt.Machine)
-	if evt.Result == worker.MachineNotInWave || evt.Result == worker.MachineInvalid {
-		wav.plan = wav.plan.WithBegun(evt.Machine)
-		return
-	}
-	vm := sta.machines.byName[evt.Machine].VM
-	if evt.Result != worker.MachineOK {
-		if hos := sta.hosts[vm]; hos != nil {
-			sta.machineOrderFailed(hos, evt.Result)
+	switch evt.Result {
+	case worker.MachineOK:
+		sta.noteDown(sta.hosts[sta.upkeeps.End(evt.Machine, evt.Wave, sta.now)])
+		if wav != nil {
+			wav.plan = wav.plan.WithBegun(evt.Machine)
+			sta.emit(SaveWave{Number: evt.Wave, Begun: wav.begun()})
+		}
+	case worker.MachineUnknown:
+		sta.noteDown(sta.hosts[sta.upkeeps.End(evt.Machine, evt.Wave, sta.now)])
+	default:
+		if hos := sta.hosts[sta.upkeeps.Refuse(evt.Machine, evt.Wave)]; hos != nil {
+			hos.goingDown = false
+		}
+		if wav != nil && (evt.Result == worker.MachineNotInWave || evt.Result == worker.MachineInvalid) {
+			wav.plan = wav.plan.WithBegun(evt.Machine)
 		}
-		return
-	}
-	wav.plan = wav.plan.WithBegun(evt.Machine)
-	wav.down[evt.Machine] = downMachine{vm: vm, since: sta.now}
-	sta.emit(SaveWave{Number: evt.Wave, Begun: wav.begun()})
-	if hos := sta.hosts[vm]; hos != nil {
-		hos.downAnsweredAt = sta.now
-		sta.machines.refreshDue = true
 	}
 }
 
-// machineOrderFailed handles that an order for a host's machine was refused or
-// got no valid answer. In the latter case only a list of machines shows whether
-// it was carried out.
-func (sta *State) machineOrderFailed(hos *host, res worker.MachineResult) {
-	if res == worker.MachineUnknown {
+// noteDown records that a call ended whose order may have ended a host; nil if the
+// VM is unknown. Only a list of machines shows whether it did.
+func (sta *State) noteDown(hos *host) {
+	sta.machines.refreshDue = true
+	if hos != nil {
 		hos.downAnsweredAt = sta.now
-		sta.machines.refreshDue = true
-		return
 	}
-	hos.goingDown = false
 }
 
 // machinesListed applies the list of machines, which shows the VMs that have
@@ -358,6 +340,10 @@
 		}
 	}
 	sta.machineNames = slices.Sorted(maps.Keys(sta.machines.byName))
+	sta.upkeeps.Settle(evt.RequestedAt, func(name string) bool {
+		mac, ok := sta.machines.byName[name]
+		return !ok || mac.State == worker.MachineUp
+	})
 	var covered []*host
 	for _, hos := range sta.hostList {
 		if !hos.coveredBy(evt.RequestedAt) {
@@ -443,9 +429,6 @@
 		sta.logDecision("order_without_effect", "", map[string]any{"machine": name, "vm": hos.vm.ID})
 		hos.goingDown, hos.downAnsweredAt = false, time.Time{}
 		delete(sta.moves, name)
-		for _, wav := range sta.waves {
-			delete(wav.down, name)
-		}
 	case ordered:
 		sta.removeHost(hos, "the machine went down as ordered")
 	case (!ok || mac.State != worker.MachineUp) && !hos.termAccepted:
