latestart: a VM that is back under its ID rejects the starts of its former life

Cause: with a VM's former life all its runs were released, also those whose start was not answered. Such a start may still arrive, and an order names the VM by its ID only.

Change: package latestart keeps the starts without a definite answer for as long as an order may be late. A VM that appears under their ID is told to stop these runs, which makes it reject them, and until it has their tasks start nowhere else.

--- /dev/null
+++ b/internal/core/latestart/latestart.go
@@ -0,0 +1,80 @@
+// Package latestart keeps the starts of runs that VMs may carry out late.
+//
+// A start without an answer may be carried out seconds after it was sent. An order
+// names the ID of its VM, and a VM may restart under its ID, so the start may reach the
+// next life of the VM, which knows nothing of the one before.
+package latestart
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/balsamgauge/balsamgauge/internal/core/job"
+)
+
+// maxDelay is the time after which an order without an answer is no longer carried
+// out: the longest delay of an order is 12 s.
+const maxDelay = 13 * time.Second
+
+// Run is a run of a task.
+type Run struct {
+	Task   job.Task
+	Number int
+}
+
+// Starts holds, by the ID of a VM, the starts that may still be carried out there.
+type Starts struct {
+	// sent holds when the start of a run was sent.
+	sent map[string]map[Run]time.Time
+}
+
+// NewStarts returns an empty set of starts.
+func NewStarts() *Starts { return &Starts{sent: map[string]map[Run]time.Time{}} }
+
+// Add records that a start is sent to a VM.
+func (sts *Starts) Add(vm string, run Run, now time.Time) {
+	runs := sts.sent[vm]
+	if runs == nil {
+		runs = map[Run]time.Time{}
+		sts.sent[vm] = runs
+	}
+	runs[run] = now
+}
+
+// Remove records that a VM has answered a start, and won't carry it out later.
+func (sts *Starts) Remove(vm string, run Run) {
+	runs := sts.sent[vm]
+	delete(runs, run)
+	if len(runs) == 0 {
+		delete(sts.sent, vm)
+	}
+}
+
+// Pending returns the runs that may still be started on a VM by late starts, in the
+// order of their names: of each task the one with the highest number, as a VM that
+// rejects it rejects the lower ones as well.
+func (sts *Starts) Pending(vm string, now time.Time) (pending []Run) {
+	highest := map[job.Task]int{}
+	for run, sentAt := range sts.sent[vm] {
+		if now.Sub(sentAt) <= maxDelay {
+			highest[run.Task] = max(highest[run.Task], run.Number)
+		}
+	}
+	for tas, number := range highest {
+		pending = append(pending, Run{Task: tas, Number: number})
+	}
+	slices.SortFunc(pending, func(one, oth Run) int { return strings.Compare(one.Task.String(), oth.Task.String()) })
+	return pending
+}
+
+// Expire drops the starts that are no longer carried out.
+func (sts *Starts) Expire(now time.Time) {
+	for vm, runs := range sts.sent {
+		for run, sentAt := range runs {
+			if now.Sub(sentAt) > maxDelay {
+				sts.Remove(vm, run)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/latestart/latestart_test.go
@@ -0,0 +1,28 @@
+package latestart
+
+import (
+	"testing"
+	"time"
+
+	"github.com/balsamgauge/balsamgauge/internal/core/job"
+	"gotest.tools/v3/assert"
+)
+
+// TestPending checks which starts may still be carried out: those without an answer,
+// until their time is up.
+func TestPending(t *testing.T) {
+	now := time.Date(2026, 1, 2, 3, 0, 0, 0, time.UTC)
+	run := func(index, number int) Run { return Run{Task: job.Task{Job: "j", Index: index}, Number: number} }
+	sts := NewStarts()
+	sts.Add("a", run(2, 1), now)
+	sts.Add("a", run(1, 2), now)
+	sts.Add("a", run(1, 1), now.Add(time.Second))
+	sts.Add("b", run(3, 1), now)
+	sts.Remove("a", run(2, 1))
+	sts.Remove("c", run(2, 1))
+	assert.DeepEqual(t, sts.Pending("a", now.Add(time.Second)), []Run{run(1, 2)})
+	assert.DeepEqual(t, sts.Pending("a", now.Add(maxDelay+time.Millisecond)), []Run{run(1, 1)})
+	sts.Expire(now.Add(maxDelay + time.Second))
+	assert.DeepEqual(t, sts.Pending("b", now), []Run(nil))
+	assert.DeepEqual(t, sts.Pending("a", now), []Run{run(1, 1)})
+}
--- a/internal/core/scheduler/assign.go
+++ b/internal/core/scheduler/assign.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/balsamgauge/balsamgauge/internal/core/catalog"
+	"github.com/balsamgauge/balsamgauge/internal/core/latestart"
 	"github.com/balsamgauge/balsamgauge/internal/core/priority"
 )
 
@@ -285,6 +286,7 @@
 		hos.nextPoll = sta.now.Add(minPollInterval)
 	}
 	sta.starts.add(sta.reserve(hos, stg, name, run, runOrdered))
+	sta.lateStarts.Add(hos.vm.ID, latestart.Run{Task: name, Number: run}, sta.now)
 	sta.emit(Start{
 		VM: hos.vm, Task: name, Run: run, Payload: stg.liveJob.spec.Payload, Deadline: sta.extendLease(hos),
 		Checkpoint: tas.checkpoint, Ticket: stg.advice.ticketFor(hos.vm.ID, sta.now),
--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -67,12 +67,23 @@
 	if sta.formerLeasesMayHold() {
 		leaseExpiry = sta.opt.Since.Add(sta.maxLeaseTime())
 	}
-	sta.hosts[one.ID] = &host{
+	hos = &host{
 		vm: one, runs: map[job.Task]*placement{}, ackable: map[int64]bool{}, leaseExpiry: leaseExpiry, nextPoll: sta.now, idleSince: sta.now, firstSeen: sta.now,
 		pace: pace.NewControl(),
 	}
-	sta.indexHost(sta.hosts[one.ID])
+	sta.hosts[one.ID] = hos
+	sta.indexHost(hos)
 	sta.logDecision("vm_found", "", map[string]any{"vm": one.ID, "pool": one.Pool, "az": one.AZ})
+	sta.rejectLateStarts(hos)
+}
+
+// rejectLateStarts has a new VM reject the starts that a former VM with its ID has not
+// answered. Until it does, their tasks don't start elsewhere.
+func (sta *State) rejectLateStarts(hos *host) {
+	for _, run := range sta.lateStarts.Pending(hos.vm.ID, sta.now) {
+		sta.logDecision("late_start_rejected", run.Task.Job, map[string]any{"task": run.Task.String(), "run": run.Number, "vm": hos.vm.ID})
+		sta.stop(sta.reserve(hos, sta.stageOfRun(run.Task), run.Task, run.Number, runUnknown))
+	}
 }
 
 // maxLeaseTime returns the longest real time from the extension of a lease to
--- a/internal/core/scheduler/reduce.go
+++ b/internal/core/scheduler/reduce.go
@@ -5,6 +5,9 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/balsamgauge/balsamgauge/internal/core/latestart"
+	"github.com/balsamgauge/balsamgauge/internal/core/worker"
 )
 
 // Reduce applies events in order and returns the effects to perform.
@@ -21,6 +24,7 @@
 		return sta.effects
 	}
 	sta.expireLeases()
+	sta.lateStarts.Expire(now)
 	sta.openDueOccurrences()
 	if sta.jobsLoaded {
 		sta.planWaves()
@@ -96,6 +100,9 @@
 			sta.pollAnswered(hos, evt)
 		}
 	case StartAnswered:
+		if evt.Result != worker.ResultUnknown {
+			sta.lateStarts.Remove(evt.VM.ID, latestart.Run{Task: evt.Task, Number: evt.Run})
+		}
 		if hos := sta.hosts[evt.VM.ID]; hos != nil && hos.vm.SameIncarnation(evt.VM) {
 			sta.startAnswered(hos, evt)
 		}
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -7,6 +7,7 @@
 	"github.com/balsamgauge/balsamgauge/internal/core/allowance"
 	"github.com/balsamgauge/balsamgauge/internal/core/catalog"
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
+	"github.com/balsamgauge/balsamgauge/internal/core/latestart"
 	"github.com/balsamgauge/balsamgauge/internal/core/pace"
 	"github.com/balsamgauge/balsamgauge/internal/core/upkeep"
 	"github.com/balsamgauge/balsamgauge/internal/core/vmclock"
@@ -357,6 +358,8 @@
 	// lostVMs holds the VMs that ended recently, by ID. Their registrations last
 	// some seconds longer.
 	lostVMs *recentMap[string, lostVM]
+	// lateStarts holds the starts that VMs may carry out late.
+	lateStarts *latestart.Starts
 	// unlisted holds the hosts that the last list of machines doesn't cover and
 	// doesn't show, as of the last plan of waves or moves.
 	unlisted []*host
@@ -434,7 +437,7 @@
 func New(opt Options) *State {
 	return &State{
 		opt: opt, starts: newStartWindow(opt.LinkBytesPerSecond), jobsSyncedAt: opt.Since, zonesOut: map[string]bool{}, outages: map[string]time.Time{}, jobs: map[job.ID]*liveJob{}, hosts: map[string]*host{},
-		pools: map[string][]*host{}, usage: map[string]job.Size{}, allowances: map[string]allowance.Bucket{}, waves: map[int64]*wave{}, upkeeps: upkeep.NewOrders(),
+		pools: map[string][]*host{}, usage: map[string]job.Size{}, allowances: map[string]allowance.Bucket{}, waves: map[int64]*wave{}, upkeeps: upkeep.NewOrders(), lateStarts: latestart.NewStarts(),
 		machines: machines{byName: map[string]worker.Machine{}, byVM: map[string]string{}},
 		ended:    newRecentMap[job.ID, bool](), lostVMs: newRecentMap[string, lostVM](), runtimeRatios: map[string]*runtimeRatio{},
 		demands: map[string]*demand{}, moves: map[string]pendingMove{}, forbiddenMoves: map[string]bool{},
