scheduler: a start without an answer is sent again rather than stopped

Cause: a start without an answer whose run the VM didn't list was settled by a stop, so that the VM rejects it if it comes late. It often came before the stop, which then ended a task that had just begun to serve.

Change: the start is sent again with the same run number, which a VM carries out once however often it arrives. It is stopped only after two repeats, or if the VM may not be used any more. The answer that the run is old now awaits the report of its end.

--- a/internal/core/latestart/latestart.go
+++ b/internal/core/latestart/latestart.go
@@ -25,25 +25,47 @@
 
 // Starts holds, by the ID of a VM, the starts that may still be carried out there.
 type Starts struct {
-	// sent holds when the start of a run was sent.
-	sent map[string]map[Run]time.Time
+	sent map[string]map[Run]start
+}
+
+// start is the last start of a run that was sent.
+type start struct {
+	at time.Time
+	// unanswered reports whether a start of the run got no answer, so that the answer
+	// to a later one doesn't settle it.
+	unanswered bool
 }
 
 // NewStarts returns an empty set of starts.
-func NewStarts() *Starts { return &Starts{sent: map[string]map[Run]time.Time{}} }
+func NewStarts() *Starts { return &Starts{sent: map[string]map[Run]start{}} }
 
-// Add records that a start is sent to a VM.
+// Add records that a start is sent to a VM, for the first time or again.
 func (sts *Starts) Add(vm string, run Run, now time.Time) {
 	runs := sts.sent[vm]
 	if runs == nil {
-		runs = map[Run]time.Time{}
+		runs = map[Run]start{}
 		sts.sent[vm] = runs
 	}
-	runs[run] = now
+	runs[run] = start{at: now, unanswered: runs[run].unanswered}
+}
+
+// Lose records that a start got no answer.
+func (sts *Starts) Lose(vm string, run Run) {
+	if sta, ok := sts.sent[vm][run]; ok {
+		sta.unanswered = true
+		sts.sent[vm][run] = sta
+	}
+}
+
+// Settle records that a VM has answered a start, and won't carry it out later. An
+// earlier one of the same run without an answer may still arrive.
+func (sts *Starts) Settle(vm string, run Run) {
+	if !sts.sent[vm][run].unanswered {
+		sts.remove(vm, run)
+	}
 }
 
-// Remove records that a VM has answered a start, and won't carry it out later.
-func (sts *Starts) Remove(vm string, run Run) {
+func (sts *Starts) remove(vm string, run Run) {
 	runs := sts.sent[vm]
 	delete(runs, run)
 	if len(runs) == 0 {
@@ -56,8 +78,8 @@
 // rejects it rejects the lower ones as well.
 func (sts *Starts) Pending(vm string, now time.Time) (pending []Run) {
 	highest := map[job.Task]int{}
-	for run, sentAt := range sts.sent[vm] {
-		if now.Sub(sentAt) <= maxDelay {
+	for run, sta := range sts.sent[vm] {
+		if now.Sub(sta.at) <= maxDelay {
 			highest[run.Task] = max(highest[run.Task], run.Number)
 		}
 	}
@@ -71,9 +93,9 @@
 // Expire drops the starts that are no longer carried out.
 func (sts *Starts) Expire(now time.Time) {
 	for vm, runs := range sts.sent {
-		for run, sentAt := range runs {
-			if now.Sub(sentAt) > maxDelay {
-				sts.Remove(vm, run)
+		for run, sta := range runs {
+			if now.Sub(sta.at) > maxDelay {
+				sts.remove(vm, run)
 			}
 		}
 	}
--- a/internal/core/scheduler/assign.go
+++ b/internal/core/scheduler/assign.go
@@ -281,18 +281,47 @@
 // start orders a VM to start a run of a task.
 func (sta *State) start(hos *host, stg *stage, index, run int) {
 	name := stg.task(index)
-	tas := &stg.tasks[index]
 	if len(hos.runs) == 0 {
 		hos.nextPoll = sta.now.Add(minPollInterval)
 	}
-	sta.starts.add(sta.reserve(hos, stg, name, run, runOrdered))
-	sta.lateStarts.Add(hos.vm.ID, latestart.Run{Task: name, Number: run}, sta.now)
+	sta.sendStart(hos, sta.reserve(hos, stg, name, run, runOrdered))
+}
+
+// sendStart sends the start of a run that is ordered.
+func (sta *State) sendStart(hos *host, pla *placement) {
+	stg := pla.stage
+	sta.starts.add(pla)
+	sta.lateStarts.Add(hos.vm.ID, latestart.Run{Task: pla.task, Number: pla.run}, sta.now)
 	sta.emit(Start{
-		VM: hos.vm, Task: name, Run: run, Payload: stg.liveJob.spec.Payload, Deadline: sta.extendLease(hos),
-		Checkpoint: tas.checkpoint, Ticket: stg.advice.ticketFor(hos.vm.ID, sta.now),
+		VM: hos.vm, Task: pla.task, Run: pla.run, Payload: stg.liveJob.spec.Payload, Deadline: sta.extendLease(hos),
+		Checkpoint: stg.tasks[pla.task.Index].checkpoint, Ticket: stg.advice.ticketFor(hos.vm.ID, sta.now),
 	})
 }
 
+// maxStartRepeats is how often a start without an answer is sent again to the same VM.
+const maxStartRepeats = 2
+
+// startAgain sends a start again that got no answer, and whose run the VM doesn't
+// list. The VM carries it out once, however often it arrives, so that a late start
+// does no harm; a stop could end a task that has just started late. It reports whether
+// the start was sent.
+func (sta *State) startAgain(hos *host, pla *placement) bool {
+	stg := pla.stage
+	if stg == nil || stg.liveJob.final != "" || pla.repeats >= maxStartRepeats || !hos.usable(sta.now) || sta.zonesOut[hos.vm.AZ] {
+		return false
+	}
+	if tas := &stg.tasks[pla.task.Index]; tas.host != hos || tas.run != pla.run {
+		return false
+	}
+	if sta.needsAdvice(stg.liveJob) && stg.advice.ticketFor(hos.vm.ID, sta.now) == "" {
+		return false
+	}
+	pla.repeats++
+	pla.setState(runOrdered, sta.now)
+	sta.sendStart(hos, pla)
+	return true
+}
+
 // packs reports whether the host that is best for a task of the stage is also best
 // for the next one, if that fits: it is the one with the least free CPU that
 // differs from others in nothing else.
--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -363,7 +363,9 @@
 	}
 	switch pla.state {
 	case runUnknown:
-		sta.stop(pla)
+		if !sta.startAgain(hos, pla) {
+			sta.stop(pla)
+		}
 	case runRunning, runStopAccepted:
 		sta.release(hos, pla)
 	case runOrdered, runStopping:
--- a/internal/core/scheduler/orders.go
+++ b/internal/core/scheduler/orders.go
@@ -89,6 +89,11 @@
 	case worker.ResultUnknown:
 		pla.state, pla.since = runUnknown, sta.now
 		hos.nextPoll = sta.now
+	case worker.ResultOldRun:
+		// An earlier start of the run was carried out late, and its end is about to be
+		// reported.
+		pla.state, pla.since, pla.repeats = runUnknown, sta.now, maxStartRepeats
+		hos.nextPoll = sta.now
 	default:
 		sta.startRefused(hos, pla, evt.Result)
 	}
--- a/internal/core/scheduler/reduce.go
+++ b/internal/core/scheduler/reduce.go
@@ -100,8 +100,10 @@
 			sta.pollAnswered(hos, evt)
 		}
 	case StartAnswered:
-		if evt.Result != worker.ResultUnknown {
-			sta.lateStarts.Remove(evt.VM.ID, latestart.Run{Task: evt.Task, Number: evt.Run})
+		if run := (latestart.Run{Task: evt.Task, Number: evt.Run}); evt.Result == worker.ResultUnknown {
+			sta.lateStarts.Lose(evt.VM.ID, run)
+		} else {
+			sta.lateStarts.Settle(evt.VM.ID, run)
 		}
 		if hos := sta.hosts[evt.VM.ID]; hos != nil && hos.vm.SameIncarnation(evt.VM) {
 			sta.startAnswered(hos, evt)
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -216,6 +216,8 @@
 	state            runState
 	// stage is nil for a run of an unknown job.
 	stage *stage
+	// repeats counts how often the start was sent again.
+	repeats int
 	// since is when the run entered its state.
 	since time.Time
 	// percent and load are the values of worker.Running.
