catalog: what a job needs of its queue is recorded with the job as a whole

Cause: pool and attempts were kept with the job, each by itself; advice, priority and the objective were looked up in the configuration, where a removed queue has none. A dispatcher that takes over didn't follow the sources of tickets either.

Change: Queue.Record and RecordedQueue. A live job always has a queue, the configured one or as it was last known. The sources of tickets are followed if a job needs them.

Evidence: TestAdviceOfRemovedQueue fails with the advice dropped as before.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -11,17 +11,6 @@
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
 )
 
-// Advice describes the advisor that decides which VMs may run a queue's steps.
-type Advice struct {
-	// BaseLatency is the fixed part of the advisor's response time.
-	BaseLatency time.Duration
-	// LatencyPerVM is the additional response time for each VM in the request.
-	LatencyPerVM time.Duration
-	// Valid is the time for which a ticket, the advisor's permission to run a step
-	// on a VM, is valid.
-	Valid time.Duration
-}
-
 // Queue accepts jobs. It corresponds to a route in the operators' table.
 type Queue struct {
 	// Name is unique among the queues.
@@ -45,7 +34,7 @@
 	// Public is set if the queue accepts jobs without a key.
 	Public bool
 	// Advice is nil if the steps may run on any VM of the pool.
-	Advice *Advice
+	Advice *job.Advice
 }
 
 // Objective returns the latency objective of a job with the given critical path:
@@ -54,6 +43,23 @@
 	return que.Target + time.Duration(que.SlackFactor*float64(criticalPath))
 }
 
+// Record returns a job with what its later steps need of the queue, which serves once
+// the queue has been removed.
+func (que *Queue) Record(spe job.Spec) job.Spec {
+	spe.Queue, spe.Pool, spe.MaxAttempts = que.Name, que.Pool, que.MaxAttempts
+	spe.Priority, spe.SlackFactor, spe.Target, spe.Advice = que.Priority, que.SlackFactor, que.Target, que.Advice
+	return spe
+}
+
+// RecordedQueue returns the queue of a job as it is recorded with the job. It accepts no
+// calls.
+func RecordedQueue(spe job.Spec) *Queue {
+	return &Queue{
+		Name: spe.Queue, Pool: spe.Pool, MaxAttempts: spe.MaxAttempts,
+		Priority: spe.Priority, SlackFactor: max(1, spe.SlackFactor), Target: spe.Target, Advice: spe.Advice,
+	}
+}
+
 // Pool is a group of VMs that run the tasks of the same queues.
 type Pool struct {
 	Name string
--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -114,10 +114,15 @@
 	ID ID `msgpack:"id"`
 	// Queue is the name of the queue that accepted the job.
 	Queue string `msgpack:"q"`
-	// Pool and MaxAttempts are those of the queue when it accepted the job. They
-	// serve once the queue has been removed; records of earlier versions lack them.
-	Pool        string `msgpack:"po,omitempty"`
-	MaxAttempts int    `msgpack:"ma,omitempty"`
+	// Pool, MaxAttempts, Priority, SlackFactor, Target and Advice are those of the
+	// queue when it accepted the job. They serve once the queue has been removed;
+	// records of earlier versions lack them. Advice is nil if the steps need none.
+	Pool        string        `msgpack:"po,omitempty"`
+	MaxAttempts int           `msgpack:"ma,omitempty"`
+	Priority    int           `msgpack:"pr,omitempty"`
+	SlackFactor float64       `msgpack:"sf,omitempty"`
+	Target      time.Duration `msgpack:"tg,omitempty"`
+	Advice      *Advice       `msgpack:"ad,omitempty"`
 	// Account is the name of the client account; empty on public queues.
 	Account string `msgpack:"a,omitempty"`
 	Payload string `msgpack:"p"`
@@ -134,6 +139,17 @@
 	Interval time.Duration `msgpack:"iv,omitempty"`
 }
 
+// Advice describes the advisor that decides which VMs may run a queue's steps.
+type Advice struct {
+	// BaseLatency is the fixed part of the advisor's response time.
+	BaseLatency time.Duration `msgpack:"b"`
+	// LatencyPerVM is the additional response time for each VM in the request.
+	LatencyPerVM time.Duration `msgpack:"v"`
+	// Valid is the time for which a ticket, the advisor's permission to run a step
+	// on a VM, is valid.
+	Valid time.Duration `msgpack:"t"`
+}
+
 // OccurrenceCount returns the number of occurrences, at least 1.
 func (spe Spec) OccurrenceCount() int { return max(1, spe.Occurrences) }
 
--- a/internal/core/scheduler/advice.go
+++ b/internal/core/scheduler/advice.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/balsamgauge/balsamgauge/internal/core/catalog"
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
 	"github.com/balsamgauge/balsamgauge/internal/core/priority"
 )
@@ -50,19 +49,14 @@
 	return tic.token
 }
 
-// adviceFor returns the advice settings of a queue, or nil if its steps need
-// no advice.
-func (sta *State) adviceFor(queue string) *catalog.Advice {
-	if que := sta.catalog.Queue(queue); que != nil {
-		return que.Advice
-	}
-	return nil
-}
+// NeedsAdvice reports whether a job has needed advice in this tenure, also one whose
+// queue has been removed.
+func (sta *State) NeedsAdvice() bool { return sta.adviceNeeded }
 
 // advisorLatency returns the time that the advisor takes for the longest query
-// about a step of a queue; 0 if its steps need no advice.
-func (sta *State) advisorLatency(queue string) time.Duration {
-	adv := sta.adviceFor(queue)
+// about a step of a job; 0 if its steps need no advice.
+func (sta *State) advisorLatency(liv *liveJob) time.Duration {
+	adv := sta.queueOf(liv).Advice
 	if adv == nil {
 		return 0
 	}
@@ -147,7 +141,7 @@
 		adv := &qry.stage.advice
 		adv.inFlight, adv.queriedAt = true, sta.now
 		liv := qry.stage.liveJob
-		sta.emit(QueryAdvisor{Job: liv.spec.ID, Occurrence: qry.stage.occ, Step: qry.stage.index, VMs: qry.vms, Latency: sta.advisorLatency(liv.spec.Queue)})
+		sta.emit(QueryAdvisor{Job: liv.spec.ID, Occurrence: qry.stage.occ, Step: qry.stage.index, VMs: qry.vms, Latency: sta.advisorLatency(liv)})
 	}
 	sta.advisorQueue = nil
 }
--- a/internal/core/scheduler/advice_test.go
+++ b/internal/core/scheduler/advice_test.go
@@ -8,7 +8,6 @@
 	"testing"
 	"time"
 
-	"github.com/balsamgauge/balsamgauge/internal/core/catalog"
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
 	"gotest.tools/v3/assert"
 )
@@ -17,7 +16,7 @@
 // query at a time per slot, as the platform's advisor does per calling
 // machine.
 type emulatedAdvisor struct {
-	advice   catalog.Advice
+	advice   job.Advice
 	slots    int
 	inFlight int
 	tickets  map[string]time.Time
@@ -58,17 +57,23 @@
 	})
 }
 
-// advisedScenario submits jobs faster than a single slot could handle their
-// queries.
-func advisedScenario(slots int) *emulator {
+// advisedEmulator returns an emulator with a queue that needs advice.
+func advisedEmulator(slots int) *emulator {
 	emu := newEmulator(1, testCatalog())
 	emu.advisor = &emulatedAdvisor{
-		advice: catalog.Advice{BaseLatency: 300 * time.Millisecond, LatencyPerVM: 2 * time.Millisecond, Valid: 3 * time.Second},
+		advice: job.Advice{BaseLatency: 300 * time.Millisecond, LatencyPerVM: 2 * time.Millisecond, Valid: 3 * time.Second},
 		slots:  slots, tickets: map[string]time.Time{},
 	}
 	emu.catalog.Queues[0].Advice = &emu.advisor.advice
 	emu.addVMs("lots", 12, 4, job.Size{CPU: 16_000, Memory: 32_768})
 	emu.takeOver(testOptions())
+	return emu
+}
+
+// advisedScenario submits jobs faster than a single slot could handle their
+// queries.
+func advisedScenario(slots int) *emulator {
+	emu := advisedEmulator(slots)
 	for i := range 100 {
 		emu.after(time.Duration(i)*100*time.Millisecond, func() { emu.submit(fanOut(i, "large", 3, 1000, 500*time.Millisecond)) })
 	}
@@ -115,3 +120,25 @@
 	assert.Equal(t, len(emu.finished), 100)
 	assert.Equal(t, len(emu.violations), 0, "%s", strings.Join(emu.violations, "\n"))
 }
+
+// TestAdviceOfRemovedQueue guards against a job that never ends: its queue needs advice
+// and is removed between its steps, and the starts of the second step are rejected for
+// ever, as no ticket is asked for.
+func TestAdviceOfRemovedQueue(t *testing.T) {
+	for _, takeover := range []bool{false, true} {
+		emu := advisedEmulator(3)
+		spe := emu.catalog.Queue("gate").Record(fanOut(1, "large", 3, 1000, 2*time.Second))
+		emu.after(time.Second, func() { emu.submit(spe) })
+		emu.after(2500*time.Millisecond, func() {
+			emu.catalog = withoutGate()
+			emu.deliver(CatalogChanged{Catalog: emu.catalog})
+		})
+		if takeover {
+			emu.after(2600*time.Millisecond, emu.killDispatcher)
+		}
+		emu.run(30 * time.Second)
+		assert.Equal(t, len(emu.finished), 1, "takeover: %v", takeover)
+		assert.Equal(t, emu.advisor.rejected, 0, "starts without a ticket")
+		assert.Assert(t, emu.sched.NeedsAdvice())
+	}
+}
--- a/internal/core/scheduler/assign.go
+++ b/internal/core/scheduler/assign.go
@@ -159,41 +159,32 @@
 	return stg.step.Gang && stg.waiting < len(stg.tasks) || sta.needsAdvice(stg.liveJob)
 }
 
-// poolOf returns the pool that runs a job's tasks, also after the job's queue
-// has been removed.
-func (sta *State) poolOf(liv *liveJob) string {
-	if que := sta.queueOf(liv); que != nil {
-		liv.pool = que.Pool
-	}
-	return liv.pool
-}
+// poolOf returns the pool that runs a job's tasks.
+func (sta *State) poolOf(liv *liveJob) string { return sta.queueOf(liv).Pool }
 
-// queueOf returns the queue of a job, or nil after it has been removed.
+// queueOf returns the queue of a job, as last configured if it has been removed.
 func (sta *State) queueOf(liv *liveJob) *catalog.Queue {
 	if liv.queueAsOf != sta.catalogs {
-		liv.queue, liv.queueAsOf = sta.catalog.Queue(liv.spec.Queue), sta.catalogs
+		liv.queueAsOf = sta.catalogs
+		if que := sta.catalog.Queue(liv.spec.Queue); que != nil {
+			liv.queue = que
+		}
 	}
 	return liv.queue
 }
 
 // needsAdvice reports whether the steps of a job need advice.
-func (sta *State) needsAdvice(liv *liveJob) bool {
-	que := sta.queueOf(liv)
-	return que != nil && que.Advice != nil
-}
+func (sta *State) needsAdvice(liv *liveJob) bool { return sta.queueOf(liv).Advice != nil }
 
 // priorityKey returns the key that orders a stage by priority.
 func (sta *State) priorityKey(stg *stage) priority.Key {
 	liv := stg.liveJob
 	occ := liv.occs[stg.occ]
-	priorityKey := priority.Key{IsLongRunning: stg.step.LongRunning, Excess: liv.excess, Job: string(liv.spec.ID)}
-	if que := sta.queueOf(liv); que != nil {
-		priorityKey.Priority = que.Priority
-	}
+	priorityKey := priority.Key{IsLongRunning: stg.step.LongRunning, Excess: liv.excess, Job: string(liv.spec.ID), Priority: sta.queueOf(liv).Priority}
 	rem, factor := occ.remainder(liv.spec), sta.runtimeRatios[liv.spec.Queue].factor()
 	priorityKey.Remaining, priorityKey.Work = time.Duration(float64(rem.path)*factor), rem.work*factor
 	if sta.needsAdvice(liv) {
-		priorityKey.Remaining = sta.criticalPath(liv.spec, func(step int) bool { return occ.stages[step].left > 0 })
+		priorityKey.Remaining = sta.criticalPath(liv, func(step int) bool { return occ.stages[step].left > 0 })
 	}
 	accepted := liv.spec.Accepted
 	if liv.spec.Occurrences > 0 {
--- a/internal/core/scheduler/emulator_test.go
+++ b/internal/core/scheduler/emulator_test.go
@@ -819,6 +819,14 @@
 	}
 }
 
+// queueOf returns the queue of a job, as recorded with it if it has been removed.
+func (emu *emulator) queueOf(spe job.Spec) *catalog.Queue {
+	if que := emu.catalog.Queue(spe.Queue); que != nil {
+		return que
+	}
+	return catalog.RecordedQueue(spe)
+}
+
 // checkAttempts checks that no run of a task started after as many
 // acknowledged failures as its queue allows attempts.
 func (emu *emulator) checkAttempts(name job.Task) {
@@ -834,7 +842,7 @@
 				failed++
 			}
 		}
-		if failed >= emu.catalog.Queue(spe.Queue).MaxAttempts {
+		if failed >= emu.queueOf(spe).MaxAttempts {
 			emu.fail("%s was started after %d failed runs", name, failed)
 		}
 	}
@@ -1079,7 +1087,7 @@
 			}
 		}
 	}
-	if out.State == job.StateFailed && !crashed && worst < emu.catalog.Queue(spe.Queue).MaxAttempts {
+	if out.State == job.StateFailed && !crashed && worst < emu.queueOf(spe).MaxAttempts {
 		emu.fail("job %s failed after %d failures of a task", id, worst)
 	}
 }
--- a/internal/core/scheduler/jobs.go
+++ b/internal/core/scheduler/jobs.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/balsamgauge/balsamgauge/internal/core/catalog"
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
 	"github.com/balsamgauge/balsamgauge/internal/core/worker"
 )
@@ -18,12 +19,12 @@
 		spec: evt.Spec, revision: evt.Revision, occsLeft: evt.Spec.OccurrenceCount(),
 		progressRev: evt.ProgressRevision, work: evt.Spec.Work(),
 		restored: evt.Revision <= sta.opt.Revision,
-		pool:     evt.Spec.Pool, maxAttempts: evt.Spec.MaxAttempts,
+		queue:    catalog.RecordedQueue(evt.Spec),
 	}
 	sta.jobs[id] = liv
 	sta.jobList = append(sta.jobList, liv)
 	sta.setDeadline(liv)
-	sta.maxAttemptsOf(liv)
+	sta.adviceNeeded = sta.adviceNeeded || sta.needsAdvice(liv)
 	if !evt.Spec.Due(0).After(sta.now) {
 		sta.openOccurrence(liv)
 	}
@@ -49,19 +50,15 @@
 // setDeadline sets the deadline by the queue's latency objective: its slack
 // factor times the critical path, plus its target.
 func (sta *State) setDeadline(liv *liveJob) {
-	objective := sta.criticalPath(liv.spec, nil)
-	if que := sta.catalog.Queue(liv.spec.Queue); que != nil {
-		objective = que.Objective(objective)
-	}
-	liv.deadline = liv.spec.Accepted.Add(objective)
+	liv.deadline = liv.spec.Accepted.Add(sta.queueOf(liv).Objective(sta.criticalPath(liv, nil)))
 }
 
 // criticalPath returns the duration of the longest chain of dependent steps
 // among those that count. Estimates are scaled by the queue's run-time ratio.
-func (sta *State) criticalPath(spe job.Spec, counts func(step int) bool) time.Duration {
-	factor := sta.runtimeRatios[spe.Queue].factor()
-	return spe.CriticalPath(counts, func(ste job.Step) time.Duration {
-		return time.Duration(float64(ste.Estimate)*factor) + sta.advisorLatency(spe.Queue)
+func (sta *State) criticalPath(liv *liveJob, counts func(step int) bool) time.Duration {
+	factor, latency := sta.runtimeRatios[liv.spec.Queue].factor(), sta.advisorLatency(liv)
+	return liv.spec.CriticalPath(counts, func(ste job.Step) time.Duration {
+		return time.Duration(float64(ste.Estimate)*factor) + latency
 	})
 }
 
@@ -309,22 +306,14 @@
 		sta.countFailure(hos)
 	}
 	sta.ackOnceStored(stg.liveJob, hos, end.Number)
-	attempts := sta.maxAttemptsOf(stg.liveJob)
+	// A queue that was removed before its job was recorded with this has no limit.
+	attempts := sta.queueOf(stg.liveJob).MaxAttempts
 	sta.logDecision("task_failed", end.Task.Job, map[string]any{"task": end.Task.String(), "run": end.Run, "vm": hos.vm.ID, "failed": len(tas.failedRuns), "attempts": attempts})
 	if attempts > 0 && len(tas.failedRuns) >= attempts {
 		sta.finish(stg.liveJob, job.StateFailed, reasonAttempts)
 	}
 }
 
-// maxAttemptsOf returns the number of failed runs of a task after which a job
-// fails, also after the job's queue has been removed; 0 if it was never known.
-func (sta *State) maxAttemptsOf(liv *liveJob) int {
-	if que := sta.catalog.Queue(liv.spec.Queue); que != nil {
-		liv.maxAttempts = que.MaxAttempts
-	}
-	return liv.maxAttempts
-}
-
 // Quarantine of VMs on which tasks fail.
 const (
 	// maxFailures is the number of consecutive failed runs after which a VM is
--- a/internal/core/scheduler/load.go
+++ b/internal/core/scheduler/load.go
@@ -90,7 +90,7 @@
 func (sta *State) advisorBacklog() time.Duration {
 	sum := time.Duration(0)
 	for _, liv := range sta.jobList {
-		span := sta.advisorLatency(liv.spec.Queue)
+		span := sta.advisorLatency(liv)
 		if span == 0 || liv.final != "" {
 			continue
 		}
--- a/internal/core/scheduler/odd_events_test.go
+++ b/internal/core/scheduler/odd_events_test.go
@@ -237,7 +237,7 @@
 func TestOddEventsDontEndDispatcher(t *testing.T) {
 	cat := testCatalog()
 	advised := cat.Queues[0]
-	advised.Name, advised.Advice = "advised", &catalog.Advice{BaseLatency: time.Millisecond, LatencyPerVM: time.Millisecond, Valid: time.Second}
+	advised.Name, advised.Advice = "advised", &job.Advice{BaseLatency: time.Millisecond, LatencyPerVM: time.Millisecond, Valid: time.Second}
 	cat.Queues = append(cat.Queues, advised)
 	cat = catalog.New(cat)
 	starts := 0
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -141,11 +141,8 @@
 	deadline time.Time
 	// work is the estimated work of one occurrence, in core-seconds.
 	work float64
-	// pool and maxAttempts are those of the job's queue, as last configured. They
-	// are kept when the queue is removed from the configuration.
-	pool        string
-	maxAttempts int
-	// queue is the job's queue in the configuration with the number queueAsOf.
+	// queue is the job's queue as last configured up to the configuration with the
+	// number queueAsOf. It is kept when the queue is removed, and never nil.
 	queue     *catalog.Queue
 	queueAsOf int
 	cancelled bool
@@ -383,7 +380,9 @@
 	// and advisorInFlight the number of unanswered ones. advisorQueue holds the
 	// queries collected in this call of Reduce.
 	advisorSlots, advisorInFlight int
-	advisorQueue                  []advisorQuery
+	// adviceNeeded reports whether a job has needed advice in this tenure.
+	adviceNeeded bool
+	advisorQueue []advisorQuery
 	// forbiddenMoves holds the moves that the platform does not allow, as
 	// machine and pool.
 	forbiddenMoves map[string]bool
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -173,8 +173,8 @@
 		if age := now.Sub(vie.LastContact); age > svc.Freshness().Write {
 			return unavailable("the store is unreachable")
 		}
-		spe.Queue, spe.Account, spe.Accepted = que.Name, account, now
-		spe.Pool, spe.MaxAttempts = que.Pool, que.MaxAttempts
+		spe.Account, spe.Accepted = account, now
+		spe = que.Record(spe)
 		ans, conflict := svc.store(ctx, now, que, vie, spe)
 		if !conflict {
 			return ans
--- a/internal/manager/dispatcher.go
+++ b/internal/manager/dispatcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/balsamgauge/balsamgauge/internal/advisory"
@@ -53,6 +54,8 @@
 	// of available sources that was last reported to the reducer.
 	ticketSources   *advisory.Pool
 	reportedSources int
+	// adviceNeeded is State.NeedsAdvice as of the last round.
+	adviceNeeded atomic.Bool
 }
 
 // dispatch runs the dispatcher until the context is done.
@@ -110,6 +113,7 @@
 		}
 		effects := dis.sta.Reduce(now, batch)
 		reduced := dis.nod.now()
+		dis.adviceNeeded.Store(dis.sta.NeedsAdvice())
 		delay = min(maxBatchDelay, max(batchDelay, batchDelayFactor*reduced.Sub(now)))
 		for _, eff := range effects {
 			dis.perform(ctx, now, eff)
@@ -127,10 +131,10 @@
 // long, as they rarely change.
 const ticketSourcesWait = 2 * time.Second
 
-// followTicketSources keeps the ticket sources up to date once some queue needs
+// followTicketSources keeps the ticket sources up to date once some queue or job needs
 // advice.
 func (dis *dispatcher) followTicketSources(ctx context.Context) {
-	for !dis.nod.needsAdvice() {
+	for !dis.nod.needsAdvice() && !dis.adviceNeeded.Load() {
 		clock.Pause(ctx, time.Second)
 		if ctx.Err() != nil {
 			return
