record: a write of the load or of a wave's progress replaces no newer one

Cause: these writes were conditional on the duty only. Writes of waves ran beside each other, each until it was stored.

Change: package record. A write is conditional on the revision that it replaces, and Latest writes the last value that it was given. The load and the waves use it.

--- a/internal/manager/dispatcher.go
+++ b/internal/manager/dispatcher.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +15,7 @@
 	"github.com/balsamgauge/balsamgauge/internal/election"
 	"github.com/balsamgauge/balsamgauge/internal/follow"
 	"github.com/balsamgauge/balsamgauge/internal/kv"
+	"github.com/balsamgauge/balsamgauge/internal/record"
 	"github.com/balsamgauge/balsamgauge/platform"
 )
 
@@ -48,8 +48,10 @@
 	events chan arrival
 	rounds roundStats
 	load   loadWriter
-	// waveWrites serializes the writes of wave states.
-	waveWrites sync.Mutex
+	// loadRecord is the stored load, and waveRecords holds the stored progress of
+	// waves by number.
+	loadRecord  *record.Record
+	waveRecords map[int64]*record.Latest
 	// ticketSources sends queries to the advisor; reportedSources is the number
 	// of available sources that was last reported to the reducer.
 	ticketSources   *advisory.Pool
@@ -63,7 +65,11 @@
 	cur := ten.Current()
 	set := nod.settings()
 	bnd := set.Bounds
-	dis := &dispatcher{nod: nod, ten: ten, events: make(chan arrival, eventQueueSize), ticketSources: advisory.NewPool(nod.now)}
+	dis := &dispatcher{
+		nod: nod, ten: ten, events: make(chan arrival, eventQueueSize), ticketSources: advisory.NewPool(nod.now),
+		waveRecords: map[int64]*record.Latest{},
+	}
+	dis.loadRecord = record.New(loadKey, dis.commit)
 	dis.sta = scheduler.New(scheduler.Options{
 		Since: cur.Since, Revision: cur.Revision, Term: cur.Holder.Term,
 		Lease:    min(maxTaskLease, fraction(bnd.MaxTaskLease, leaseFraction)),
@@ -404,7 +410,7 @@
 	go func() {
 		raw, err := encodeLoad(loa)
 		if err == nil {
-			_, err = dis.commit(ctx, kv.Txn{Puts: []kv.Put{{Key: loadKey, Value: raw}}})
+			err = dis.loadRecord.Write(ctx, kv.Put{Key: loadKey, Value: raw})
 		}
 		if err != nil {
 			dis.nod.log.Event("load_not_written", decisionlog.Fields{"error": err.Error()})
--- a/internal/manager/effects.go
+++ b/internal/manager/effects.go
@@ -14,6 +14,7 @@
 	"github.com/balsamgauge/balsamgauge/internal/decisionlog"
 	"github.com/balsamgauge/balsamgauge/internal/follow"
 	"github.com/balsamgauge/balsamgauge/internal/kv"
+	"github.com/balsamgauge/balsamgauge/internal/record"
 	"github.com/balsamgauge/balsamgauge/platform"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -60,7 +61,7 @@
 			return dis.nod.machines.Move(ctx, iss, eff.Machine, eff.Pool)
 		})
 	case scheduler.SaveWave:
-		go dis.saveWave(ctx, eff)
+		dis.saveWave(ctx, eff)
 	case scheduler.Forget:
 		dis.nod.executors.Forget(eff.VM.Address)
 	case scheduler.StepDown:
@@ -187,26 +188,25 @@
 func waveKey(number int64) string { return fmt.Sprintf("%s%d", wavePrefix, number) }
 
 // saveWave stores a wave's progress for the operator and for the next
-// dispatcher, with retries until it succeeds.
+// dispatcher.
 func (dis *dispatcher) saveWave(ctx context.Context, eff scheduler.SaveWave) {
-	dis.waveWrites.Lock()
-	defer dis.waveWrites.Unlock()
+	notSaved := func(err error) {
+		dis.nod.log.Event("wave_not_saved", decisionlog.Fields{"wave": eff.Number, "error": err.Error()})
+	}
 	raw, err := msgpack.Marshal(eff.Begun)
 	if err != nil {
-		dis.nod.log.Event("wave_not_saved", decisionlog.Fields{"wave": eff.Number, "error": err.Error()})
+		notSaved(err)
 		return
 	}
-	for ctx.Err() == nil {
-		_, err := dis.commit(ctx, kv.Txn{Puts: []kv.Put{
-			{Key: waveKey(eff.Number), Value: raw},
-			{Key: platform.WaveStatusKey(eff.Number), Value: platform.EncodeWaveStatus(eff.Completed)},
-		}})
-		if err == nil {
-			return
-		}
-		dis.nod.log.Event("wave_not_saved", decisionlog.Fields{"wave": eff.Number, "error": err.Error()})
-		clock.Pause(ctx, follow.RetryDelay)
+	lat := dis.waveRecords[eff.Number]
+	if lat == nil {
+		lat = record.NewLatest(waveKey(eff.Number), dis.commit, notSaved)
+		dis.waveRecords[eff.Number] = lat
 	}
+	lat.Put(ctx,
+		kv.Put{Key: waveKey(eff.Number), Value: raw},
+		kv.Put{Key: platform.WaveStatusKey(eff.Number), Value: platform.EncodeWaveStatus(eff.Completed)},
+	)
 }
 
 // readWaveBegun reads the machines whose upkeep an earlier dispatcher began.
--- a/internal/manager/loadwriter.go
+++ b/internal/manager/loadwriter.go
@@ -18,8 +18,8 @@
 	backlogInterval = 250 * time.Millisecond
 )
 
-// loadWriter decides when the load is written. Writes do not overlap, so that an
-// older load never replaces a newer one. It is safe for concurrent use.
+// loadWriter decides when the load is written. Writes do not overlap. It is safe for
+// concurrent use.
 type loadWriter struct {
 	mu sync.Mutex
 	// written is the load that was last stored or is being stored.
--- /dev/null
+++ b/internal/record/latest.go
@@ -0,0 +1,76 @@
+package record
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/balsamgauge/balsamgauge/internal/clock"
+	"github.com/balsamgauge/balsamgauge/internal/kv"
+)
+
+// retryDelay is the pause after a write that failed.
+const retryDelay = 100 * time.Millisecond
+
+// Latest stores the last of the values that it is given, in the background. Values that
+// have been replaced before they were written are not written.
+type Latest struct {
+	rec *Record
+	// failed is called with the error of each write that failed. The write is
+	// repeated.
+	failed func(err error)
+
+	mu sync.Mutex
+	// next is the value to write; nil if the last one is being written or stored.
+	next    []kv.Put
+	writing bool
+}
+
+// NewLatest returns a writer of a record.
+func NewLatest(key string, commit Commit, failed func(err error)) *Latest {
+	return &Latest{rec: New(key, commit), failed: failed}
+}
+
+// Put gives the next value and returns at once. The value is written until it is stored,
+// replaced or the context is done.
+func (lat *Latest) Put(ctx context.Context, puts ...kv.Put) {
+	lat.mu.Lock()
+	defer lat.mu.Unlock()
+	lat.next = puts
+	if !lat.writing {
+		lat.writing = true
+		go lat.run(ctx)
+	}
+}
+
+// run writes until the last value is stored or the context is done.
+func (lat *Latest) run(ctx context.Context) {
+	for puts := lat.take(nil); puts != nil; {
+		err := lat.rec.Write(ctx, puts...)
+		if err == nil {
+			puts = lat.take(nil)
+			continue
+		}
+		if ctx.Err() == nil {
+			lat.failed(err)
+			clock.Pause(ctx, retryDelay)
+		}
+		if ctx.Err() != nil {
+			puts = nil
+		}
+		puts = lat.take(puts)
+	}
+}
+
+// take returns the next value, or else the given one. If there is neither, the writer
+// stops.
+func (lat *Latest) take(old []kv.Put) (puts []kv.Put) {
+	lat.mu.Lock()
+	defer lat.mu.Unlock()
+	puts, lat.next = lat.next, nil
+	if puts == nil {
+		puts = old
+	}
+	lat.writing = puts != nil
+	return puts
+}
--- /dev/null
+++ b/internal/record/record.go
@@ -0,0 +1,62 @@
+// Package record writes records of the store of which only the last value counts.
+//
+// A write that got no answer may be carried out seconds later, after newer ones. So
+// each write is conditional on the revision that it replaces: a late one finds another
+// and fails.
+package record
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+
+	"github.com/balsamgauge/balsamgauge/internal/kv"
+)
+
+// Commit applies a transaction to the store.
+type Commit func(ctx context.Context, txn kv.Txn) (rev kv.Revision, err error)
+
+// maxConflicts is how often a write is repeated because an earlier one of this process
+// has been carried out since the last known revision.
+const maxConflicts = 3
+
+// Record is a record that one process writes at a time. It is safe for concurrent use;
+// writes wait for each other.
+type Record struct {
+	key    string
+	commit Commit
+
+	mu sync.Mutex
+	// revision is that of the last value that is known to be stored; 0 for none.
+	revision kv.Revision
+}
+
+// New returns a record whose stored revision isn't known yet.
+func New(key string, commit Commit) *Record { return &Record{key: key, commit: commit} }
+
+// Write stores values, of which one is that of the record's key, in place of the last
+// one. If it fails without an answer from the store, the values may be stored later,
+// unless another write succeeds before.
+func (rec *Record) Write(ctx context.Context, puts ...kv.Put) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("write %s: %w", rec.key, err)
+		}
+	}()
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	for range maxConflicts {
+		rev, failure := rec.commit(ctx, kv.Txn{Conditions: []kv.Condition{{Key: rec.key, Revision: rec.revision}}, Puts: puts})
+		var con *kv.ConflictError
+		switch {
+		case failure == nil:
+			rec.revision = rev
+			return nil
+		case !errors.As(failure, &con):
+			return failure
+		}
+		rec.revision, err = con.Item(rec.key).Revision, failure
+	}
+	return err
+}
