--- a/internal/core/scheduler/moves_test.go
+++ b/internal/core/scheduler/moves_test.go
@@ -129,5 +129,5 @@
 	advance(sta, now.Add(10*time.Millisecond), 2*time.Second, answer)
 	assert.Assert(t, len(moved) > 0)
 	assert.Assert(t, !moved["m-004"])
-	assert.Assert(t, sta.runsListedVM(sta.machines.byName["m-005"]), "the VM of m-005 has answered since")
+	assert.Assert(t, sta.confirmListedVM(sta.machines.byName["m-005"]), "the VM of m-005 has answered since")
 }
--- a/internal/core/scheduler/rebalance.go
+++ b/internal/core/scheduler/rebalance.go
@@ -214,7 +214,7 @@
 			if longRunning > 0 {
 				longRunningHosts++
 			}
-			if name, ok := sta.machines.byVM[hos.vm.ID]; ok && hos.isIdle() && sta.runsListedVM(sta.machines.byName[name]) {
+			if name, ok := sta.machines.byVM[hos.vm.ID]; ok && hos.isIdle() && sta.confirmListedVM(sta.machines.byName[name]) {
 				rbp.Idle = append(rbp.Idle, rebalance.IdleMachine{Machine: name, IdleFor: sta.now.Sub(hos.idleSince)})
 			}
 		}
--- a/internal/core/scheduler/waves.go
+++ b/internal/core/scheduler/waves.go
@@ -158,7 +158,7 @@
 func (sta *State) candidate(name string) upkeep.Candidate {
 	mac := sta.machines.byName[name]
 	hos := sta.hosts[mac.VM]
-	can := upkeep.Candidate{Machine: name, Up: mac.State == worker.MachineUp && sta.runsListedVM(mac)}
+	can := upkeep.Candidate{Machine: name, Up: mac.State == worker.MachineUp && sta.confirmListedVM(mac)}
 	if hos == nil {
 		// The registrations of VMs may arrive later than the list of machines.
 		// Until the leases of a former dispatcher have expired, an unknown VM may
@@ -382,11 +382,11 @@
 	}
 }
 
-// runsListedVM reports whether a machine is known to run no other VM than the last
-// list of machines shows. An order for the machine would end the other VM's tasks
+// confirmListedVM reports whether a machine is known to run no other VM than the last
+// list of machines shows: an order for the machine would end the other VM's tasks
 // unseen. A registration doesn't name the machine, but its availability zone, kind and
 // rack. If a report of the listed VM can settle it, one is requested.
-func (sta *State) runsListedVM(mac worker.Machine) bool {
+func (sta *State) confirmListedVM(mac worker.Machine) bool {
 	los, lost := sta.lostVMs.get(mac.VM)
 	if lost && !los.at.Before(sta.machines.asOf) {
 		return false
