--- a/internal/core/scheduler/formerlife_test.go
+++ b/internal/core/scheduler/formerlife_test.go
@@ -9,79 +9,103 @@
 	"gotest.tools/v3/assert"
 )
 
+// formerLife is a dispatcher with two VMs, of which the first has restarted under its ID
+// while the start of run 1 is on its way to it.
+type formerLife struct {
+	t        *testing.T
+	sta      *State
+	now      time.Time
+	one, oth worker.VM
+	name     job.Task
+	// running reports whether the start has reached the new life, and its run is active.
+	running bool
+	// rejected reports whether the new life was told to stop the run.
+	rejected bool
+	starts   []Start
+}
+
+// newFormerLife returns a dispatcher that has ordered the start of a task on the first
+// VM.
+func newFormerLife(t *testing.T) *formerLife {
+	fix := &formerLife{t: t, now: time.Date(2026, 1, 2, 3, 0, 0, 0, time.UTC), one: testVM("vm-1"), oth: testVM("vm-2")}
+	opt := testOptions()
+	opt.Since, opt.Revision, opt.Term = fix.now, 10, 1
+	fix.sta = New(opt)
+	spe := fanOut(1, "large", 1, 4000, 20*time.Second)
+	spe.Accepted = fix.now
+	fix.name = job.Task{Job: spe.ID}
+	fix.reduce(CatalogChanged{testCatalog()}, VMRegistered{fix.one}, JobsLoaded{})
+	fix.reduce(JobAccepted{Spec: spe, Revision: 11})
+	assert.Equal(t, len(fix.starts), 1)
+	fix.reduce(VMRegistered{fix.oth})
+	fix.one.StartedAtMS = 2
+	return fix
+}
+
+// reduce passes events, and answers all polls and stops.
+func (fix *formerLife) reduce(events ...Event) {
+	fix.now = fix.now.Add(10 * time.Millisecond)
+	events = append(events, JobWatchProgressed{At: fix.now})
+	for len(events) > 0 {
+		effects := fix.sta.Reduce(fix.now, events)
+		events = nil
+		for _, eff := range effects {
+			events = append(events, fix.answer(eff)...)
+		}
+		fix.now = fix.now.Add(time.Millisecond)
+	}
+}
+
+func (fix *formerLife) answer(eff Effect) []Event {
+	switch eff := eff.(type) {
+	case Start:
+		assert.Assert(fix.t, len(fix.starts) == 0 || fix.rejected && !fix.running, "run %d starts on %s before run 1 is over", eff.Run, eff.VM.ID)
+		fix.starts = append(fix.starts, eff)
+	case Stop:
+		assert.Assert(fix.t, eff.VM.SameIncarnation(fix.one), "the stop is for %v", eff.VM)
+		fix.rejected, fix.running = true, false
+		return []Event{StopAnswered{VM: eff.VM, Task: eff.Task, Run: eff.Run}}
+	case Poll:
+		if eff.VM.ID == fix.oth.ID {
+			return []Event{PollAnswered{VM: eff.VM, Sent: fix.now, Report: worker.Report{StartedAtMS: fix.oth.StartedAtMS, Clock: time.Second}}}
+		}
+		rep := worker.Report{StartedAtMS: fix.one.StartedAtMS, Clock: time.Second}
+		if fix.running {
+			rep.Running = []worker.Running{{Task: fix.name, Run: 1}}
+		}
+		return []Event{PollAnswered{VM: eff.VM, Sent: fix.now, Report: rep}}
+	}
+	return nil
+}
+
 // TestStartForFormerLifeRunsNoTaskTwice guards against a task that runs twice: a start
 // without an answer reaches the next life of its VM, under the same ID, after the task
 // has started elsewhere.
 func TestStartForFormerLifeRunsNoTaskTwice(t *testing.T) {
-	for _, noticedBy := range []string{"registration", "report", "list"} {
-		for _, late := range []bool{false, true} {
-			now := time.Date(2026, 1, 2, 3, 0, 0, 0, time.UTC)
-			opt := testOptions()
-			opt.Since, opt.Revision, opt.Term = now, 10, 1
-			sta := New(opt)
-			one, oth := testVM("vm-1"), testVM("vm-2")
-			oth.Capacity = job.Size{CPU: 1000, Memory: 32_768}
-			spe := fanOut(1, "large", 1, 4000, 20*time.Second)
-			spe.Accepted = now
-			name := job.Task{Job: spe.ID}
-			rejected, running := 0, map[int]bool{}
-			var starts []Start
-			reduce := func(events ...Event) {
-				now = now.Add(10 * time.Millisecond)
-				effects := sta.Reduce(now, append(events, JobWatchProgressed{At: now}))
-				for len(effects) > 0 {
-					var answers []Event
-					for _, eff := range effects {
-						switch eff := eff.(type) {
-						case Start:
-							starts = append(starts, eff)
-							if len(starts) > 1 {
-								assert.Assert(t, !running[starts[0].Run], "%s: run %d starts on %s while run 1 is active", noticedBy, eff.Run, eff.VM.ID)
-								assert.Assert(t, rejected > 0, "%s: run %d starts on %s before the late start is rejected", noticedBy, eff.Run, eff.VM.ID)
-							}
-						case Stop:
-							assert.Equal(t, eff.VM.StartedAtMS, int64(2))
-							rejected = max(rejected, eff.Run)
-							delete(running, eff.Run)
-							answers = append(answers, StopAnswered{VM: eff.VM, Task: eff.Task, Run: eff.Run})
-						case Poll:
-							vm, rep := one, worker.Report{Clock: time.Second}
-							if eff.VM.ID == oth.ID {
-								vm = oth
-							}
-							rep.StartedAtMS = vm.StartedAtMS
-							if run := 1; vm.ID == one.ID && running[run] {
-								rep.Running = append(rep.Running, worker.Running{Task: name, Run: run})
-							}
-							answers = append(answers, PollAnswered{VM: eff.VM, Sent: now, Report: rep})
-						}
-					}
-					effects = nil
-					if len(answers) > 0 {
-						now = now.Add(time.Millisecond)
-						effects = sta.Reduce(now, answers)
-					}
+	for _, tst := range []struct {
+		noticedBy string
+		events    func(former, next worker.VM, now time.Time, name job.Task) []Event
+	}{
+		{"registration", func(_, next worker.VM, _ time.Time, _ job.Task) []Event { return []Event{VMRegistered{next}} }},
+		{"report", func(former, _ worker.VM, _ time.Time, name job.Task) []Event {
+			return []Event{StartAnswered{VM: former, Task: name, Run: 1, Result: worker.ResultUnknown}}
+		}},
+		{"loss of the former life", func(former, next worker.VM, now time.Time, _ job.Task) []Event {
+			return []Event{PollAnswered{VM: former, Sent: now, Result: worker.ResultOtherIncarnation}, VMRegistered{next}}
+		}},
+	} {
+		for _, arrived := range []bool{false, true} {
+			t.Run(tst.noticedBy, func(t *testing.T) {
+				fix := newFormerLife(t)
+				fix.running = arrived
+				former := fix.one
+				former.StartedAtMS = 1
+				fix.reduce(tst.events(former, fix.one, fix.now, fix.name)...)
+				for range 100 {
+					fix.reduce(Tick{})
 				}
-			}
-			reduce(CatalogChanged{testCatalog()}, VMRegistered{one}, VMRegistered{oth}, JobsLoaded{})
-			reduce(JobAccepted{Spec: spe, Revision: 11})
-			assert.Equal(t, len(starts), 1)
-			former := one
-			one.StartedAtMS = 2
-			oth.Capacity = testVM("").Capacity
-			running[1] = late
-			switch noticedBy {
-			case "registration":
-				reduce(VMRegistered{oth}, VMRegistered{one})
-			case "report":
-				reduce(VMRegistered{oth}, StartAnswered{VM: former, Task: name, Run: 1, Result: worker.ResultUnknown})
-			case "list":
-				reduce(VMRegistered{oth}, PollAnswered{VM: former, Sent: now, Result: worker.ResultOtherIncarnation}, VMRegistered{one})
-			}
-			for range 100 {
-				reduce(Tick{})
-			}
-			assert.Assert(t, len(starts) > 1 || late && len(starts) == 1, "%s: the task isn't started again", noticedBy)
+				assert.Assert(t, len(fix.starts) > 1 || fix.running, "the task doesn't run")
+			})
 		}
 	}
 }
