--- a/internal/core/latestart/latestart.go
+++ b/internal/core/latestart/latestart.go
@@ -2,7 +2,7 @@
 //
 // A start without an answer may be carried out seconds after it was sent. An order
 // names the ID of its VM, and a VM may restart under its ID, so the start may reach the
-// next life of the VM, which knows nothing of the one before.
+// next incarnation of the VM, which knows nothing of the one before.
 package latestart
 
 import (
--- a/internal/core/scheduler/formerlife_test.go
+++ b/internal/core/scheduler/formerincarnation_test.go
@@ -9,25 +9,25 @@
 	"gotest.tools/v3/assert"
 )
 
-// formerLife is a dispatcher with two VMs, of which the first has restarted under its ID
+// formerIncarnation is a dispatcher with two VMs, of which the first has restarted under its ID
 // while the start of run 1 is on its way to it.
-type formerLife struct {
+type formerIncarnation struct {
 	t        *testing.T
 	sta      *State
 	now      time.Time
 	one, oth worker.VM
 	name     job.Task
-	// running reports whether the start has reached the new life, and its run is active.
+	// running reports whether the start has reached the new incarnation, and its run is active.
 	running bool
-	// rejected reports whether the new life was told to stop the run.
+	// rejected reports whether the new incarnation was told to stop the run.
 	rejected bool
 	starts   []Start
 }
 
-// newFormerLife returns a dispatcher that has ordered the start of a task on the first
+// newFormerIncarnation returns a dispatcher that has ordered the start of a task on the first
 // VM.
-func newFormerLife(t *testing.T) *formerLife {
-	fix := &formerLife{t: t, now: time.Date(2026, 1, 2, 3, 0, 0, 0, time.UTC), one: testVM("vm-1"), oth: testVM("vm-2")}
+func newFormerIncarnation(t *testing.T) *formerIncarnation {
+	fix := &formerIncarnation{t: t, now: time.Date(2026, 1, 2, 3, 0, 0, 0, time.UTC), one: testVM("vm-1"), oth: testVM("vm-2")}
 	opt := testOptions()
 	opt.Since, opt.Revision, opt.Term = fix.now, 10, 1
 	fix.sta = New(opt)
@@ -43,7 +43,7 @@
 }
 
 // reduce passes events, and answers all polls and stops.
-func (fix *formerLife) reduce(events ...Event) {
+func (fix *formerIncarnation) reduce(events ...Event) {
 	fix.now = fix.now.Add(10 * time.Millisecond)
 	events = append(events, JobWatchProgressed{At: fix.now})
 	for len(events) > 0 {
@@ -56,7 +56,7 @@
 	}
 }
 
-func (fix *formerLife) answer(eff Effect) []Event {
+func (fix *formerIncarnation) answer(eff Effect) []Event {
 	switch eff := eff.(type) {
 	case Start:
 		assert.Assert(fix.t, len(fix.starts) == 0 || fix.rejected && !fix.running, "run %d starts on %s before run 1 is over", eff.Run, eff.VM.ID)
@@ -78,10 +78,10 @@
 	return nil
 }
 
-// TestStartForFormerLifeRunsNoTaskTwice guards against a task that runs twice: a start
-// without an answer reaches the next life of its VM, under the same ID, after the task
+// TestStartForFormerIncarnationRunsNoTaskTwice guards against a task that runs twice: a start
+// without an answer reaches the next incarnation of its VM, under the same ID, after the task
 // has started elsewhere.
-func TestStartForFormerLifeRunsNoTaskTwice(t *testing.T) {
+func TestStartForFormerIncarnationRunsNoTaskTwice(t *testing.T) {
 	for _, tst := range []struct {
 		noticedBy string
 		events    func(former, next worker.VM, now time.Time, name job.Task) []Event
@@ -90,13 +90,13 @@
 		{"report", func(former, _ worker.VM, _ time.Time, name job.Task) []Event {
 			return []Event{StartAnswered{VM: former, Task: name, Run: 1, Result: worker.ResultUnknown}}
 		}},
-		{"loss of the former life", func(former, next worker.VM, now time.Time, _ job.Task) []Event {
+		{"loss of the former incarnation", func(former, next worker.VM, now time.Time, _ job.Task) []Event {
 			return []Event{PollAnswered{VM: former, Sent: now, Result: worker.ResultOtherIncarnation}, VMRegistered{next}}
 		}},
 	} {
 		for _, arrived := range []bool{false, true} {
 			t.Run(tst.noticedBy, func(t *testing.T) {
-				fix := newFormerLife(t)
+				fix := newFormerIncarnation(t)
 				fix.running = arrived
 				former := fix.one
 				former.StartedAtMS = 1
