--- a/internal/core/scheduler/formerincarnation_test.go
+++ b/internal/core/scheduler/formerincarnation_test.go
@@ -44,16 +44,7 @@
 
 // reduce passes events, and answers all polls and stops.
 func (fix *formerIncarnation) reduce(events ...Event) {
-	fix.now = fix.now.Add(10 * time.Millisecond)
-	events = append(events, JobWatchProgressed{At: fix.now})
-	for len(events) > 0 {
-		effects := fix.sta.Reduce(fix.now, events)
-		events = nil
-		for _, eff := range effects {
-			events = append(events, fix.answer(eff)...)
-		}
-		fix.now = fix.now.Add(time.Millisecond)
-	}
+	fix.now = reduceAnswered(fix.sta, fix.now, events, fix.answer)
 }
 
 func (fix *formerIncarnation) answer(eff Effect) []Event {
--- a/internal/core/scheduler/repeatstart_test.go
+++ b/internal/core/scheduler/repeatstart_test.go
@@ -32,24 +32,34 @@
 
 // reduce passes events and answers all polls and stops.
 func (fix *repeatFixture) reduce(events ...Event) {
-	fix.now = fix.now.Add(10 * time.Millisecond)
-	events = append(events, JobWatchProgressed{At: fix.now})
+	fix.now = reduceAnswered(fix.sta, fix.now, events, func(eff Effect) []Event {
+		switch eff := eff.(type) {
+		case Start:
+			fix.starts = append(fix.starts, eff)
+		case Stop:
+			fix.stops++
+			return []Event{StopAnswered{VM: eff.VM, Task: eff.Task, Run: eff.Run}}
+		case Poll:
+			return []Event{PollAnswered{VM: eff.VM, Sent: fix.now, Report: fix.report}}
+		}
+		return nil
+	})
+}
+
+// reduceAnswered passes events to a dispatcher 10 ms after a time, and then the answers
+// to its effects, until there are none. It returns the time of the last.
+func reduceAnswered(sta *State, now time.Time, events []Event, answer func(Effect) []Event) time.Time {
+	now = now.Add(10 * time.Millisecond)
+	events = append(events, JobWatchProgressed{At: now})
 	for len(events) > 0 {
-		effects := fix.sta.Reduce(fix.now, events)
+		effects := sta.Reduce(now, events)
 		events = nil
 		for _, eff := range effects {
-			switch eff := eff.(type) {
-			case Start:
-				fix.starts = append(fix.starts, eff)
-			case Stop:
-				fix.stops++
-				events = append(events, StopAnswered{VM: eff.VM, Task: eff.Task, Run: eff.Run})
-			case Poll:
-				events = append(events, PollAnswered{VM: eff.VM, Sent: fix.now, Report: fix.report})
-			}
+			events = append(events, answer(eff)...)
 		}
-		fix.now = fix.now.Add(time.Millisecond)
+		now = now.Add(time.Millisecond)
 	}
+	return now
 }
 
 func (fix *repeatFixture) run(span time.Duration) {
