transport: the permit of an order is asked at the connection, without a second packet

Cause: the transport flushes the header before it reads a body that isn't one of the standard library's types, so that an order left in two packets.

Change: the connections of package transport ask for the permit of a request right before its first byte. Nothing of a request without a permit is sent, not even its header, and it goes out in one packet as before.

Evidence: TestPermitIsAskedOncePerRequest; TestQueuedMachineOrderAfterTenure holds.

--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -47,7 +47,7 @@
 			if err != nil {
 				return nil, errors.Join(ErrNotSent, err)
 			}
-			return con, nil
+			return &guardedConn{Conn: con}, nil
 		},
 		MaxIdleConnsPerHost: connections, MaxConnsPerHost: connections,
 		IdleConnTimeout: idleTimeout, DisableCompression: true,
