latestart: the tasks of late starts wait for the rejection, not for a lease

Cause: the record of a new VM has a lease that has expired, as nothing is known to run there.

Change: a VM with late starts has a lease until they can no longer arrive and their runs would have ended.

Evidence: TestStartForFormerIncarnationRunsNoTaskTwice, now 10 s into the tenure, failed before.

--- a/internal/core/latestart/latestart.go
+++ b/internal/core/latestart/latestart.go
@@ -13,9 +13,9 @@
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
 )
 
-// maxDelay is the time after which an order without an answer is no longer carried
+// MaxDelay is the time after which an order without an answer is no longer carried
 // out: the longest delay of an order is 12 s.
-const maxDelay = 13 * time.Second
+const MaxDelay = 13 * time.Second
 
 // Run is a run of a task.
 type Run struct {
@@ -79,7 +79,7 @@
 func (sts *Starts) Pending(vm string, now time.Time) (pending []Run) {
 	highest := map[job.Task]int{}
 	for run, sta := range sts.sent[vm] {
-		if now.Sub(sta.at) <= maxDelay {
+		if now.Sub(sta.at) <= MaxDelay {
 			highest[run.Task] = max(highest[run.Task], run.Number)
 		}
 	}
@@ -94,7 +94,7 @@
 func (sts *Starts) Expire(now time.Time) {
 	for vm, runs := range sts.sent {
 		for run, sta := range runs {
-			if now.Sub(sta.at) > maxDelay {
+			if now.Sub(sta.at) > MaxDelay {
 				sts.remove(vm, run)
 			}
 		}
--- a/internal/core/latestart/latestart_test.go
+++ b/internal/core/latestart/latestart_test.go
@@ -26,8 +26,8 @@
 	sts.Settle("c", run(2, 1))
 	sts.Lose("c", run(2, 1))
 	assert.DeepEqual(t, sts.Pending("a", now.Add(time.Second)), []Run{run(1, 2), run(4, 1)})
-	assert.DeepEqual(t, sts.Pending("a", now.Add(maxDelay+time.Millisecond)), []Run{run(1, 1)})
-	sts.Expire(now.Add(maxDelay + time.Second))
+	assert.DeepEqual(t, sts.Pending("a", now.Add(MaxDelay+time.Millisecond)), []Run{run(1, 1)})
+	sts.Expire(now.Add(MaxDelay + time.Second))
 	assert.DeepEqual(t, sts.Pending("b", now), []Run(nil))
 	assert.DeepEqual(t, sts.Pending("a", now), []Run{run(1, 1)})
 }
--- a/internal/core/scheduler/formerincarnation_test.go
+++ b/internal/core/scheduler/formerincarnation_test.go
@@ -35,6 +35,9 @@
 	spe.Accepted = fix.now
 	fix.name = job.Task{Job: spe.ID}
 	fix.reduce(CatalogChanged{testCatalog()}, VMRegistered{fix.one}, JobsLoaded{})
+	// No leases of a former dispatcher are in force any more.
+	fix.now = fix.now.Add(10 * time.Second)
+	spe.Accepted = fix.now
 	fix.reduce(JobAccepted{Spec: spe, Revision: 11})
 	assert.Equal(t, len(fix.starts), 1)
 	fix.reduce(VMRegistered{fix.oth})
--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
+	"github.com/balsamgauge/balsamgauge/internal/core/latestart"
 	"github.com/balsamgauge/balsamgauge/internal/core/pace"
 	"github.com/balsamgauge/balsamgauge/internal/core/vmclock"
 	"github.com/balsamgauge/balsamgauge/internal/core/worker"
@@ -78,9 +79,14 @@
 }
 
 // rejectLateStarts has a new VM reject the starts that a former VM with its ID has not
-// answered. Until it does, their tasks don't start elsewhere.
+// answered. Until it does, or until the runs of late starts would have ended, their
+// tasks don't start elsewhere.
 func (sta *State) rejectLateStarts(hos *host) {
-	for _, run := range sta.lateStarts.Pending(hos.vm.ID, sta.now) {
+	pending := sta.lateStarts.Pending(hos.vm.ID, sta.now)
+	if len(pending) > 0 {
+		hos.leaseExpiry = sta.now.Add(latestart.MaxDelay + sta.maxLeaseTime())
+	}
+	for _, run := range pending {
 		sta.logDecision("late_start_rejected", run.Task.Job, map[string]any{"task": run.Task.String(), "run": run.Number, "vm": hos.vm.ID})
 		sta.stop(sta.reserve(hos, sta.stageOfRun(run.Task), run.Task, run.Number, runUnknown))
 	}
