scheduler: a refused repeat doesn't settle the start before it

What callers would see: a task runs twice. A start without an answer is sent again with the same run number since.

Cause: the refusal was taken for the answer to all starts of the run. The starts that may still arrive are known to latestart, which was only asked about VMs that restarted.

Now the VM is told to stop the run, which makes it reject the late start, before the task starts elsewhere.

--- a/internal/core/latestart/latestart.go
+++ b/internal/core/latestart/latestart.go
@@ -65,6 +65,13 @@
 	}
 }
 
+// MayArrive reports whether a VM may still carry out a start of a run that was sent
+// before the last one.
+func (sts *Starts) MayArrive(vm string, run Run, now time.Time) bool {
+	sta, ok := sts.sent[vm][run]
+	return ok && sta.unanswered && now.Sub(sta.at) <= MaxDelay
+}
+
 func (sts *Starts) remove(vm string, run Run) {
 	runs := sts.sent[vm]
 	delete(runs, run)
--- a/internal/core/latestart/latestart_test.go
+++ b/internal/core/latestart/latestart_test.go
@@ -31,3 +31,19 @@
 	assert.DeepEqual(t, sts.Pending("b", now), []Run(nil))
 	assert.DeepEqual(t, sts.Pending("a", now), []Run{run(1, 1)})
 }
+
+// TestMayArrive checks that the answer to a repeated start doesn't settle an earlier one
+// without an answer.
+func TestMayArrive(t *testing.T) {
+	now := time.Date(2026, 1, 2, 3, 0, 0, 0, time.UTC)
+	run := Run{Task: job.Task{Job: "j"}, Number: 1}
+	sts := NewStarts()
+	sts.Add("a", run, now)
+	assert.Assert(t, !sts.MayArrive("a", run, now))
+	sts.Lose("a", run)
+	sts.Add("a", run, now.Add(time.Second))
+	sts.Settle("a", run)
+	assert.Assert(t, sts.MayArrive("a", run, now.Add(time.Second)))
+	assert.Assert(t, !sts.MayArrive("b", run, now))
+	assert.Assert(t, !sts.MayArrive("a", run, now.Add(time.Second+MaxDelay+time.Millisecond)))
+}
--- a/internal/core/scheduler/orders.go
+++ b/internal/core/scheduler/orders.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/balsamgauge/balsamgauge/internal/core/latestart"
 	"github.com/balsamgauge/balsamgauge/internal/core/worker"
 )
 
@@ -113,8 +114,8 @@
 	}
 }
 
-// startRefused handles that a VM refused a start for good: it did not start the
-// run and will not do so later.
+// startRefused handles that a VM refused a start: it did not start the run, and will
+// do so later only if an earlier start of the run is still without an answer.
 func (sta *State) startRefused(hos *host, pla *placement, res worker.Result) {
 	stg, name := pla.stage, pla.task
 	switch res {
@@ -124,7 +125,11 @@
 	case worker.ResultOtherIncarnation:
 		sta.removeHost(hos, "another VM answers at its address")
 	default:
-		sta.release(hos, pla)
+		if sta.lateStarts.MayArrive(hos.vm.ID, latestart.Run{Task: name, Number: pla.run}, sta.now) {
+			sta.stop(pla)
+		} else {
+			sta.release(hos, pla)
+		}
 	}
 	switch res {
 	case worker.ResultNoRoom, worker.ResultLate:
