hedge: starts, stops and polls without an answer are sent again by measured latency

What callers saw: a job of a dozen tasks took one to three seconds more whenever one of its orders or one of the polls that report its ends got no answer.

Cause: a lost answer was waited for 0.9 s (a poll: its wait and 0.7 s), though VMs answer in milliseconds.

Change: internal/hedge makes these calls. It repeats one on a new connection at a deadline from the latency of its kind and VM, within a budget that lost answers refill and slow ones don't. The first definite answer wins; StartAnswered says whether another try may still be carried out, so that a refusal settles nothing. Late starts don't count as latency of the dispatcher.

--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -40,3 +40,12 @@
 	bud.milliTokens -= retryMilliTokens
 	return bud, true
 }
+
+// WithLoss returns the budget after a retry was answered in the usual time while the
+// attempt before it was not: the answer was lost, and the upstream is not slow. It adds a
+// retry beyond those that the request took, as many requests whose answers are lost
+// need more than one.
+func (bud Budget) WithLoss(retries int) Budget {
+	bud.milliTokens = min(maxMilliTokens, bud.milliTokens+(retries+1)*retryMilliTokens)
+	return bud
+}
--- a/internal/core/scheduler/emulator_test.go
+++ b/internal/core/scheduler/emulator_test.go
@@ -44,7 +44,10 @@
 
 	// Fault probabilities.
 	loseAnswer, loseOrder, lateOrder float64
-	loseCommit, lateCommit           float64
+	// repeats is how often an order without an answer is sent again after
+	// emulatedRepeatDelay, while those before it may still be carried out.
+	repeats                int
+	loseCommit, lateCommit float64
 	// watchSilent suppresses changes of jobs to the dispatcher.
 	watchSilent bool
 	// storeDown makes all writes fail.
@@ -181,6 +184,7 @@
 	// connection was reset.
 	emulatedMachineTimeout = 20 * time.Millisecond
 	emulatedTTL            = 1500 * time.Millisecond
+	emulatedRepeatDelay    = 30 * time.Millisecond
 )
 
 // newEmulator returns an emulator without VMs and without a dispatcher.
@@ -435,11 +439,11 @@
 		emu.connected[eff.VM.ID] = true
 		emu.performPoll(eff)
 	case Start:
-		emu.call(eff.VM, func(vm *emulatedVM, term int64) worker.Result { return emu.startOn(vm, eff, term) }, func(res worker.Result) Event {
-			return StartAnswered{VM: eff.VM, Task: eff.Task, Run: eff.Run, Result: res}
+		emu.call(eff.VM, func(vm *emulatedVM, term int64) worker.Result { return emu.startOn(vm, eff, term) }, func(res worker.Result, unanswered bool) Event {
+			return StartAnswered{VM: eff.VM, Task: eff.Task, Run: eff.Run, Result: res, Unanswered: unanswered}
 		})
 	case Stop:
-		emu.call(eff.VM, func(vm *emulatedVM, term int64) worker.Result { return emu.stopOn(vm, eff, term) }, func(res worker.Result) Event {
+		emu.call(eff.VM, func(vm *emulatedVM, term int64) worker.Result { return emu.stopOn(vm, eff, term) }, func(res worker.Result, _ bool) Event {
 			return StopAnswered{VM: eff.VM, Task: eff.Task, Run: eff.Run, Result: res}
 		})
 	case Commit:
@@ -583,16 +587,44 @@
 	return vm
 }
 
-// call sends an order to a VM and its answer back. Either may be lost, and the
+// call sends an order to a VM, and again while there is no answer, and delivers the
+// first definite answer. The answer is unanswered if another try has none.
+func (emu *emulator) call(one worker.VM, execute func(*emulatedVM, int64) worker.Result, answer func(res worker.Result, unanswered bool) Event) {
+	term, decided, open, left := emu.term, false, 0, emu.repeats
+	var send func()
+	send = func() {
+		open++
+		emu.try(one, term, execute, func(res worker.Result) {
+			if res != worker.ResultUnknown {
+				open--
+			} else if left > 0 {
+				return
+			}
+			if !decided {
+				decided = true
+				emu.deliver(answer(res, open > 0))
+			}
+		})
+		if left > 0 {
+			emu.after(emulatedRepeatDelay, func() {
+				if left--; !decided && term == emu.term {
+					send()
+				}
+			})
+		}
+	}
+	send()
+}
+
+// try sends an order to a VM and its answer back. Either may be lost, and the
 // order may be carried out late.
-func (emu *emulator) call(one worker.VM, execute func(*emulatedVM, int64) worker.Result, answer func(worker.Result) Event) {
-	term := emu.term
+func (emu *emulator) try(one worker.VM, term int64, execute func(*emulatedVM, int64) worker.Result, answer func(worker.Result)) {
 	answered := false
 	reply := func(span time.Duration, res worker.Result) {
 		emu.after(span, func() {
 			if term == emu.term && !answered {
 				answered = true
-				emu.deliver(answer(res))
+				answer(res)
 			}
 		})
 	}
--- a/internal/core/scheduler/event.go
+++ b/internal/core/scheduler/event.go
@@ -65,6 +65,9 @@
 	Task   job.Task
 	Run    int
 	Result worker.Result
+	// Unanswered reports whether the start was sent more than once, and a try that
+	// wasn't answered may still be carried out.
+	Unanswered bool
 }
 
 // StopAnswered answers a Stop.
--- a/internal/core/scheduler/orders.go
+++ b/internal/core/scheduler/orders.go
@@ -81,7 +81,7 @@
 		sta.staleStartAnswered(hos, evt)
 		return
 	}
-	if evt.Result != worker.ResultUnknown {
+	if evt.Result != worker.ResultUnknown && !evt.Unanswered {
 		sta.starts.answered(sta.now.Sub(pla.since))
 	}
 	switch evt.Result {
--- a/internal/core/scheduler/reduce.go
+++ b/internal/core/scheduler/reduce.go
@@ -100,7 +100,7 @@
 			sta.pollAnswered(hos, evt)
 		}
 	case StartAnswered:
-		if run := (latestart.Run{Task: evt.Task, Number: evt.Run}); evt.Result == worker.ResultUnknown {
+		if run := (latestart.Run{Task: evt.Task, Number: evt.Run}); evt.Result == worker.ResultUnknown || evt.Unanswered {
 			sta.lateStarts.Lose(evt.VM.ID, run)
 		} else {
 			sta.lateStarts.Settle(evt.VM.ID, run)
--- a/internal/core/scheduler/refusedrepeat_test.go
+++ b/internal/core/scheduler/refusedrepeat_test.go
@@ -30,3 +30,16 @@
 		})
 	}
 }
+
+// TestRefusalOfRepeatedStartLeavesFirst guards against the same if the tries were made
+// without the dispatcher's knowledge: the answer says that one of them has no answer.
+func TestRefusalOfRepeatedStartLeavesFirst(t *testing.T) {
+	fix := newRepeatFixture()
+	fix.submitServing()
+	sta := fix.starts[0]
+	fix.reduce(VMRegistered{testVM("vm-2")})
+	fix.reduce(StartAnswered{VM: sta.VM, Task: sta.Task, Run: sta.Run, Result: worker.ResultNoRoom, Unanswered: true})
+	fix.run(2 * time.Second)
+	assert.Equal(t, fix.stops, 1)
+	assert.Equal(t, fix.starts[len(fix.starts)-1].Run, 2)
+}
--- a/internal/core/scheduler/schedule_test.go
+++ b/internal/core/scheduler/schedule_test.go
@@ -51,9 +51,11 @@
 }
 
 // faultScenario runs half a minute of jobs with faults of every kind, and then
-// continues without faults until 75 s.
-func faultScenario(seed uint64) *emulator {
+// continues without faults until 75 s. Orders without an answer are repeated a number
+// of times.
+func faultScenario(seed uint64, repeats int) *emulator {
 	emu := newEmulator(seed, testCatalog())
+	emu.repeats = repeats
 	emu.catalog.Pools[0].EnforcesCapacity = seed%3 != 0
 	emu.addVMs("lots", 9, 3, job.Size{CPU: 16_000, Memory: 32_768})
 	emu.loseAnswer, emu.loseOrder, emu.lateOrder = 0.03, 0.02, 0.03
@@ -138,15 +140,32 @@
 		seeds = 20
 	}
 	for seed := range seeds {
-		emu := faultScenario(seed)
-		for id := range emu.specs {
-			if _, ok := emu.finished[id]; !ok {
-				emu.fail("job %s has not ended", id)
-			}
+		checkFaultScenario(t, seed, 0)
+	}
+}
+
+// TestFaultInjectionWithRepeatedOrders checks the same invariants while orders without an
+// answer are sent up to four times, so that first tries, repeats, late executions, takeovers
+// and crashes meet in many orders.
+func TestFaultInjectionWithRepeatedOrders(t *testing.T) {
+	seeds := uint64(60)
+	if testing.Short() {
+		seeds = 10
+	}
+	for seed := range seeds {
+		checkFaultScenario(t, 1000+seed, 3)
+	}
+}
+
+func checkFaultScenario(t *testing.T, seed uint64, repeats int) {
+	emu := faultScenario(seed, repeats)
+	for id := range emu.specs {
+		if _, ok := emu.finished[id]; !ok {
+			emu.fail("job %s has not ended", id)
 		}
-		emu.checkAccounting()
-		assert.Equal(t, len(emu.violations), 0, "seed %d: %s", seed, strings.Join(emu.violations, "\n"))
 	}
+	emu.checkAccounting()
+	assert.Equal(t, len(emu.violations), 0, "seed %d: %s", seed, strings.Join(emu.violations, "\n"))
 }
 
 // checkAccounting checks that the dispatcher's records match the runs on the
--- /dev/null
+++ b/internal/hedge/call.go
@@ -0,0 +1,201 @@
+package hedge
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/balsamgauge/balsamgauge/internal/transport"
+)
+
+// maxTries is how often a call is sent at most.
+const maxTries = 4
+
+// Call is a call that is idempotent: it may be sent more than once, and one try may be
+// carried out after another.
+type Call[T any] struct {
+	// Kind and Callee select the latencies and budgets that apply.
+	Kind, Callee string
+	// Subject names what the call is about, for logs.
+	Subject string
+	// Wait is how long the callee may hold back the answer to the first try.
+	Wait time.Duration
+	// Timeout bounds all tries together. It exceeds Wait.
+	Timeout time.Duration
+	// Send makes a try, which is numbered from 0.
+	Send func(ctx context.Context, try int) (ans T, err error)
+	// Decides reports whether an answer is definite. It may be so despite an error.
+	Decides func(ans T) bool
+	// Agrees reports whether two definite answers are the same; nil if they need not be.
+	Agrees func(one, oth T) bool
+}
+
+// Outcome is how a call ended.
+type Outcome[T any] struct {
+	Answer T
+	Err    error
+	// Unanswered reports whether a try may still be carried out that has no answer, so
+	// that the answer holds only for the others.
+	Unanswered bool
+}
+
+// Report describes a call that was repeated.
+type Report struct {
+	Kind, Callee, Subject string
+	// Ages holds how long ago each try was sent as the call ended.
+	Ages []time.Duration
+	// Won is the number of the try whose answer decided; -1 if none did.
+	Won int
+	// Deadline is the time after which the first try was repeated.
+	Deadline time.Duration
+	// Disagreeing is the number of a try whose answer came later and differs; -1 if
+	// there is none.
+	Disagreeing int
+	// Err is why the last try failed.
+	Err error
+}
+
+// answer is what a try returned.
+type answer[T any] struct {
+	try  int
+	ans  T
+	err  error
+	took time.Duration
+}
+
+// exchange is a call in progress.
+type exchange[T any] struct {
+	call    Call[T]
+	car     *Caller
+	answers chan answer[T]
+	// sent holds when each try was sent.
+	sent []time.Time
+	// open is the number of tries that have not returned, and failed the number of those
+	// that returned without an answer although they may have been sent.
+	open, failed int
+	deadline     time.Duration
+	// last is the last answer that was not definite, and lastErr the last error.
+	last    T
+	lastErr error
+}
+
+// Do makes a call.
+func Do[T any](ctx context.Context, car *Caller, call Call[T]) (out Outcome[T]) {
+	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
+	exc := &exchange[T]{call: call, car: car, answers: make(chan answer[T], maxTries), deadline: car.begin(call.Kind, call.Callee)}
+	exc.send(ctx)
+	due := time.NewTimer(call.Wait + exc.deadline)
+	defer due.Stop()
+	for exc.open > 0 {
+		select {
+		case ans := <-exc.answers:
+			if exc.decides(ans) {
+				if ans.try > 0 && ans.took <= exc.deadline {
+					exc.car.lost(call.Callee, len(exc.sent)-1)
+				}
+				exc.report(ans.try, -1)
+				go exc.drain(ans, cancel)
+				return Outcome[T]{Answer: ans.ans, Err: ans.err, Unanswered: exc.open > 0 || exc.failed > 0}
+			}
+			if exc.open == 0 && !isNotSent(ans.err) {
+				exc.repeat(ctx)
+			}
+		case <-due.C:
+			// A call without a budget tries again: repeats that are answered refill it.
+			exc.repeat(ctx)
+			due.Reset(exc.deadline << (len(exc.sent) - 1))
+		}
+	}
+	cancel()
+	exc.report(-1, -1)
+	return Outcome[T]{Answer: exc.last, Err: exc.lastErr, Unanswered: true}
+}
+
+// send starts a try.
+func (exc *exchange[T]) send(ctx context.Context) {
+	try, sent := len(exc.sent), exc.car.now()
+	exc.sent = append(exc.sent, sent)
+	exc.open++
+	go func() {
+		ans, err := exc.call.Send(ctx, try)
+		exc.answers <- answer[T]{try: try, ans: ans, err: err, took: exc.car.now().Sub(sent)}
+	}()
+}
+
+// repeat sends the call again if that is allowed.
+func (exc *exchange[T]) repeat(ctx context.Context) {
+	if len(exc.sent) < maxTries && ctx.Err() == nil && exc.car.mayRepeat(exc.call.Kind, exc.call.Callee) {
+		exc.send(ctx)
+	}
+}
+
+// decides handles the return of a try, and reports whether it ends the call. A
+// repeat that was not sent says nothing of the tries before it.
+func (exc *exchange[T]) decides(ans answer[T]) bool {
+	exc.open--
+	switch {
+	case isNotSent(ans.err) && len(exc.sent) > 1:
+		exc.lastErr = ans.err
+		return false
+	case !exc.call.Decides(ans.ans):
+		exc.last, exc.lastErr = ans.ans, ans.err
+		exc.failed++
+		return false
+	}
+	exc.observe(ans)
+	return true
+}
+
+func isNotSent(err error) bool { return errors.Is(err, transport.ErrNotSent) }
+
+// observe records how long a try took to be answered, apart from the time for which the
+// callee held it back. An answer before the end of that time doesn't show it.
+func (exc *exchange[T]) observe(ans answer[T]) {
+	took := ans.took
+	if ans.try == 0 {
+		took -= exc.call.Wait
+	}
+	if ans.err != nil || took < 0 {
+		return
+	}
+	if err := exc.car.answered(exc.call.Kind, exc.call.Callee, took); err != nil {
+		exc.car.count(exc.call.Kind, "odd_latencies")
+	}
+}
+
+// drain waits for the tries that are open after the call has been decided, and reports
+// answers that disagree. They keep connections, so that those without an answer are given up
+// after a further deadline.
+func (exc *exchange[T]) drain(won answer[T], cancel context.CancelFunc) {
+	defer cancel()
+	tim := time.AfterFunc(exc.deadline, cancel)
+	defer tim.Stop()
+	for ; exc.open > 0; exc.open-- {
+		ans := <-exc.answers
+		if isNotSent(ans.err) || !exc.call.Decides(ans.ans) {
+			continue
+		}
+		exc.observe(ans)
+		if exc.call.Agrees != nil && !exc.call.Agrees(won.ans, ans.ans) {
+			exc.report(won.try, ans.try)
+		}
+	}
+}
+
+// report counts and logs a call that was repeated.
+func (exc *exchange[T]) report(won, disagreeing int) {
+	if len(exc.sent) == 1 {
+		return
+	}
+	rep := Report{
+		Kind: exc.call.Kind, Callee: exc.call.Callee, Subject: exc.call.Subject,
+		Won: won, Disagreeing: disagreeing, Deadline: exc.deadline, Err: exc.lastErr,
+	}
+	for _, sent := range exc.sent {
+		rep.Ages = append(rep.Ages, exc.car.now().Sub(sent))
+	}
+	if won > 0 && disagreeing < 0 {
+		exc.car.count(exc.call.Kind, "repeats_won")
+	}
+	exc.car.log(rep)
+}
--- a/internal/manager/effects.go
+++ b/internal/manager/effects.go
@@ -8,11 +8,13 @@
 
 	"github.com/balsamgauge/balsamgauge/internal/advisory"
 	"github.com/balsamgauge/balsamgauge/internal/clock"
+	"github.com/balsamgauge/balsamgauge/internal/core/job"
 	"github.com/balsamgauge/balsamgauge/internal/core/packed"
 	"github.com/balsamgauge/balsamgauge/internal/core/scheduler"
 	"github.com/balsamgauge/balsamgauge/internal/core/worker"
 	"github.com/balsamgauge/balsamgauge/internal/decisionlog"
 	"github.com/balsamgauge/balsamgauge/internal/follow"
+	"github.com/balsamgauge/balsamgauge/internal/hedge"
 	"github.com/balsamgauge/balsamgauge/internal/kv"
 	"github.com/balsamgauge/balsamgauge/internal/record"
 	"github.com/balsamgauge/balsamgauge/platform"
@@ -64,6 +66,7 @@
 		dis.saveWave(ctx, eff)
 	case scheduler.Forget:
 		dis.nod.executors.Forget(eff.VM.Address)
+		dis.nod.calls.Forget(eff.VM.ID)
 	case scheduler.StepDown:
 		dis.nod.log.Event("duty_given_up", decisionlog.Fields{"reason": eff.Reason})
 		dis.ten.End()
@@ -85,6 +88,29 @@
 	dis.nod.log.Event(dec.Name, fields)
 }
 
+// logRepeats logs a call that was repeated.
+func (nod *Node) logRepeats(rep hedge.Report) {
+	ages := make([]int64, len(rep.Ages))
+	for i, age := range rep.Ages {
+		ages[i] = age.Milliseconds()
+	}
+	fields := decisionlog.Fields{
+		"call": rep.Kind, "vm": rep.Callee, "ages_ms": ages, "deadline_ms": rep.Deadline.Milliseconds(), "decided_by": rep.Won,
+	}
+	if rep.Subject != "" {
+		fields["task"] = rep.Subject
+	}
+	if rep.Err != nil {
+		fields["error"] = rep.Err.Error()
+	}
+	if rep.Disagreeing >= 0 {
+		fields["disagreeing"] = rep.Disagreeing
+		nod.log.Event("answers_disagree", fields)
+		return
+	}
+	nod.log.Event("call_repeated", fields)
+}
+
 func (dis *dispatcher) logFailure(call, vm string, err error) {
 	if err != nil {
 		dis.nod.log.Event("call_failed", decisionlog.Fields{"call": call, "vm": vm, "error": err.Error()})
@@ -94,32 +120,72 @@
 // term returns the dispatcher's term, the fencing token of its orders.
 func (dis *dispatcher) term() int64 { return dis.ten.Current().Holder.Term }
 
+// pollReport is the answer to a poll. The report is valid if the result is ResultOK.
+type pollReport struct {
+	report worker.Report
+	result worker.Result
+}
+
 func (dis *dispatcher) poll(ctx context.Context, now time.Time, eff scheduler.Poll) {
-	callCtx, cancel := context.WithTimeout(ctx, eff.Wait+eff.Slack)
-	defer cancel()
-	rep, res, err := dis.nod.executors.Poll(callCtx, eff.VM, platform.Poll{Term: dis.term(), Acked: eff.Acked, Deadline: eff.Deadline, Wait: eff.Wait})
+	pol := platform.Poll{Term: dis.term(), Acked: eff.Acked, Deadline: eff.Deadline, Wait: eff.Wait}
+	out := hedge.Do(ctx, dis.nod.calls, hedge.Call[pollReport]{
+		Kind: "poll", Callee: eff.VM.ID, Wait: eff.Wait, Timeout: eff.Wait + eff.Slack,
+		Send: func(ctx context.Context, try int) (ans pollReport, err error) {
+			pol := pol
+			if try > 0 {
+				pol.Wait = 0
+				dis.nod.executors.Redial(eff.VM.Address)
+			}
+			ans.report, ans.result, err = dis.nod.executors.Poll(ctx, eff.VM, pol)
+			return ans, err
+		},
+		Decides: func(ans pollReport) bool { return ans.result != worker.ResultUnknown },
+	})
 	// The log's name of a poll is "look".
-	dis.logFailure("look", eff.VM.ID, err)
-	dis.send(ctx, scheduler.PollAnswered{VM: eff.VM, Sent: now, Report: rep, Result: res})
+	dis.logFailure("look", eff.VM.ID, out.Err)
+	dis.send(ctx, scheduler.PollAnswered{VM: eff.VM, Sent: now, Report: out.Answer.report, Result: out.Answer.result})
+}
+
+// order makes an order to a VM that names a run and is idempotent.
+func (dis *dispatcher) order(ctx context.Context, kind string, one worker.VM, task job.Task, run int, send func(context.Context) (worker.Result, error)) hedge.Outcome[worker.Result] {
+	out := hedge.Do(ctx, dis.nod.calls, hedge.Call[worker.Result]{
+		Kind: kind, Callee: one.ID, Subject: fmt.Sprintf("%s/%d", task, run), Timeout: orderTimeout,
+		Send: func(ctx context.Context, try int) (worker.Result, error) {
+			if try > 0 {
+				dis.nod.executors.Redial(one.Address)
+			}
+			return send(ctx)
+		},
+		Decides: func(res worker.Result) bool { return res != worker.ResultUnknown },
+		Agrees:  sameOutcome,
+	})
+	dis.logFailure(kind, one.ID, out.Err)
+	return out
+}
+
+// sameOutcome reports whether two answers to tries of an order mean the same: a run that
+// was carried out may have ended since.
+func sameOutcome(one, oth worker.Result) bool {
+	return one == oth || one == worker.ResultOK && oth == worker.ResultOldRun
 }
 
 func (dis *dispatcher) start(ctx context.Context, eff scheduler.Start) {
-	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	res, err := dis.nod.executors.Start(callCtx, eff.VM, platform.StartOrder{
+	ord := platform.StartOrder{
 		Task: eff.Task, Run: eff.Run, Payload: eff.Payload, Deadline: eff.Deadline, Term: dis.term(),
 		Checkpoint: eff.Checkpoint, Ticket: eff.Ticket,
+	}
+	out := dis.order(ctx, "start", eff.VM, eff.Task, eff.Run, func(ctx context.Context) (worker.Result, error) {
+		return dis.nod.executors.Start(ctx, eff.VM, ord)
 	})
-	dis.logFailure("start", eff.VM.ID, err)
-	dis.send(ctx, scheduler.StartAnswered{VM: eff.VM, Task: eff.Task, Run: eff.Run, Result: res})
+	dis.send(ctx, scheduler.StartAnswered{VM: eff.VM, Task: eff.Task, Run: eff.Run, Result: out.Answer, Unanswered: out.Unanswered})
 }
 
 func (dis *dispatcher) stop(ctx context.Context, eff scheduler.Stop) {
-	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	res, err := dis.nod.executors.Stop(callCtx, eff.VM, eff.Task, eff.Run, dis.term())
-	dis.logFailure("stop", eff.VM.ID, err)
-	dis.send(ctx, scheduler.StopAnswered{VM: eff.VM, Task: eff.Task, Run: eff.Run, Result: res})
+	term := dis.term()
+	out := dis.order(ctx, "stop", eff.VM, eff.Task, eff.Run, func(ctx context.Context) (worker.Result, error) {
+		return dis.nod.executors.Stop(ctx, eff.VM, eff.Task, eff.Run, term)
+	})
+	dis.send(ctx, scheduler.StopAnswered{VM: eff.VM, Task: eff.Task, Run: eff.Run, Result: out.Answer})
 }
 
 func (dis *dispatcher) pace(ctx context.Context, eff scheduler.Pace) {
--- a/internal/manager/node.go
+++ b/internal/manager/node.go
@@ -20,6 +20,7 @@
 	"github.com/balsamgauge/balsamgauge/internal/decisionlog"
 	"github.com/balsamgauge/balsamgauge/internal/election"
 	"github.com/balsamgauge/balsamgauge/internal/follow"
+	"github.com/balsamgauge/balsamgauge/internal/hedge"
 	"github.com/balsamgauge/balsamgauge/internal/intake"
 	"github.com/balsamgauge/balsamgauge/internal/kv"
 	"github.com/balsamgauge/balsamgauge/platform"
@@ -61,12 +62,14 @@
 	now       func() time.Time
 	store     *platform.Store
 	executors *platform.Executors
-	machines  *platform.Machines
-	relay     *advisory.Relay
-	operator  *operatorView
-	load      *loadView
-	election  *election.Elector
-	metrics   metrics.Registry
+	// calls makes the calls to VMs that may be repeated.
+	calls    *hedge.Caller
+	machines *platform.Machines
+	relay    *advisory.Relay
+	operator *operatorView
+	load     *loadView
+	election *election.Elector
+	metrics  metrics.Registry
 }
 
 // New returns a node with the given settings that logs to out.
@@ -81,6 +84,7 @@
 		machines: platform.NewMachines(set.Machines, scheduler.MaxOrderTransit), relay: advisory.NewRelay(platform.NewAdvisor(set.Advisor), log),
 		operator: newOperatorView(log, clo.Now), load: &loadView{log: log, now: clo.Now}, metrics: metrics.NewRegistry(),
 	}
+	nod.calls = hedge.NewCaller(clo.Now, nod.metrics, nod.logRepeats)
 	nod.set.Store(&set)
 	nod.election = election.New(election.Options{Store: nod.store, Name: set.Name, CPUShare: set.CPUShare, Log: log, Now: clo.Now, Dispatch: nod.dispatch})
 	return nod, nil
