hedge: repeats have connections and budgets of their own

What was seen: with half of the orders late, calls with one try only timed out, and the deadlines of starts rose to their maximum.

Cause: tries without an answer held the few connections to a VM, and waiting for one counted as the VM's latency. With up to 16 connections each burst of starts opened new ones. The budget of a VM of which two calls were lost refilled by 0.08 a call, and a third of all VMs had none.

Latency counts from when a try has a connection. A VM's budget refills by half of a repeat a call; that of all VMs together, which bounds the calls of a slow fleet, by 0.08 as before. The deadline is three times the percentile.

Tests: TestLossyCalleesGetRepeats; those of slow and silent callees hold.

--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -5,8 +5,10 @@
 // Bounds of the budget, in thousandths of a token. A retry costs one token.
 const (
 	// refillMilliTokens is added by each first attempt. It limits sustained
-	// retries to 8% of the first attempts.
-	refillMilliTokens = 80
+	// retries to 8% of the first attempts. calleeRefillMilliTokens replaces it for a
+	// single callee out of many, of which all have a budget together as well.
+	refillMilliTokens       = 80
+	calleeRefillMilliTokens = 500
 	// retryMilliTokens is the cost of a retry.
 	retryMilliTokens = 1000
 	// maxMilliTokens bounds the burst of retries.
@@ -19,16 +21,23 @@
 type Budget struct {
 	// milliTokens ranges from 0 to maxMilliTokens.
 	milliTokens int
+	// refill is what a first attempt adds.
+	refill int
 }
 
 // NewBudget returns the budget of a pool without traffic.
 func NewBudget() Budget {
-	return Budget{milliTokens: initialMilliTokens}
+	return Budget{milliTokens: initialMilliTokens, refill: refillMilliTokens}
+}
+
+// NewCalleeBudget returns the budget of one callee out of many.
+func NewCalleeBudget() Budget {
+	return Budget{milliTokens: initialMilliTokens, refill: calleeRefillMilliTokens}
 }
 
 // WithStart returns the budget after a first attempt.
 func (bud Budget) WithStart() Budget {
-	bud.milliTokens = min(maxMilliTokens, bud.milliTokens+refillMilliTokens)
+	bud.milliTokens = min(maxMilliTokens, bud.milliTokens+bud.refill)
 	return bud
 }
 
--- a/internal/core/retry/latency.go
+++ b/internal/core/retry/latency.go
@@ -25,7 +25,7 @@
 	latencyQuantile = 95
 	// kindMargin and calleeMargin are the ratios of the deadline to the quantile of the
 	// kind and to the median of the callee.
-	kindMargin   = 2
+	kindMargin   = 3
 	calleeMargin = 4
 	// MinTryDeadline and MaxTryDeadline bound the deadline. The upper one holds until
 	// minAnswers answers are known.
--- a/internal/hedge/call.go
+++ b/internal/hedge/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/balsamgauge/balsamgauge/internal/transport"
@@ -57,9 +58,10 @@
 
 // answer is what a try returned.
 type answer[T any] struct {
-	try  int
-	ans  T
-	err  error
+	try int
+	ans T
+	err error
+	// took is the time from when the try had a connection.
 	took time.Duration
 }
 
@@ -81,6 +83,7 @@
 
 // Do makes a call.
 func Do[T any](ctx context.Context, car *Caller, call Call[T]) (out Outcome[T]) {
+	ctx, giveUp := context.WithCancelCause(ctx)
 	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
 	exc := &exchange[T]{call: call, car: car, answers: make(chan answer[T], maxTries), deadline: car.begin(call.Kind, call.Callee)}
 	exc.send(ctx)
@@ -94,7 +97,10 @@
 					exc.car.lost(call.Callee, len(exc.sent)-1)
 				}
 				exc.report(ans.try, -1)
-				go exc.drain(ans, cancel)
+				go func() {
+					defer cancel()
+					exc.drain(ans, giveUp)
+				}()
 				return Outcome[T]{Answer: ans.ans, Err: ans.err, Unanswered: exc.open > 0 || exc.failed > 0}
 			}
 			if exc.open == 0 && !isNotSent(ans.err) {
@@ -107,6 +113,7 @@
 		}
 	}
 	cancel()
+	giveUp(nil)
 	exc.report(-1, -1)
 	return Outcome[T]{Answer: exc.last, Err: exc.lastErr, Unanswered: true}
 }
@@ -116,9 +123,16 @@
 	try, sent := len(exc.sent), exc.car.now()
 	exc.sent = append(exc.sent, sent)
 	exc.open++
+	// The time until there is a connection is not the callee's.
+	var connected atomic.Pointer[time.Time]
+	connected.Store(&sent)
+	ctx = transport.WithConnected(ctx, func() {
+		now := exc.car.now()
+		connected.Store(&now)
+	})
 	go func() {
 		ans, err := exc.call.Send(ctx, try)
-		exc.answers <- answer[T]{try: try, ans: ans, err: err, took: exc.car.now().Sub(sent)}
+		exc.answers <- answer[T]{try: try, ans: ans, err: err, took: exc.car.now().Sub(*connected.Load())}
 	}()
 }
 
@@ -165,10 +179,10 @@
 
 // drain waits for the tries that are open after the call has been decided, and reports
 // answers that disagree. They keep connections, so that those without an answer are given up
-// after a further deadline.
-func (exc *exchange[T]) drain(won answer[T], cancel context.CancelFunc) {
-	defer cancel()
-	tim := time.AfterFunc(exc.deadline, cancel)
+// after a further deadline, as if their timeout had passed.
+func (exc *exchange[T]) drain(won answer[T], giveUp context.CancelCauseFunc) {
+	defer giveUp(nil)
+	tim := time.AfterFunc(exc.deadline, func() { giveUp(context.DeadlineExceeded) })
 	defer tim.Stop()
 	for ; exc.open > 0; exc.open-- {
 		ans := <-exc.answers
--- a/internal/hedge/caller.go
+++ b/internal/hedge/caller.go
@@ -48,7 +48,7 @@
 	if bud, ok := car.budgets[callee]; ok {
 		return bud
 	}
-	return retry.NewBudget()
+	return retry.NewCalleeBudget()
 }
 
 // mayRepeat takes a repeat from the budgets of all calls and of the callee, if both
--- a/internal/hedge/hedge_test.go
+++ b/internal/hedge/hedge_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -164,3 +165,23 @@
 		assert.Assert(t, sent <= calls+calls/10, "%d calls were sent %d times", calls, sent)
 	})
 }
+
+// TestLossyCalleesGetRepeats guards against calls that wait for their timeout because the
+// budget is spent: with half of all tries lost, nine of ten calls are answered.
+func TestLossyCalleesGetRepeats(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fix := newFixture(t)
+		fix.learn()
+		calls, answered := 400, 0
+		rng := rand.New(rand.NewPCG(1, 1))
+		lossy := func() scriptedTry {
+			return scriptedTry{silent: rng.Float64() < 0.5, after: 5 * time.Millisecond, ans: "ok"}
+		}
+		for range calls {
+			if out, _ := fix.do(lossy(), lossy(), lossy(), lossy()); out.Answer != "" {
+				answered++
+			}
+		}
+		assert.Assert(t, answered >= calls*9/10, "%d of %d calls were answered", answered, calls)
+	})
+}
--- a/internal/manager/effects.go
+++ b/internal/manager/effects.go
@@ -66,6 +66,7 @@
 		dis.saveWave(ctx, eff)
 	case scheduler.Forget:
 		dis.nod.executors.Forget(eff.VM.Address)
+		dis.nod.repeats.Forget(eff.VM.Address)
 		dis.nod.calls.Forget(eff.VM.ID)
 	case scheduler.StepDown:
 		dis.nod.log.Event("duty_given_up", decisionlog.Fields{"reason": eff.Reason})
@@ -134,9 +135,8 @@
 			pol := pol
 			if try > 0 {
 				pol.Wait = 0
-				dis.nod.executors.Redial(eff.VM.Address)
 			}
-			ans.report, ans.result, err = dis.nod.executors.Poll(ctx, eff.VM, pol)
+			ans.report, ans.result, err = dis.executors(eff.VM, try).Poll(ctx, eff.VM, pol)
 			return ans, err
 		},
 		Decides: func(ans pollReport) bool { return ans.result != worker.ResultUnknown },
@@ -146,15 +146,21 @@
 	dis.send(ctx, scheduler.PollAnswered{VM: eff.VM, Sent: now, Report: out.Answer.report, Result: out.Answer.result})
 }
 
+// executors returns the client for a try of a call to a VM.
+func (dis *dispatcher) executors(one worker.VM, try int) *platform.Executors {
+	if try == 0 {
+		return dis.nod.executors
+	}
+	dis.nod.repeats.Redial(one.Address)
+	return dis.nod.repeats
+}
+
 // order makes an order to a VM that names a run and is idempotent.
-func (dis *dispatcher) order(ctx context.Context, kind string, one worker.VM, task job.Task, run int, send func(context.Context) (worker.Result, error)) hedge.Outcome[worker.Result] {
+func (dis *dispatcher) order(ctx context.Context, kind string, one worker.VM, task job.Task, run int, send func(context.Context, *platform.Executors) (worker.Result, error)) hedge.Outcome[worker.Result] {
 	out := hedge.Do(ctx, dis.nod.calls, hedge.Call[worker.Result]{
 		Kind: kind, Callee: one.ID, Subject: fmt.Sprintf("%s/%d", task, run), Timeout: orderTimeout,
 		Send: func(ctx context.Context, try int) (worker.Result, error) {
-			if try > 0 {
-				dis.nod.executors.Redial(one.Address)
-			}
-			return send(ctx)
+			return send(ctx, dis.executors(one, try))
 		},
 		Decides: func(res worker.Result) bool { return res != worker.ResultUnknown },
 		Agrees:  sameOutcome,
@@ -174,16 +180,16 @@
 		Task: eff.Task, Run: eff.Run, Payload: eff.Payload, Deadline: eff.Deadline, Term: dis.term(),
 		Checkpoint: eff.Checkpoint, Ticket: eff.Ticket,
 	}
-	out := dis.order(ctx, "start", eff.VM, eff.Task, eff.Run, func(ctx context.Context) (worker.Result, error) {
-		return dis.nod.executors.Start(ctx, eff.VM, ord)
+	out := dis.order(ctx, "start", eff.VM, eff.Task, eff.Run, func(ctx context.Context, exe *platform.Executors) (worker.Result, error) {
+		return exe.Start(ctx, eff.VM, ord)
 	})
 	dis.send(ctx, scheduler.StartAnswered{VM: eff.VM, Task: eff.Task, Run: eff.Run, Result: out.Answer, Unanswered: out.Unanswered})
 }
 
 func (dis *dispatcher) stop(ctx context.Context, eff scheduler.Stop) {
 	term := dis.term()
-	out := dis.order(ctx, "stop", eff.VM, eff.Task, eff.Run, func(ctx context.Context) (worker.Result, error) {
-		return dis.nod.executors.Stop(ctx, eff.VM, eff.Task, eff.Run, term)
+	out := dis.order(ctx, "stop", eff.VM, eff.Task, eff.Run, func(ctx context.Context, exe *platform.Executors) (worker.Result, error) {
+		return exe.Stop(ctx, eff.VM, eff.Task, eff.Run, term)
 	})
 	dis.send(ctx, scheduler.StopAnswered{VM: eff.VM, Task: eff.Task, Run: eff.Run, Result: out.Answer})
 }
--- a/internal/manager/node.go
+++ b/internal/manager/node.go
@@ -62,6 +62,9 @@
 	now       func() time.Time
 	store     *platform.Store
 	executors *platform.Executors
+	// repeats has connections of its own for the calls to VMs that are repeated, as
+	// those of executors may be silent, or all be taken by tries without an answer.
+	repeats *platform.Executors
 	// calls makes the calls to VMs that may be repeated.
 	calls    *hedge.Caller
 	machines *platform.Machines
@@ -80,7 +83,7 @@
 	}
 	log := decisionlog.New(out, set.Name, clo.Now)
 	nod = &Node{
-		log: log, now: clo.Now, store: platform.NewStore(set.Store), executors: platform.NewExecutors(),
+		log: log, now: clo.Now, store: platform.NewStore(set.Store), executors: platform.NewExecutors(), repeats: platform.NewRepeatExecutors(),
 		machines: platform.NewMachines(set.Machines, scheduler.MaxOrderTransit), relay: advisory.NewRelay(platform.NewAdvisor(set.Advisor), log),
 		operator: newOperatorView(log, clo.Now), load: &loadView{log: log, now: clo.Now}, metrics: metrics.NewRegistry(),
 	}
--- a/internal/transport/permit.go
+++ b/internal/transport/permit.go
@@ -35,3 +35,9 @@
 		}
 	}})
 }
+
+// WithConnected returns a context for a request that calls connected once the request has
+// a connection, after all dialling and waiting for one.
+func WithConnected(ctx context.Context, connected func()) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected() }})
+}
