vmclock: calls for a former incarnation of a VM extend the lease of the next one

What callers saw: nothing yet; a path that could run a task twice, found by reading. A VM restarts under its ID. A poll for its former incarnation that got no answer is carried out late. It names a time on the clock of the former incarnation, which is far ahead on the new one, so the VM grants its longest lease, 6 or 10 s. The dispatcher counted 4.2 s from its own last call: a VM that is cut off in this time kept its tasks while they started elsewhere.

Cause: the bound of a lease was that of the last call to the present incarnation. The same goes for calls of a former dispatcher to a VM that restarts before it has answered the next one.

Change: vmclock.Leases knows when the last call was sent that extends a lease, by the ID of the VM, and bounds the lease of each new incarnation by the latest time at which such a call may be carried out and the longest lease that VMs grant. At a takeover, a VM that started not long before it answers may hold the longest lease from then on. All bounds of leases are computed there now; the scheduler lost the ones it had. A poll may be sent again for 1.5 s. Only VMs that restarted within 24.2 s and then don't answer are affected: their tasks wait up to 24.2 s instead of 4.2 s, unless the VM answers or is listed as gone before.

The emulator's VMs now grant at most 10 s, may keep their ID when they restart, and may get one poll or start late.

--- a/internal/core/scheduler/emulator_test.go
+++ b/internal/core/scheduler/emulator_test.go
@@ -86,6 +86,9 @@
 	failing  func(tas job.Task) bool
 	// deadly reports whether a task crashes each VM that starts it; nil for none.
 	deadly func(tas job.Task) bool
+	// late returns the delay with which a poll or a start is carried out that gets no
+	// answer; 0 for all others. It is nil if there are none.
+	late func(eff Effect) time.Duration
 }
 
 // taskTruth is the actual state of a task on the VMs.
@@ -152,6 +155,8 @@
 	// waiter answers the poll that waits for an end; nil if none does.
 	waiter     func()
 	failsTasks bool
+	// keepsID reports whether the VM restarts under the ID that it had.
+	keepsID bool
 	// offline reports whether the machine is down for upkeep or moving.
 	// upkeepBegun holds the waves in which its upkeep has begun.
 	offline     bool
@@ -180,11 +185,19 @@
 
 const (
 	emulatedLatency = 2 * time.Millisecond
+	// emulatedBatchDelay is how long events wait for the dispatcher, unless it is about to
+	// run anyway. It runs every emulatedTick at least.
+	emulatedBatchDelay = 3 * time.Millisecond
+	emulatedTick       = 40 * time.Millisecond
+	// emulatedStopTime is the time that a run takes to stop.
+	emulatedStopTime = 200 * time.Millisecond
 	// emulatedMachineTimeout is when a machine order counts as unanswered: its
 	// connection was reset.
 	emulatedMachineTimeout = 20 * time.Millisecond
 	emulatedTTL            = 1500 * time.Millisecond
 	emulatedRepeatDelay    = 30 * time.Millisecond
+	// emulatedMaxLease is the longest lease that a VM grants.
+	emulatedMaxLease = 10 * time.Second
 )
 
 // newEmulator returns an emulator without VMs and without a dispatcher.
@@ -240,13 +253,27 @@
 	vm.incarnations++
 	vm.up = true
 	vm.startedAt = emu.now
-	vm.vm.ID = fmt.Sprintf("%s.%d", vm.vm.Address, vm.incarnations)
+	if !vm.keepsID || vm.vm.ID == "" {
+		vm.vm.ID = fmt.Sprintf("%s.%d", vm.vm.Address, vm.incarnations)
+	}
 	vm.vm.StartedAtMS = emu.now.UnixMilli()
 	vm.fence, vm.number, vm.reported, vm.deadline = 0, 0, 0, 0
 	vm.runs, vm.ends, vm.tombstones = map[job.Task]*emulatedRun{}, nil, map[job.Task]int{}
 	vm.endTimes, vm.leaseExpiredAt = map[int64]time.Time{}, time.Time{}
-	one := vm.vm
-	emu.after(emulatedLatency, func() { emu.deliver(VMRegistered{VM: one}) })
+	emu.after(emulatedLatency, func() { emu.register(vm) })
+}
+
+// register delivers a VM's registration, unless the VM is cut off from the store.
+func (emu *emulator) register(vm *emulatedVM) {
+	if vm.up && !(vm.partitioned && vm.keepsID) {
+		emu.deliver(VMRegistered{VM: vm.vm})
+	}
+}
+
+// heal ends the partition of a VM.
+func (emu *emulator) heal(vm *emulatedVM) {
+	vm.partitioned = false
+	emu.register(vm)
 }
 
 // crash ends a VM, which boots again after a time. Its registration expires
@@ -261,8 +288,12 @@
 		emu.truthOf(name).crashes = append(emu.truthOf(name).crashes, emu.now)
 	}
 	vm.runs = map[job.Task]*emulatedRun{}
-	id := vm.vm.ID
-	emu.after(4500*time.Millisecond, func() { emu.deliver(VMUnregistered{ID: id}) })
+	one := vm.vm
+	emu.after(4500*time.Millisecond, func() {
+		if vm.vm.ID != one.ID || !vm.up || vm.partitioned {
+			emu.deliver(VMUnregistered{ID: one.ID})
+		}
+	})
 	emu.after(downtime, func() { emu.boot(vm) })
 }
 
@@ -295,7 +326,7 @@
 		return
 	}
 	emu.inbox = append(emu.inbox, evt)
-	emu.wake(3 * time.Millisecond)
+	emu.wake(emulatedBatchDelay)
 }
 
 // wake schedules a call of Reduce unless one is scheduled.
@@ -324,7 +355,7 @@
 	for _, eff := range emu.sched.Reduce(emu.now, events) {
 		emu.perform(eff)
 	}
-	emu.wake(40 * time.Millisecond)
+	emu.wake(emulatedTick)
 }
 
 // takeOver starts the tenure of a new dispatcher, which loads the stored
@@ -439,11 +470,11 @@
 		emu.connected[eff.VM.ID] = true
 		emu.performPoll(eff)
 	case Start:
-		emu.call(eff.VM, func(vm *emulatedVM, term int64) worker.Result { return emu.startOn(vm, eff, term) }, func(res worker.Result, unanswered bool) Event {
+		emu.call(eff, eff.VM, func(vm *emulatedVM, term int64) worker.Result { return emu.startOn(vm, eff, term) }, func(res worker.Result, unanswered bool) Event {
 			return StartAnswered{VM: eff.VM, Task: eff.Task, Run: eff.Run, Result: res, Unanswered: unanswered}
 		})
 	case Stop:
-		emu.call(eff.VM, func(vm *emulatedVM, term int64) worker.Result { return emu.stopOn(vm, eff, term) }, func(res worker.Result, _ bool) Event {
+		emu.call(eff, eff.VM, func(vm *emulatedVM, term int64) worker.Result { return emu.stopOn(vm, eff, term) }, func(res worker.Result, _ bool) Event {
 			return StopAnswered{VM: eff.VM, Task: eff.Task, Run: eff.Run, Result: res}
 		})
 	case Commit:
@@ -589,12 +620,12 @@
 
 // call sends an order to a VM, and again while there is no answer, and delivers the
 // first definite answer. The answer is unanswered if another try has none.
-func (emu *emulator) call(one worker.VM, execute func(*emulatedVM, int64) worker.Result, answer func(res worker.Result, unanswered bool) Event) {
+func (emu *emulator) call(eff Effect, one worker.VM, execute func(*emulatedVM, int64) worker.Result, answer func(res worker.Result, unanswered bool) Event) {
 	term, decided, open, left := emu.term, false, 0, emu.repeats
 	var send func()
 	send = func() {
 		open++
-		emu.try(one, term, execute, func(res worker.Result) {
+		emu.try(eff, one, term, execute, func(res worker.Result) {
 			if res != worker.ResultUnknown {
 				open--
 			} else if left > 0 {
@@ -618,7 +649,7 @@
 
 // try sends an order to a VM and its answer back. Either may be lost, and the
 // order may be carried out late.
-func (emu *emulator) try(one worker.VM, term int64, execute func(*emulatedVM, int64) worker.Result, answer func(worker.Result)) {
+func (emu *emulator) try(eff Effect, one worker.VM, term int64, execute func(*emulatedVM, int64) worker.Result, answer func(worker.Result)) {
 	answered := false
 	reply := func(span time.Duration, res worker.Result) {
 		emu.after(span, func() {
@@ -632,9 +663,8 @@
 		reply(time.Second, worker.ResultUnknown)
 	}
 	chance := emu.rng.Float64()
-	arrive := func() (worker.Result, bool) {
-		vm := emu.find(one)
-		if vm == nil {
+	arrive := func(vm *emulatedVM) (worker.Result, bool) {
+		if vm == nil || !vm.up {
 			return 0, false
 		}
 		if vm.vm.ID != one.ID {
@@ -642,9 +672,15 @@
 		}
 		return execute(vm, term), true
 	}
+	if delay := emu.delayOf(eff); delay > 0 {
+		reply(time.Second, worker.ResultUnknown)
+		// The order has passed the partition, if there is one.
+		emu.after(delay, func() { arrive(emu.vms[one.Address]) })
+		return
+	}
 	if chance < emu.lateOrder {
 		reply(time.Second, worker.ResultUnknown)
-		emu.after(2*time.Second+time.Duration(emu.rng.Int64N(int64(10*time.Second))), func() { arrive() })
+		emu.after(2*time.Second+time.Duration(emu.rng.Int64N(int64(10*time.Second))), func() { arrive(emu.find(one)) })
 		return
 	}
 	emu.after(emu.link.send(emu.now, emulatedOrderBytes), func() {
@@ -652,7 +688,7 @@
 			reply(time.Second, worker.ResultUnknown)
 			return
 		}
-		res, ok := arrive()
+		res, ok := arrive(emu.find(one))
 		if !ok || chance < emu.lateOrder+emu.loseOrder+emu.loseAnswer {
 			reply(time.Second, worker.ResultUnknown)
 			return
@@ -661,16 +697,26 @@
 	})
 }
 
+// delayOf returns the delay of a poll or an order that is carried out late without an
+// answer; 0 for all others.
+func (emu *emulator) delayOf(eff Effect) time.Duration {
+	if emu.late == nil {
+		return 0
+	}
+	return emu.late(eff)
+}
+
 // extend extends a VM's lease and ends its runs when the lease expires.
 func (emu *emulator) extend(vm *emulatedVM, deadline time.Duration) {
+	deadline = min(deadline, emu.clock(vm)+emulatedMaxLease)
 	if deadline <= vm.deadline {
 		return
 	}
 	vm.deadline = deadline
-	id := vm.vm.ID
+	life := vm.incarnations
 	wait := time.Duration(float64(deadline-emu.clock(vm)) / 0.98)
 	emu.after(wait+time.Millisecond, func() {
-		if vm.vm.ID != id || !vm.up || emu.clock(vm) < vm.deadline {
+		if vm.incarnations != life || !vm.up || emu.clock(vm) < vm.deadline {
 			return
 		}
 		vm.leaseExpiredAt = emu.now
@@ -720,9 +766,9 @@
 	emu.checkAttempts(ord.Task)
 	emu.checkCrashes(ord.Task)
 	if emu.deadly != nil && emu.deadly(ord.Task) {
-		id := vm.vm.ID
+		life := vm.incarnations
 		emu.after(emulatedCrashDelay, func() {
-			if vm.vm.ID == id {
+			if vm.incarnations == life {
 				emu.crash(vm, emulatedCrashTime)
 			}
 		})
@@ -737,8 +783,8 @@
 // work ends a run after the task's run time. A gang works only while all
 // members run, and ends with the member that started last.
 func (emu *emulator) work(vm *emulatedVM, ord Start, ste job.Step, run *emulatedRun) {
-	id := vm.vm.ID
-	runs := func() bool { return vm.vm.ID == id && vm.runs[ord.Task] == run }
+	life := vm.incarnations
+	runs := func() bool { return vm.incarnations == life && vm.runs[ord.Task] == run }
 	incomplete := func() bool { return ste.Gang && len(emu.gang(ord.Task, ord.Run, ste.Count)) < ste.Count }
 	emu.after(emulatedGangTimeout, func() {
 		if runs() && incomplete() {
@@ -910,7 +956,7 @@
 	vm.tombstones[ord.Task] = max(vm.tombstones[ord.Task], ord.Run)
 	run := vm.runs[ord.Task]
 	if run != nil && run.run <= ord.Run {
-		emu.after(200*time.Millisecond, func() {
+		emu.after(emulatedStopTime, func() {
 			if vm.runs[ord.Task] == run {
 				emu.endRun(vm, ord.Task, run, worker.EndStopped)
 			}
@@ -940,9 +986,15 @@
 		emu.after(emu.link.receive(emu.now, size), func() { finish(res, rep) })
 	}
 	emu.after(eff.Wait+eff.Slack, func() { finish(worker.ResultUnknown, worker.Report{}) })
-	emu.after(emu.link.send(emu.now, emulatedAnswerBytes), func() {
-		vm := emu.find(eff.VM)
-		if vm == nil {
+	find := func() *emulatedVM { return emu.find(eff.VM) }
+	transit := emu.link.send(emu.now, emulatedAnswerBytes)
+	if delay := emu.delayOf(eff); delay > 0 {
+		// The poll has passed the partition, if there is one.
+		transit, responded, find = delay, true, func() *emulatedVM { return emu.vms[eff.VM.Address] }
+	}
+	emu.after(transit, func() {
+		vm := find()
+		if vm == nil || !vm.up {
 			return
 		}
 		if vm.vm.ID != eff.VM.ID {
@@ -958,13 +1010,13 @@
 		if eff.Deadline > 0 {
 			emu.extend(vm, eff.Deadline)
 		}
-		id := vm.vm.ID
+		life := vm.incarnations
 		respond := func() {
-			if vm.vm.ID == id && emu.find(eff.VM) == vm {
+			if vm.incarnations == life && emu.find(eff.VM) == vm {
 				answer(worker.ResultOK, emu.reportOf(vm))
 			}
 		}
-		if eff.Wait > 0 && len(vm.ends) == 0 {
+		if eff.Wait > 0 && len(vm.ends) == 0 && !responded {
 			vm.waiter = respond
 			emu.after(eff.Wait, respond)
 			return
@@ -1000,7 +1052,7 @@
 // recordReported records the ends that the dispatcher has received.
 func (emu *emulator) recordReported(one worker.VM, rep worker.Report) {
 	vm := emu.vms[one.Address]
-	if vm == nil || vm.vm.ID != one.ID || emu.dispatcherDown {
+	if vm == nil || !vm.vm.SameIncarnation(one) || emu.dispatcherDown {
 		return
 	}
 	for _, end := range rep.Ends {
--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
-	"github.com/balsamgauge/balsamgauge/internal/core/latestart"
 	"github.com/balsamgauge/balsamgauge/internal/core/pace"
 	"github.com/balsamgauge/balsamgauge/internal/core/vmclock"
 	"github.com/balsamgauge/balsamgauge/internal/core/worker"
@@ -64,10 +63,7 @@
 	if hos != nil {
 		sta.removeHost(hos, "restarted under the same ID")
 	}
-	leaseExpiry := sta.now
-	if sta.formerLeasesMayHold() {
-		leaseExpiry = sta.opt.Since.Add(sta.maxLeaseTime())
-	}
+	leaseExpiry := vmclock.Latest(sta.now, sta.leases.OfFormer(sta.opt.Since), sta.leases.Inherited(one.ID))
 	hos = &host{
 		vm: one, runs: map[job.Task]*placement{}, ackable: map[int64]bool{}, leaseExpiry: leaseExpiry, nextPoll: sta.now, idleSince: sta.now, firstSeen: sta.now,
 		pace: pace.NewControl(),
@@ -82,26 +78,16 @@
 // answered. Until it does, or until the runs of late starts would have ended, their
 // tasks don't start elsewhere.
 func (sta *State) rejectLateStarts(hos *host) {
-	pending := sta.lateStarts.Pending(hos.vm.ID, sta.now)
-	if len(pending) > 0 {
-		hos.leaseExpiry = sta.now.Add(latestart.MaxDelay + sta.maxLeaseTime())
-	}
-	for _, run := range pending {
+	for _, run := range sta.lateStarts.Pending(hos.vm.ID, sta.now) {
 		sta.logDecision("late_start_rejected", run.Task.Job, map[string]any{"task": run.Task.String(), "run": run.Number, "vm": hos.vm.ID})
 		sta.stop(sta.reserve(hos, sta.stageOfRun(run.Task), run.Task, run.Number, runUnknown))
 	}
 }
 
-// maxLeaseTime returns the longest real time from the extension of a lease to
-// its end, on the slowest clock.
-func (sta *State) maxLeaseTime() time.Duration {
-	return vmclock.LongestLease(sta.opt.Lease)
-}
-
 // formerLeasesMayHold reports whether leases granted by a former dispatcher
 // may still be in force.
 func (sta *State) formerLeasesMayHold() bool {
-	return sta.now.Before(sta.opt.Since.Add(sta.maxLeaseTime()))
+	return sta.now.Before(sta.leases.OfFormer(sta.opt.Since))
 }
 
 // removeHost removes a VM that has ended, with all its runs.
@@ -186,9 +172,7 @@
 // extendLease returns the end of a lease that begins now, on the VM's clock,
 // and records when it is guaranteed to have expired.
 func (sta *State) extendLease(hos *host) time.Duration {
-	if end := sta.now.Add(sta.maxLeaseTime()); end.After(hos.leaseExpiry) {
-		hos.leaseExpiry = end
-	}
+	hos.leaseExpiry = vmclock.Latest(hos.leaseExpiry, sta.leases.Extend(hos.vm.ID, sta.now))
 	return hos.clock.Deadline(sta.now, sta.opt.Lease)
 }
 
@@ -286,6 +270,9 @@
 		hos.vm.StartedAtMS = startedAtMS
 	}
 	hos.failedPolls = 0
+	if !hos.termAccepted && sta.opt.Term > 1 {
+		hos.leaseExpiry = vmclock.Latest(hos.leaseExpiry, sta.leases.Accepted(sta.opt.Since, sta.now, evt.Report.Clock))
+	}
 	hos.termAccepted, hos.listedGone = true, false
 	hos.clock = vmclock.NewReading(evt.Report.Clock, sta.now)
 	if len(evt.Report.Ends) > 0 {
@@ -319,11 +306,7 @@
 	one.StartedAtMS = startedAtMS
 	sta.removeHost(old, "the VM reported another start time")
 	sta.register(one)
-	hos := sta.hosts[one.ID]
-	if old.leaseExpiry.After(hos.leaseExpiry) {
-		hos.leaseExpiry = old.leaseExpiry
-	}
-	return hos
+	return sta.hosts[one.ID]
 }
 
 // applyRunning updates the record of a run that a VM reports as active.
--- /dev/null
+++ b/internal/core/scheduler/laterestart_test.go
@@ -0,0 +1,124 @@
+package scheduler
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/balsamgauge/balsamgauge/internal/core/job"
+	"gotest.tools/v3/assert"
+)
+
+// restartFixture is a dispatcher with two VMs that restart under their IDs. One poll
+// or start is held up and carried out late. All tasks start on the first VM, as the second
+// one is cut off at first.
+type restartFixture struct {
+	t   *testing.T
+	emu *emulator
+	// holds reports whether a poll or a start is the one that is held up.
+	holds func(Effect) bool
+	// delay is how late it is carried out, and heldAt when it was sent.
+	delay      time.Duration
+	heldAt     time.Time
+	first, oth *emulatedVM
+}
+
+func newRestartFixture(t *testing.T) *restartFixture {
+	fix := &restartFixture{t: t, emu: newEmulator(1, testCatalog()), holds: func(Effect) bool { return false }}
+	fix.emu.late = fix.late
+	fix.emu.addVMs("lots", 2, 3, job.Size{CPU: 16_000, Memory: 32_768})
+	fix.first, fix.oth = fix.emu.vms["lots-0"], fix.emu.vms["lots-1"]
+	fix.first.keepsID, fix.oth.keepsID = true, true
+	fix.oth.partitioned = true
+	fix.emu.takeOver(testOptions())
+	// The clocks of the VMs are far from their start.
+	fix.emu.run(30 * time.Second)
+	return fix
+}
+
+// late implements emulator.late.
+func (fix *restartFixture) late(eff Effect) time.Duration {
+	if !fix.heldAt.IsZero() || !fix.holds(eff) {
+		return 0
+	}
+	fix.heldAt = fix.emu.now
+	return fix.delay
+}
+
+// at calls a function at a time after the call was held up.
+func (fix *restartFixture) at(span time.Duration, fire func()) {
+	fix.emu.after(fix.heldAt.Add(span).Sub(fix.emu.now), fire)
+}
+
+// pass advances the clock.
+func (fix *restartFixture) pass(span time.Duration) {
+	fix.emu.run(fix.emu.now.Add(span).Sub(fix.emu.start))
+}
+
+// check checks that no invariant was violated and that all jobs have ended.
+func (fix *restartFixture) check(jobs int) {
+	fix.t.Helper()
+	assert.Equal(fix.t, len(fix.emu.violations), 0, "%s", strings.Join(fix.emu.violations, "\n"))
+	assert.Equal(fix.t, len(fix.emu.finished), jobs)
+}
+
+// TestLatePollForFormerIncarnationRunsNoTaskTwice guards against a task that runs twice: a
+// late poll for the former incarnation of a VM names a time that is far ahead on the
+// clock of the next one, which grants its longest lease. A task that starts there and is
+// then cut off keeps running after it has started elsewhere.
+func TestLatePollForFormerIncarnationRunsNoTaskTwice(t *testing.T) {
+	for _, delay := range []time.Duration{2 * time.Second, 5 * time.Second, 11900 * time.Millisecond} {
+		fix := newRestartFixture(t)
+		fix.emu.submit(fanOut(1, "large", 1, 500, 2*time.Second))
+		fix.delay = delay
+		fix.holds = func(eff Effect) bool {
+			pol, ok := eff.(Poll)
+			return ok && pol.VM.Address == fix.first.vm.Address && len(fix.first.runs) > 0
+		}
+		fix.pass(time.Second)
+		assert.Assert(t, !fix.heldAt.IsZero())
+		fix.at(1100*time.Millisecond, func() { fix.emu.crash(fix.first, 300*time.Millisecond) })
+		fix.at(delay-300*time.Millisecond, func() { fix.emu.submit(fanOut(2, "large", 1, 500, 20*time.Second)) })
+		fix.at(delay+100*time.Millisecond, func() {
+			assert.Assert(t, fix.first.runs[job.Task{Job: jobName(2)}] != nil, "delay %v: the task doesn't run", delay)
+			fix.first.partitioned = true
+			fix.emu.heal(fix.oth)
+		})
+		fix.at(delay+20*time.Second, func() { fix.emu.heal(fix.first) })
+		fix.pass(120 * time.Second)
+		fix.check(2)
+	}
+}
+
+// TestLatePollOfFormerDispatcherRunsNoTaskTwice guards against a task that runs twice: a
+// late poll of a former dispatcher reaches a VM that has just restarted under its ID, before
+// the first one of the next dispatcher, and extends the lease beyond that one's.
+func TestLatePollOfFormerDispatcherRunsNoTaskTwice(t *testing.T) {
+	for _, delay := range []time.Duration{3 * time.Second, 8 * time.Second, 11900 * time.Millisecond} {
+		fix := newRestartFixture(t)
+		fix.emu.submit(fanOut(1, "large", 1, 500, 200*time.Millisecond))
+		fix.delay = delay
+		fix.holds = func(eff Effect) bool {
+			pol, ok := eff.(Poll)
+			return ok && pol.VM.Address == fix.first.vm.Address && len(fix.first.runs) > 0
+		}
+		fix.pass(100 * time.Millisecond)
+		assert.Assert(t, !fix.heldAt.IsZero())
+		fix.at(120*time.Millisecond, fix.emu.killDispatcher)
+		const crashAt = 150 * time.Millisecond
+		fix.at(crashAt, func() { fix.emu.crash(fix.first, delay-crashAt-time.Millisecond) })
+		fix.at(delay, func() {
+			// The late poll has arrived, and none of the next dispatcher.
+			assert.Equal(t, fix.first.fence, int64(1), "delay %v", delay)
+			fix.emu.submit(fanOut(2, "large", 1, 500, 20*time.Second))
+		})
+		fix.at(delay+300*time.Millisecond, func() {
+			assert.Assert(t, fix.first.runs[job.Task{Job: jobName(2)}] != nil, "delay %v: the task doesn't run", delay)
+			fix.first.partitioned = true
+			fix.emu.heal(fix.oth)
+		})
+		fix.at(delay+20*time.Second, func() { fix.emu.heal(fix.first) })
+		fix.pass(120 * time.Second)
+		fix.check(2)
+	}
+}
--- a/internal/core/scheduler/reduce.go
+++ b/internal/core/scheduler/reduce.go
@@ -25,6 +25,7 @@
 	}
 	sta.expireLeases()
 	sta.lateStarts.Expire(now)
+	sta.leases.Expire(now)
 	sta.openDueOccurrences()
 	if sta.jobsLoaded {
 		sta.planWaves()
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -28,6 +28,8 @@
 	// Lease is how long a VM keeps tasks running after the last poll that
 	// extended its lease.
 	Lease time.Duration
+	// LongestLease is the longest lease that a VM grants, whatever it is asked for.
+	LongestLease time.Duration
 	// StopTime is the time a task takes to stop.
 	StopTime time.Duration
 	// UpkeepTime is the time a machine is down for its upkeep.
@@ -359,6 +361,8 @@
 	lostVMs *recentMap[string, lostVM]
 	// lateStarts holds the starts that VMs may carry out late.
 	lateStarts *latestart.Starts
+	// leases holds what extends the leases of VMs.
+	leases *vmclock.Leases
 	// unlisted holds the hosts that the last list of machines doesn't cover and
 	// doesn't show, as of the last plan of waves or moves.
 	unlisted []*host
@@ -438,7 +442,7 @@
 func New(opt Options) *State {
 	return &State{
 		opt: opt, starts: newStartWindow(opt.LinkBytesPerSecond), jobsSyncedAt: opt.Since, zonesOut: map[string]bool{}, outages: map[string]time.Time{}, jobs: map[job.ID]*liveJob{}, hosts: map[string]*host{},
-		pools: map[string][]*host{}, usage: map[string]job.Size{}, allowances: map[string]allowance.Bucket{}, waves: map[int64]*wave{}, upkeeps: upkeep.NewOrders(), lateStarts: latestart.NewStarts(),
+		pools: map[string][]*host{}, usage: map[string]job.Size{}, allowances: map[string]allowance.Bucket{}, waves: map[int64]*wave{}, upkeeps: upkeep.NewOrders(), lateStarts: latestart.NewStarts(), leases: vmclock.NewLeases(opt.Lease, opt.LongestLease, latestart.MaxDelay+pollWait),
 		machines: machines{byName: map[string]worker.Machine{}, byVM: map[string]string{}},
 		ended:    newRecentMap[job.ID, bool](), lostVMs: newRecentMap[string, lostVM](), runtimeRatios: map[string]*runtimeRatio{},
 		demands: map[string]*demand{}, moves: map[string]pendingMove{}, forbiddenMoves: map[string]bool{},
--- a/internal/manager/dispatcher.go
+++ b/internal/manager/dispatcher.go
@@ -72,8 +72,9 @@
 	dis.loadRecord = record.New(loadKey, dis.commit)
 	dis.sta = scheduler.New(scheduler.Options{
 		Since: cur.Since, Revision: cur.Revision, Term: cur.Holder.Term,
-		Lease:    min(maxTaskLease, fraction(bnd.MaxTaskLease, leaseFraction)),
-		StopTime: bnd.StopTime, UpkeepTime: bnd.Upkeep,
+		Lease:        min(maxTaskLease, fraction(bnd.MaxTaskLease, leaseFraction)),
+		LongestLease: bnd.MaxTaskLease,
+		StopTime:     bnd.StopTime, UpkeepTime: bnd.Upkeep,
 		KeepEnded:              bnd.KeepEnded,
 		ShareWindow:            bnd.ShareWindow,
 		MachineOrdersPerSecond: set.MachineOrderRate,
