latestart: a task waits while a VM that is cut off may still carry out its start

What callers saw: nothing yet; a path that could run a task twice, found by reading. A start gets no answer, and its VM is cut off. Behind the partition the VM restarts under its ID. 4.2 s after the last call the dispatcher judges that the lease has ended, and starts the task elsewhere. The first start is carried out up to 12 s late, by the new incarnation, on whose clock its deadline is far ahead; the VM can't be told to reject it.

Cause: the lease bounds the runs of one incarnation.

Evidence, on the code before, with the order of events fixed:

Change: when the lease of a silent VM has ended, its runs are released but those whose start got no answer (latestart.Starts.End): they are kept until the start can no longer be carried out and a run of it would have ended, 23.4 s after it was sent, or until the VM answers or is listed as gone. `leases_ended` logs their number as late_starts. Only tasks whose start wasn't answered wait, not the others of the VM. A VM whose registration is gone is kept until then too.

NewStarts has a parameter now; TestPending and TestMayArrive pass 0, which is what they checked before.

--- a/internal/core/latestart/latestart.go
+++ b/internal/core/latestart/latestart.go
@@ -26,6 +26,9 @@
 // Starts holds, by the ID of a VM, the starts that may still be carried out there.
 type Starts struct {
 	sent map[string]map[Run]start
+	// lease is the longest real time for which a run lasts that a late start begins and
+	// nothing extends.
+	lease time.Duration
 }
 
 // start is the last start of a run that was sent.
@@ -36,8 +39,11 @@
 	unanswered bool
 }
 
-// NewStarts returns an empty set of starts.
-func NewStarts() *Starts { return &Starts{sent: map[string]map[Run]start{}} }
+// NewStarts returns an empty set of starts. Runs that late starts begin last at most for
+// lease.
+func NewStarts(lease time.Duration) *Starts {
+	return &Starts{sent: map[string]map[Run]start{}, lease: lease}
+}
 
 // Add records that a start is sent to a VM, for the first time or again.
 func (sts *Starts) Add(vm string, run Run, now time.Time) {
@@ -97,11 +103,21 @@
 	return pending
 }
 
-// Expire drops the starts that are no longer carried out.
+// End returns when a run is guaranteed to be over that late starts may begin on a VM
+// that can't be reached; zero if there are none.
+func (sts *Starts) End(vm string, run Run) (end time.Time) {
+	sta, ok := sts.sent[vm][run]
+	if !ok {
+		return time.Time{}
+	}
+	return sta.at.Add(MaxDelay + sts.lease)
+}
+
+// Expire drops the starts whose runs are over.
 func (sts *Starts) Expire(now time.Time) {
 	for vm, runs := range sts.sent {
-		for run, sta := range runs {
-			if now.Sub(sta.at) > MaxDelay {
+		for run := range runs {
+			if now.After(sts.End(vm, run)) {
 				sts.remove(vm, run)
 			}
 		}
--- a/internal/core/latestart/latestart_test.go
+++ b/internal/core/latestart/latestart_test.go
@@ -13,7 +13,7 @@
 func TestPending(t *testing.T) {
 	now := time.Date(2026, 1, 2, 3, 0, 0, 0, time.UTC)
 	run := func(index, number int) Run { return Run{Task: job.Task{Job: "j", Index: index}, Number: number} }
-	sts := NewStarts()
+	sts := NewStarts(0)
 	sts.Add("a", run(2, 1), now)
 	sts.Add("a", run(1, 2), now)
 	sts.Add("a", run(1, 1), now.Add(time.Second))
@@ -37,7 +37,7 @@
 func TestMayArrive(t *testing.T) {
 	now := time.Date(2026, 1, 2, 3, 0, 0, 0, time.UTC)
 	run := Run{Task: job.Task{Job: "j"}, Number: 1}
-	sts := NewStarts()
+	sts := NewStarts(0)
 	sts.Add("a", run, now)
 	assert.Assert(t, !sts.MayArrive("a", run, now))
 	sts.Lose("a", run)
@@ -47,3 +47,25 @@
 	assert.Assert(t, !sts.MayArrive("b", run, now))
 	assert.Assert(t, !sts.MayArrive("a", run, now.Add(time.Second+MaxDelay+time.Millisecond)))
 }
+
+// TestEnd checks until when a run may last that a late start begins: its start is
+// carried out as late as possible, and nothing ends it before its lease.
+func TestEnd(t *testing.T) {
+	const lease = 10 * time.Second
+	now := time.Date(2026, 1, 2, 3, 0, 0, 0, time.UTC)
+	run := Run{Task: job.Task{Job: "j"}, Number: 1}
+	sts := NewStarts(lease)
+	assert.Equal(t, sts.End("a", run), time.Time{})
+	sts.Add("a", run, now)
+	end := now.Add(MaxDelay + lease)
+	assert.Equal(t, sts.End("a", run), end)
+	sts.Lose("a", run)
+	sts.Expire(end)
+	assert.Equal(t, sts.End("a", run), end)
+	assert.Equal(t, len(sts.Pending("a", end)), 0)
+	sts.Expire(end.Add(time.Millisecond))
+	assert.Equal(t, sts.End("a", run), time.Time{})
+	sts.Add("a", run, now)
+	sts.Settle("a", run)
+	assert.Equal(t, sts.End("a", run), time.Time{})
+}
--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
+	"github.com/balsamgauge/balsamgauge/internal/core/latestart"
 	"github.com/balsamgauge/balsamgauge/internal/core/pace"
 	"github.com/balsamgauge/balsamgauge/internal/core/vmclock"
 	"github.com/balsamgauge/balsamgauge/internal/core/worker"
@@ -393,6 +394,22 @@
 	}
 }
 
+// releaseExpired releases the runs on a VM whose lease is guaranteed to have expired.
+// A run whose start got no answer may begin later, on an incarnation of the VM that knows
+// nothing of the lease.
+func (sta *State) releaseExpired(hos *host) {
+	expired := slices.DeleteFunc(slices.Clone(hos.runList), func(pla *placement) bool {
+		return sta.now.Before(sta.lateStarts.End(hos.vm.ID, latestart.Run{Task: pla.task, Number: pla.run}))
+	})
+	if len(expired) == 0 {
+		return
+	}
+	sta.logDecision("leases_ended", "", map[string]any{"vm": hos.vm.ID, "runs": len(expired), "late_starts": len(hos.runs) - len(expired)})
+	for _, pla := range expired {
+		sta.release(hos, pla)
+	}
+}
+
 // expireLeases releases the runs on VMs whose leases are guaranteed to have
 // expired.
 func (sta *State) expireLeases() {
@@ -400,13 +417,8 @@
 		if hos.failedPolls == 0 && hos.termAccepted || sta.now.Before(hos.leaseExpiry) {
 			continue
 		}
-		if len(hos.runs) > 0 {
-			sta.logDecision("leases_ended", "", map[string]any{"vm": hos.vm.ID, "runs": len(hos.runs)})
-			for _, pla := range slices.Clone(hos.runList) {
-				sta.release(hos, pla)
-			}
-		}
-		if hos.unregistered && !hos.pollInFlight {
+		sta.releaseExpired(hos)
+		if hos.unregistered && !hos.pollInFlight && len(hos.runs) == 0 {
 			sta.removeHost(hos, "not registered and not answering")
 			// The VM may be alive behind a network partition, and register again.
 			sta.lostVMs.remove(hos.vm.ID)
--- a/internal/core/scheduler/laterestart_test.go
+++ b/internal/core/scheduler/laterestart_test.go
@@ -122,3 +122,36 @@
 		fix.check(2)
 	}
 }
+
+// holdStart submits a job of long tasks and holds up the start of its first task, which is
+// sent to the first VM.
+func (fix *restartFixture) holdStart(delay time.Duration) (name job.Task) {
+	fix.delay = delay
+	fix.holds = func(eff Effect) bool {
+		sta, ok := eff.(Start)
+		return ok && sta.VM.Address == fix.first.vm.Address
+	}
+	fix.emu.submit(fanOut(1, "large", 1, 500, 20*time.Second))
+	fix.pass(50 * time.Millisecond)
+	assert.Assert(fix.t, !fix.heldAt.IsZero())
+	return job.Task{Job: jobName(1)}
+}
+
+// TestLateStartBehindPartitionRunsNoTaskTwice guards against a task that runs twice: its VM
+// restarts under its ID while it is cut off, and a late start reaches the next incarnation after
+// the task has started elsewhere. The lease by which the dispatcher had judged that
+// nothing runs there was that of the former incarnation.
+func TestLateStartBehindPartitionRunsNoTaskTwice(t *testing.T) {
+	for _, delay := range []time.Duration{3 * time.Second, 5 * time.Second, 8 * time.Second, 11900 * time.Millisecond} {
+		for _, cut := range []time.Duration{4 * time.Second, 13 * time.Second, 30 * time.Second} {
+			fix := newRestartFixture(t)
+			fix.holdStart(delay)
+			fix.first.partitioned = true
+			fix.emu.heal(fix.oth)
+			fix.at(time.Second, func() { fix.emu.crash(fix.first, 5*time.Millisecond) })
+			fix.at(cut, func() { fix.emu.heal(fix.first) })
+			fix.pass(120 * time.Second)
+			fix.check(1)
+		}
+	}
+}
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -442,7 +442,7 @@
 func New(opt Options) *State {
 	return &State{
 		opt: opt, starts: newStartWindow(opt.LinkBytesPerSecond), jobsSyncedAt: opt.Since, zonesOut: map[string]bool{}, outages: map[string]time.Time{}, jobs: map[job.ID]*liveJob{}, hosts: map[string]*host{},
-		pools: map[string][]*host{}, usage: map[string]job.Size{}, allowances: map[string]allowance.Bucket{}, waves: map[int64]*wave{}, upkeeps: upkeep.NewOrders(), lateStarts: latestart.NewStarts(), leases: vmclock.NewLeases(opt.Lease, opt.LongestLease, latestart.MaxDelay+pollWait),
+		pools: map[string][]*host{}, usage: map[string]job.Size{}, allowances: map[string]allowance.Bucket{}, waves: map[int64]*wave{}, upkeeps: upkeep.NewOrders(), lateStarts: latestart.NewStarts(vmclock.LongestLease(opt.LongestLease)), leases: vmclock.NewLeases(opt.Lease, opt.LongestLease, latestart.MaxDelay+pollWait),
 		machines: machines{byName: map[string]worker.Machine{}, byVM: map[string]string{}},
 		ended:    newRecentMap[job.ID, bool](), lostVMs: newRecentMap[string, lostVM](), runtimeRatios: map[string]*runtimeRatio{},
 		demands: map[string]*demand{}, moves: map[string]pendingMove{}, forbiddenMoves: map[string]bool{},
