scheduler: a VM that is back under its ID is told to reject late starts by its first order

What callers saw: nothing yet. A VM crashes while a start is on its way without an answer, is lost, and its task starts elsewhere. Then the VM is back under its ID. Until it is told to reject the start, it carries it out if it arrives, and the task runs twice.

Cause: stops waited until the VM had answered a poll, so the rejection took two orders one after the other, and the answer to the first one. Only stops that reject late starts concern a VM that hasn't answered yet, and they carry the term as a poll does.

Evidence: TestLateStartAfterRestartWindow lets the late start arrive 0 to 1000 ms after the restart. In the emulator, the first order arrives within 44 ms: 2 ms for the registration, a tick of 40 ms and 2 ms for the order.

Change: the stop is sent in the round in which the registration is received, beside the first poll.

--- a/internal/core/scheduler/laterestart_test.go
+++ b/internal/core/scheduler/laterestart_test.go
@@ -155,3 +155,78 @@
 		}
 	}
 }
+
+// TestLateStartOfFormerDispatcherIsFenced checks that a late start of a former dispatcher
+// starts nothing on a VM that has answered the next one, where its task runs elsewhere.
+func TestLateStartOfFormerDispatcherIsFenced(t *testing.T) {
+	for _, delay := range []time.Duration{2 * time.Second, 5 * time.Second, 11900 * time.Millisecond} {
+		fix := newRestartFixture(t)
+		name := fix.holdStart(delay)
+		fix.leaveFirst()
+		fix.at(100*time.Millisecond, fix.emu.killDispatcher)
+		fix.at(delay-time.Millisecond, func() {
+			assert.Assert(t, fix.oth.runs[name] != nil, "delay %v: the task doesn't run elsewhere", delay)
+		})
+		fix.pass(delay + time.Second)
+		assert.Assert(t, fix.first.runs[name] == nil, "delay %v", delay)
+		fix.pass(60 * time.Second)
+		fix.check(1)
+	}
+}
+
+// leaveFirst makes the first VM leave, so that tasks start on the second one.
+func (fix *restartFixture) leaveFirst() {
+	fix.first.vm.Leaving = true
+	fix.emu.register(fix.first)
+	fix.emu.heal(fix.oth)
+}
+
+// emulatedFirstOrder is the longest time from the start of a VM to its first order: its
+// registration arrives, the dispatcher reduces it, and the order arrives.
+const emulatedFirstOrder = emulatedLatency + emulatedTick + emulatedLatency
+
+// TestLateStartAfterRestartWindow checks for how long after its restart a VM carries out
+// a late start of its former incarnation whose task runs elsewhere, as it was lost or the
+// dispatcher has changed: until the first order to the VM arrives. Then the run is stopped
+// that was started late.
+func TestLateStartAfterRestartWindow(t *testing.T) {
+	for _, tst := range []struct {
+		name     string
+		takeover bool
+	}{{"lost VM", false}, {"former dispatcher", true}} {
+		for _, since := range []time.Duration{0, 1, 10, 25, 43, 45, 55, 65, 75, 85, 1000} {
+			since *= time.Millisecond
+			t.Run(tst.name+" "+since.String(), func(t *testing.T) {
+				const delay = 11900 * time.Millisecond
+				fix := newRestartFixture(t)
+				name := fix.holdStart(delay)
+				fix.leaveFirst()
+				if tst.takeover {
+					fix.at(100*time.Millisecond, fix.emu.killDispatcher)
+				}
+				const crashAt = 4 * time.Second
+				down := delay - since - crashAt
+				if !tst.takeover {
+					down += crashAt - 100*time.Millisecond
+					fix.at(100*time.Millisecond, func() { fix.emu.crash(fix.first, down) })
+				} else {
+					fix.at(crashAt, func() { fix.emu.crash(fix.first, down) })
+				}
+				fix.at(delay-since-10*time.Millisecond, func() {
+					assert.Assert(t, fix.oth.runs[name] != nil, "the task doesn't run elsewhere")
+				})
+				fix.at(delay+emulatedStopTime+100*time.Millisecond, func() {
+					assert.Assert(t, fix.first.runs[name] == nil, "the late run goes on")
+					assert.Assert(t, fix.oth.runs[name] != nil, "the run elsewhere was stopped")
+				})
+				fix.pass(90 * time.Second)
+				assert.Equal(t, len(fix.emu.finished), 1)
+				allowed := 0
+				if since < emulatedFirstOrder {
+					allowed = 1
+				}
+				assert.Assert(t, len(fix.emu.violations) <= allowed, "%s", strings.Join(fix.emu.violations, "\n"))
+			})
+		}
+	}
+}
--- a/internal/core/scheduler/orders.go
+++ b/internal/core/scheduler/orders.go
@@ -40,9 +40,6 @@
 				continue
 			}
 			sta.hasStops = true
-			if !hos.termAccepted {
-				continue
-			}
 			due := pla.state == runStopping || pla.state == runStopAccepted && sta.now.Sub(pla.since) > stopRetryInterval+sta.opt.StopTime
 			if !due || pla.stopInFlight || sta.now.Sub(pla.stopSent) < stopRetryInterval {
 				continue
