transport, manager: what a standstill between the permit of an order and its write may do

Orders for machines rest on time. A process that stands still after the permit of an order sends it when it goes on, after those of the next dispatcher, which breaks ONE. It can't be excluded in user mode, so the tests bound it: the permit is followed by one write of the whole order (TestPermitCoversWholeRequest), and the next dispatcher's first order leaves 150 ms for a standstill besides the longest transit (TestNextDispatcherAwaitsOrdersOfFormerOne). Both passed on the present code.

--- a/internal/manager/machineorder_test.go
+++ b/internal/manager/machineorder_test.go
@@ -11,8 +11,10 @@
 	"testing"
 	"time"
 
+	"github.com/balsamgauge/balsamgauge/internal/core/catalog"
 	"github.com/balsamgauge/balsamgauge/internal/core/duty"
 	"github.com/balsamgauge/balsamgauge/internal/core/scheduler"
+	"github.com/balsamgauge/balsamgauge/internal/core/upkeep"
 	"github.com/balsamgauge/balsamgauge/internal/core/worker"
 	"github.com/balsamgauge/balsamgauge/internal/decisionlog"
 	"github.com/balsamgauge/balsamgauge/internal/election"
@@ -69,3 +71,43 @@
 	assert.Equal(t, len(arrived)+1, before, "orders arrived after the tenure")
 	assert.DeepEqual(t, results, map[worker.MachineResult]int{worker.MachineOK: before, worker.MachineRefused: orders - before})
 }
+
+// TestNextDispatcherAwaitsOrdersOfFormerOne guards against orders for machines of a former
+// dispatcher that arrive after those of the next one: the process may stand still for a
+// while between the permit of an order and its first byte, and the network may hold it
+// up.
+func TestNextDispatcherAwaitsOrdersOfFormerOne(t *testing.T) {
+	const (
+		standstill = 150 * time.Millisecond
+		// storePercent is the rate of the fastest clock of a store.
+		storePercent = 103
+	)
+	start := time.Date(2026, 1, 2, 3, 0, 0, 0, time.UTC)
+	former := duty.NewTenure(duty.Holder{Name: "entry-0", Term: 1}, 1, 1, start, start)
+	permitted := start
+	for former.Holds(permitted.Add(time.Millisecond)) {
+		permitted = permitted.Add(time.Millisecond)
+	}
+	next := start.Add(duty.TTL * 100 / storePercent)
+	sta := scheduler.New(scheduler.Options{Since: next, Revision: 2, Term: 2, Lease: 4 * time.Second, UpkeepTime: 2 * time.Second, MachineOrdersPerSecond: 64})
+	machines := []worker.Machine{{Name: "m-0", Pool: "lots", State: worker.MachineUp}}
+	events := []scheduler.Event{
+		scheduler.CatalogChanged{Catalog: catalog.New(catalog.Catalog{Version: 1, Revision: 1, Pools: []catalog.Pool{{Name: "lots"}}})}, scheduler.JobsLoaded{},
+		scheduler.WaveRequested{Wave: upkeep.Wave{Number: 1, Machines: []string{"m-0"}, Duration: time.Minute, Cap: 1}},
+	}
+	var ordered time.Time
+	for now := next; ordered.IsZero(); now = now.Add(time.Millisecond) {
+		assert.Assert(t, now.Before(next.Add(time.Minute)), "no order in a minute")
+		effects := sta.Reduce(now, events)
+		events = []scheduler.Event{scheduler.JobWatchProgressed{At: now}}
+		for _, eff := range effects {
+			switch eff.(type) {
+			case scheduler.ListMachines:
+				events = append(events, scheduler.MachinesListed{RequestedAt: now, Machines: machines})
+			case scheduler.Upkeep:
+				ordered = now
+			}
+		}
+	}
+	assert.Assert(t, ordered.Sub(permitted) >= standstill+scheduler.MaxOrderTransit, "the next dispatcher's order follows %v after the permit", ordered.Sub(permitted))
+}
--- a/internal/transport/permit_test.go
+++ b/internal/transport/permit_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -53,3 +55,50 @@
 	assert.Equal(t, asked, 3)
 	assert.Equal(t, arrived.Load(), int64(4))
 }
+
+// recordingConn records what is written to a connection.
+type recordingConn struct {
+	net.Conn
+	written func(raw []byte)
+}
+
+func (con recordingConn) Write(raw []byte) (n int, err error) {
+	con.written(raw)
+	return con.Conn.Write(raw)
+}
+
+// TestPermitCoversWholeRequest guards against a request that is sent long after its permit:
+// a part of it is written later, or something else is done between the permit and the
+// write.
+func TestPermitCoversWholeRequest(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) {
+		_, _ = io.Copy(io.Discard, req.Body)
+	}))
+	defer srv.Close()
+	var steps []string
+	trans := New(1)
+	dial := trans.DialContext
+	trans.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		con, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		guarded := con.(*guardedConn)
+		guarded.Conn = recordingConn{guarded.Conn, func(raw []byte) {
+			whole := strings.HasPrefix(string(raw), "POST ") && strings.HasSuffix(string(raw), "the body")
+			steps = append(steps, fmt.Sprintf("write, whole: %v", whole))
+		}}
+		return guarded, nil
+	}
+	client := &http.Client{Transport: trans}
+	for range 3 {
+		ctx := WithPermit(context.Background(), func() error { steps = append(steps, "permit"); return nil })
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, srv.URL, strings.NewReader("the body"))
+		assert.NilError(t, err)
+		req.GetBody = nil
+		rsp, err := client.Do(req)
+		assert.NilError(t, err)
+		assert.NilError(t, rsp.Body.Close())
+	}
+	assert.DeepEqual(t, steps, []string{"permit", "write, whole: true", "permit", "write, whole: true", "permit", "write, whole: true"})
+}
