--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -64,10 +64,7 @@
 	if hos != nil {
 		sta.removeHost(hos, "restarted under the same ID")
 	}
-	leaseExpiry := sta.now
-	if sta.formerLeasesMayHold() {
-		leaseExpiry = sta.opt.Since.Add(sta.maxLeaseTime())
-	}
+	leaseExpiry := vmclock.Latest(sta.now, sta.leases.OfFormer(sta.opt.Since), sta.leases.Inherited(one.ID))
 	hos = &host{
 		vm: one, runs: map[job.Task]*placement{}, ackable: map[int64]bool{}, leaseExpiry: leaseExpiry, nextPoll: sta.now, idleSince: sta.now, firstSeen: sta.now,
 		pace: pace.NewControl(),
@@ -82,26 +79,16 @@
 // answered. Until it does, or until the runs of late starts would have ended, their
 // tasks don't start elsewhere.
 func (sta *State) rejectLateStarts(hos *host) {
-	pending := sta.lateStarts.Pending(hos.vm.ID, sta.now)
-	if len(pending) > 0 {
-		hos.leaseExpiry = sta.now.Add(latestart.MaxDelay + sta.maxLeaseTime())
-	}
-	for _, run := range pending {
+	for _, run := range sta.lateStarts.Pending(hos.vm.ID, sta.now) {
 		sta.logDecision("late_start_rejected", run.Task.Job, map[string]any{"task": run.Task.String(), "run": run.Number, "vm": hos.vm.ID})
 		sta.stop(sta.reserve(hos, sta.stageOfRun(run.Task), run.Task, run.Number, runUnknown))
 	}
 }
 
-// maxLeaseTime returns the longest real time from the extension of a lease to
-// its end, on the slowest clock.
-func (sta *State) maxLeaseTime() time.Duration {
-	return vmclock.LongestLease(sta.opt.Lease)
-}
-
 // formerLeasesMayHold reports whether leases granted by a former dispatcher
 // may still be in force.
 func (sta *State) formerLeasesMayHold() bool {
-	return sta.now.Before(sta.opt.Since.Add(sta.maxLeaseTime()))
+	return sta.now.Before(sta.leases.OfFormer(sta.opt.Since))
 }
 
 // removeHost removes a VM that has ended, with all its runs.
@@ -186,9 +173,7 @@
 // extendLease returns the end of a lease that begins now, on the VM's clock,
 // and records when it is guaranteed to have expired.
 func (sta *State) extendLease(hos *host) time.Duration {
-	if end := sta.now.Add(sta.maxLeaseTime()); end.After(hos.leaseExpiry) {
-		hos.leaseExpiry = end
-	}
+	hos.leaseExpiry = vmclock.Latest(hos.leaseExpiry, sta.leases.Extend(hos.vm.ID, sta.now))
 	return hos.clock.Deadline(sta.now, sta.opt.Lease)
 }
 
@@ -286,6 +271,9 @@
 		hos.vm.StartedAtMS = startedAtMS
 	}
 	hos.failedPolls = 0
+	if !hos.termAccepted && sta.opt.Term > 1 {
+		hos.leaseExpiry = vmclock.Latest(hos.leaseExpiry, sta.leases.Accepted(sta.opt.Since, sta.now, evt.Report.Clock))
+	}
 	hos.termAccepted, hos.listedGone = true, false
 	hos.clock = vmclock.NewReading(evt.Report.Clock, sta.now)
 	if len(evt.Report.Ends) > 0 {
@@ -319,11 +307,7 @@
 	one.StartedAtMS = startedAtMS
 	sta.removeHost(old, "the VM reported another start time")
 	sta.register(one)
-	hos := sta.hosts[one.ID]
-	if old.leaseExpiry.After(hos.leaseExpiry) {
-		hos.leaseExpiry = old.leaseExpiry
-	}
-	return hos
+	return sta.hosts[one.ID]
 }
 
 // applyRunning updates the record of a run that a VM reports as active.
@@ -410,6 +394,22 @@
 	}
 }
 
+// releaseExpired releases the runs on a VM whose lease is guaranteed to have expired.
+// A run whose start got no answer may begin later, on an incarnation of the VM that knows
+// nothing of the lease.
+func (sta *State) releaseExpired(hos *host) {
+	expired := slices.DeleteFunc(slices.Clone(hos.runList), func(pla *placement) bool {
+		return sta.now.Before(sta.lateStarts.End(hos.vm.ID, latestart.Run{Task: pla.task, Number: pla.run}))
+	})
+	if len(expired) == 0 {
+		return
+	}
+	sta.logDecision("leases_ended", "", map[string]any{"vm": hos.vm.ID, "runs": len(expired), "late_starts": len(hos.runs) - len(expired)})
+	for _, pla := range expired {
+		sta.release(hos, pla)
+	}
+}
+
 // expireLeases releases the runs on VMs whose leases are guaranteed to have
 // expired.
 func (sta *State) expireLeases() {
@@ -417,13 +417,8 @@
 		if hos.failedPolls == 0 && hos.termAccepted || sta.now.Before(hos.leaseExpiry) {
 			continue
 		}
-		if len(hos.runs) > 0 {
-			sta.logDecision("leases_ended", "", map[string]any{"vm": hos.vm.ID, "runs": len(hos.runs)})
-			for _, pla := range slices.Clone(hos.runList) {
-				sta.release(hos, pla)
-			}
-		}
-		if hos.unregistered && !hos.pollInFlight {
+		sta.releaseExpired(hos)
+		if hos.unregistered && !hos.pollInFlight && len(hos.runs) == 0 {
 			sta.removeHost(hos, "not registered and not answering")
 			// The VM may be alive behind a network partition, and register again.
 			sta.lostVMs.remove(hos.vm.ID)
