soak, standin/site: late lists, unanswered upkeep, reborn VMs, removed queues

What a process knows can lag behind what is: a list of machines that is answered late while connections are reset, an order for upkeep that is carried out and not answered, an order that reaches the next incarnation of its VM, a queue that is gone before the next step.

A queue, the annex, is removed between two steps of a job that runs and added again. It has fewer attempts than the other one and its tasks fail often.

New checks: a run in another pool than that of its queue, attempts by queue, a wave that is reported as completed before each upkeep has begun. Each has a history or a test of the stand-in that violates it.

The stand-in now bounds a lease as the platform does: a late order for the former incarnation, whose clock was far ahead, would have let the next one run for as long.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -36,6 +36,8 @@
 type caller struct {
 	run    *Run
 	number int
+	// annex is set if the caller submits to the annex only.
+	annex  bool
 	rng    *rand.Rand
 	client *http.Client
 	sent   int
@@ -53,7 +55,7 @@
 func (cal *caller) work(ctx, settleCtx context.Context) {
 	var polls sync.WaitGroup
 	for ctx.Err() == nil {
-		job := cal.newJob()
+		job := cal.nextJob()
 		seed := cal.rng.Uint64()
 		if cal.submit(ctx, job) {
 			polls.Go(func() { cal.pollJob(settleCtx, job, rand.New(rand.NewPCG(seed, 1))) })
@@ -71,14 +73,27 @@
 	wideStepCPU   = 500
 )
 
+// nextJob returns a random job of the caller's queue.
+func (cal *caller) nextJob() ledger.Job {
+	if cal.annex {
+		return cal.annexJob()
+	}
+	return cal.newJob()
+}
+
+// jobOf returns a job without steps.
+func (cal *caller) jobOf(path, account string, attempts int) ledger.Job {
+	return ledger.Job{
+		ID: fmt.Sprintf("%08x%08x", cal.number, cal.sent), Account: account, Payload: fmt.Sprintf("%d-%d", cal.number, cal.sent),
+		Path: path, Pool: queuePool, Attempts: attempts,
+	}
+}
+
 // newJob returns a random job: one in 20 has lasting tasks, the others have up to
 // three steps.
 func (cal *caller) newJob() ledger.Job {
 	cal.sent++
-	job := ledger.Job{
-		ID: fmt.Sprintf("%08x%08x", cal.number, cal.sent), Account: accounts[cal.rng.IntN(len(accounts))],
-		Payload: fmt.Sprintf("%d-%d", cal.number, cal.sent),
-	}
+	job := cal.jobOf(queuePrefix, accounts[cal.rng.IntN(len(accounts))], ledger.PlatformBounds.Attempts)
 	if cal.rng.IntN(20) == 0 {
 		job.Steps = []ledger.Step{{Count: 2, CPU: 500, Lasting: true}}
 		return job
@@ -135,6 +150,12 @@
 		case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusUnauthorized:
 			out = ledger.Refused
 		case 0, http.StatusGatewayTimeout, http.StatusBadGateway:
+		case http.StatusNotFound:
+			out = ledger.Refused
+			// The annex is the only queue that is removed at times.
+			if job.Path != annexPrefix {
+				cal.run.ledger.AddViolation(time.Now(), fmt.Sprintf("submission of job %s was answered with status %d", job.ID, status))
+			}
 		default:
 			cal.run.ledger.AddViolation(time.Now(), fmt.Sprintf("submission of job %s was answered with status %d", job.ID, status))
 		}
@@ -224,7 +245,7 @@
 // reply was received.
 func (cal *caller) call(rng *rand.Rand, method string, job ledger.Job, key, text string) (nod *node, status int, answer string) {
 	nod = cal.run.nodes[rng.IntN(len(cal.run.nodes))]
-	req, err := http.NewRequest(method, "http://"+nod.callersAddress+queuePrefix+job.ID, strings.NewReader(text))
+	req, err := http.NewRequest(method, "http://"+nod.callersAddress+job.Path+job.ID, strings.NewReader(text))
 	if err != nil {
 		panic(err)
 	}
--- a/internal/soak/injectseries.go
+++ b/internal/soak/injectseries.go
@@ -82,6 +82,8 @@
 		})
 	case OddEntry:
 		afterFault(run.sit.RegisterOdd(fau.Target))
+	case ListsLate, UpkeepAnswersLost, VMReborn, QueueRemoved:
+		run.injectLag(fau, afterFault)
 	default:
 		run.injectVMSeries(fau, afterFault)
 	}
--- a/internal/soak/ledger/ledger.go
+++ b/internal/soak/ledger/ledger.go
@@ -61,6 +61,8 @@
 	Lasting bool
 	// Slow tasks take several times as long as others.
 	Slow bool
+	// Frail tasks fail several times as often as others.
+	Frail bool
 }
 
 // Job is a job as its caller submits it.
@@ -69,6 +71,12 @@
 	Account string
 	Payload string
 	Steps   []Step
+	// Path is the path prefix of the queue, Pool the pool that runs its jobs. Any pool
+	// is right if Pool is empty.
+	Path, Pool string
+	// Attempts is the number of failed runs after which a task fails, if it isn't
+	// Bounds.Attempts.
+	Attempts int
 }
 
 // SubmissionOutcome is the outcome of a submission as its caller observes it.
@@ -287,7 +295,7 @@
 		led.addJobViolation(now, rec, "job %s is reported as cancelled, but no caller cancelled it", id)
 	case state == "completed":
 		led.checkTasksDone(now, rec, len(rec.Steps))
-	case state == "failed" && led.maxFailedRuns(rec) < led.bounds.Attempts:
+	case state == "failed" && led.maxFailedRuns(rec) < led.attempts(rec):
 		led.addJobViolation(now, rec, "job %s is reported as failed after %d failed runs of a task", id, led.maxFailedRuns(rec))
 	}
 	rec.reported = state
@@ -314,6 +322,14 @@
 	return most
 }
 
+// attempts returns the number of failed runs after which a task of a job fails.
+func (led *Ledger) attempts(rec *jobRecord) int {
+	if rec.Attempts > 0 {
+		return rec.Attempts
+	}
+	return led.bounds.Attempts
+}
+
 // taskName returns the name of a task: its job, occurrence, step and index. Jobs
 // of the soak have a single occurrence, 0.
 func taskName(job string, step, index int) string { return fmt.Sprintf("%s.0.%d.%d", job, step, index) }
@@ -350,6 +366,30 @@
 	return Step{}
 }
 
+// Unfinished returns the job of a task, and whether steps of the job wait for that of
+// the task.
+func (led *Ledger) Unfinished(task string) (job Job, ok bool) {
+	led.mu.Lock()
+	defer led.mu.Unlock()
+	rec, ste := led.stepOf(task)
+	if rec == nil {
+		return Job{}, false
+	}
+	return rec.Job, slices.ContainsFunc(rec.Steps, func(oth Step) bool {
+		return slices.ContainsFunc(oth.After, func(num int) bool { return &rec.Steps[num] == ste })
+	})
+}
+
+// StartedInPool checks that a run started on a VM of the pool of its queue, also
+// once the queue is removed.
+func (led *Ledger) StartedInPool(now time.Time, vm, pool, task string) {
+	led.mu.Lock()
+	defer led.mu.Unlock()
+	if rec, _ := led.stepOf(task); rec != nil && rec.Pool != "" && rec.Pool != pool {
+		led.addJobViolation(now, rec, "%s starts on %s of pool %s, but its queue has pool %s", task, vm, pool, rec.Pool)
+	}
+}
+
 // Started records a run that started on a VM of an availability zone, and checks
 // that it was allowed to start.
 func (led *Ledger) Started(now time.Time, vm, zone, task string, run int, payload string) {
@@ -368,7 +408,7 @@
 	if tas.done && tas.acked && !ste.Lasting {
 		led.addJobViolation(now, rec, "%s run %d starts on %s after its end was acknowledged", task, run, vm)
 	}
-	if tas.failedAcked >= led.bounds.Attempts && !ste.Lasting {
+	if tas.failedAcked >= led.attempts(rec) && !ste.Lasting {
 		led.addJobViolation(now, rec, "%s run %d starts on %s after %d failed runs", task, run, vm, tas.failedAcked)
 	}
 	for _, dep := range ste.After {
--- a/internal/soak/ledger/ledger_test.go
+++ b/internal/soak/ledger/ledger_test.go
@@ -34,6 +34,12 @@
 	}
 }
 
+// submitOfQueue records that a job is accepted on a queue with a pool and attempts.
+func submitOfQueue(led *Ledger) {
+	led.Submitted(Job{ID: "q", Account: "large", Payload: "p", Steps: []Step{{Count: 1, CPU: 500}}, Pool: "lots", Attempts: 3})
+	led.Answered(noon, noon, "q", "k", Accepted)
+}
+
 const first, second = "j.0.0.0", "j.0.0.1"
 
 // histories are sequences of observations, each with the violation that the
@@ -65,6 +71,30 @@
 			play(led, first, run+1, "failed")
 		}
 	}, "after 4 failed runs"},
+	{"run beyond the attempts of its queue", func(led *Ledger) {
+		submitOfQueue(led)
+		for run := range 4 {
+			play(led, "q.0.0.0", run+1, "failed")
+		}
+	}, "q.0.0.0 run 4 starts on vm after 3 failed runs"},
+	{"failed before the attempts of its queue", func(led *Ledger) {
+		submitOfQueue(led)
+		play(led, "q.0.0.0", 1, "failed")
+		play(led, "q.0.0.0", 2, "failed")
+		led.StateReported(noon, "q", "failed")
+	}, "job q is reported as failed after 2 failed runs"},
+	{"failed by the attempts of its queue, in its pool", func(led *Ledger) {
+		submitOfQueue(led)
+		led.StartedInPool(noon, "vm", "lots", "q.0.0.0")
+		for run := range 3 {
+			play(led, "q.0.0.0", run+1, "failed")
+		}
+		led.StateReported(noon, "q", "failed")
+	}, ""},
+	{"run in another pool", func(led *Ledger) {
+		submitOfQueue(led)
+		led.StartedInPool(noon, "vm", "kiosk", "q.0.0.0")
+	}, "q.0.0.0 starts on vm of pool kiosk, but its queue has pool lots"},
 	{"VM over capacity", func(led *Ledger) {
 		led.Submitted(Job{ID: "b", Account: "large", Payload: "p", Steps: []Step{{Count: 1, CPU: 17_000}}})
 		led.Answered(noon, noon, "b", "k", Accepted)
@@ -215,3 +245,13 @@
 		})
 	}
 }
+
+// TestUnfinished checks which tasks have steps that wait for theirs.
+func TestUnfinished(t *testing.T) {
+	led := newTestLedger()
+	for task, want := range map[string]bool{first: true, second: true, "j.0.1.0": false, "x.0.0.0": false} {
+		job, ok := led.Unfinished(task)
+		assert.Equal(t, ok, want, task)
+		assert.Equal(t, job.ID == "j", task != "x.0.0.0")
+	}
+}
--- a/internal/soak/ledger/waiting.go
+++ b/internal/soak/ledger/waiting.go
@@ -70,7 +70,7 @@
 func (led *Ledger) mayStart(rec *jobRecord, name string) bool {
 	tas := led.task(name)
 	_, ste := led.stepOf(name)
-	if tas.done || tas.running > 0 || tas.failed >= led.bounds.Attempts && !ste.Lasting {
+	if tas.done || tas.running > 0 || tas.failed >= led.attempts(rec) && !ste.Lasting {
 		return false
 	}
 	for _, dep := range ste.After {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -64,6 +64,8 @@
 	// taskFailProbability is the probability that a run of a task fails.
 	taskFailProbability = 0.03
 	callerCount         = 6
+	// annexCallerCount is the number of callers that submit to the annex.
+	annexCallerCount = 1
 	// watchInterval is the time between two checks for tasks that wait.
 	watchInterval = 100 * time.Millisecond
 	// keepEnded is the time for which the state of an ended job can be queried, less
@@ -92,6 +94,11 @@
 	// killAfterAnswer is the time for which the process that next accepts a job is
 	// killed; 0 kills none.
 	killAfterAnswer atomic.Int64
+	// annexRemovals counts the faults that have removed the annex and not added it
+	// again. stepEnded is sent to when a step of the annex may have ended, if a fault
+	// waits for that.
+	annexRemovals int
+	stepEnded     chan struct{}
 	// calm is closed once the system has had time to start everything that waits,
 	// after the last fault. Lasting jobs are cancelled then.
 	calm chan struct{}
@@ -100,10 +107,17 @@
 	pending sync.WaitGroup
 }
 
+func newRun(opt Options) *Run {
+	return &Run{
+		opt: opt, keys: map[string]string{}, calm: make(chan struct{}), stepEnded: make(chan struct{}),
+		ledger: ledger.New(ledger.PlatformBounds, map[string]int64{accounts[0]: smallCapMillicores}),
+	}
+}
+
 // Execute executes a run. It returns an error if the run could not be set up;
 // violated invariants are in the report.
 func Execute(ctx context.Context, opt Options) (rep Report, err error) {
-	run := &Run{opt: opt, keys: map[string]string{}, calm: make(chan struct{}), ledger: ledger.New(ledger.PlatformBounds, map[string]int64{accounts[0]: smallCapMillicores})}
+	run := newRun(opt)
 	defer run.close()
 	if err := run.start(); err != nil {
 		return Report{}, fmt.Errorf("soak with seed %d: %w", opt.Seed, err)
@@ -116,8 +130,9 @@
 	settleCtx, stop := context.WithCancel(ctx)
 	defer stop()
 	var work sync.WaitGroup
-	for i := range callerCount {
+	for i := range callerCount + annexCallerCount {
 		cal := newCaller(run, i)
+		cal.annex = i >= callerCount
 		work.Go(func() { cal.work(submitCtx, settleCtx) })
 	}
 	lingerCtx, stopLingering := context.WithCancel(settleCtx)
@@ -161,23 +176,28 @@
 	faults = Schedule(opt.Seed, opt.For, opt.Processes, vms, zones)
 	if opt.Series {
 		faults = merge(faults, ScheduleSeries(opt.Seed, opt.For, opt.Processes, vms, zones))
+		faults = merge(faults, ScheduleLag(opt.Seed, opt.For, opt.Processes, vms))
 	}
 	return faults
 }
 
 // observer records the events of the VMs in the ledger, with the current time.
-type observer struct{ led *ledger.Ledger }
+type observer struct{ run *Run }
 
-func (obs observer) Started(vm, zone, task string, run int, payload string) {
-	obs.led.Started(time.Now(), vm, zone, task, run, payload)
+func (obs observer) Started(vm, pool, zone, task string, run int, payload string) {
+	obs.run.ledger.Started(time.Now(), vm, zone, task, run, payload)
+	obs.run.ledger.StartedInPool(time.Now(), vm, pool, task)
 }
 func (obs observer) Ended(vm, task string, run int, outcome string) {
-	obs.led.Ended(time.Now(), vm, task, run, outcome)
+	obs.run.ledger.Ended(time.Now(), vm, task, run, outcome)
+	obs.run.taskEnded(task, outcome)
 }
 func (obs observer) Acknowledged(_, task string, run int, outcome string) {
-	obs.led.Acknowledged(time.Now(), task, run, outcome)
+	obs.run.ledger.Acknowledged(time.Now(), task, run, outcome)
+}
+func (obs observer) Violation(violation string) {
+	obs.run.ledger.AddViolation(time.Now(), violation)
 }
-func (obs observer) Violation(violation string) { obs.led.AddViolation(time.Now(), violation) }
 
 // start starts the stand-in and the processes, and waits until these are ready.
 func (run *Run) start() (err error) {
@@ -195,8 +215,11 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			outcome := "done"
-			if rng.Float64() < taskFailProbability {
+			outcome, failProbability := "done", taskFailProbability
+			if ste.Frail {
+				failProbability = frailFailProbability
+			}
+			if rng.Float64() < failProbability {
 				outcome = "failed"
 			}
 			// Runs take from 0.3 to 1.8 times the estimate.
@@ -210,7 +233,7 @@
 			run.vmProxies = append(run.vmProxies, prx)
 			return prx.Address(), nil
 		},
-		Observer: observer{run.ledger},
+		Observer: observer{run},
 	})
 	if err != nil {
 		return err
@@ -235,7 +258,7 @@
 	return run.awaitReady()
 }
 
-// pools returns the pools of the stand-in. Only the first has a queue.
+// pools returns the pools of the stand-in. Only the first has queues.
 func (run *Run) pools() []site.Pool {
 	return []site.Pool{
 		{Name: queuePool, Workers: run.opt.Machines}, {Name: "kiosk", Workers: run.opt.Machines}, {Name: "spare", Workers: 2, Standby: true},
@@ -265,7 +288,7 @@
 
 // pollEnded queries the states of the jobs that have ended once more.
 func (run *Run) pollEnded(ctx context.Context) {
-	cal := newCaller(run, callerCount)
+	cal := newCaller(run, callerCount+annexCallerCount)
 	for _, job := range run.ledger.EndedSince(time.Now().Add(-keepEnded)) {
 		for tries := 0; tries < endedTries && ctx.Err() == nil; tries++ {
 			if state := cal.state(cal.rng, job); state != "" {
@@ -321,16 +344,32 @@
 func (run *Run) rotateKeys(names ...string) {
 	run.mu.Lock()
 	defer run.mu.Unlock()
-	run.configVersion += 2
 	withdrawn := map[string]string{}
 	for _, name := range names {
 		withdrawn[name] = run.keys[name]
-		run.keys[name] = fmt.Sprintf("%s-%d", name, run.configVersion)
+		run.keys[name] = fmt.Sprintf("%s-%d", name, run.configVersion+configStep)
+	}
+	run.writeConfig()
+	for _, key := range withdrawn {
+		if key != "" {
+			run.ledger.KeyWithdrawn(time.Now(), key)
+		}
 	}
+}
+
+// configStep is the difference between the versions of two configurations.
+const configStep = 2
+
+// writeConfig writes a new configuration. The lock must be held.
+func (run *Run) writeConfig() {
+	run.configVersion += configStep
 	cfg := site.Config{
 		Version: run.configVersion, Pools: run.pools(),
 		Queues: []site.Queue{{Name: "gate", Prefix: queuePrefix, Pool: queuePool, Attempts: ledger.PlatformBounds.Attempts}},
 	}
+	if run.annexRemovals == 0 {
+		cfg.Queues = append(cfg.Queues, site.Queue{Name: "annex", Prefix: annexPrefix, Pool: queuePool, Attempts: annexAttempts})
+	}
 	for _, name := range accounts {
 		acc := site.Account{Name: name, Keys: []string{run.keys[name]}}
 		if name == accounts[0] {
@@ -339,11 +378,6 @@
 		cfg.Accounts = append(cfg.Accounts, acc)
 	}
 	run.sit.Configure(cfg)
-	for _, key := range withdrawn {
-		if key != "" {
-			run.ledger.KeyWithdrawn(time.Now(), key)
-		}
-	}
 }
 
 // injectSchedule injects the faults at their times and returns when ctx is done.
--- a/internal/standin/site/machines.go
+++ b/internal/standin/site/machines.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -24,6 +25,10 @@
 		for _, wor := range sit.Workers {
 			rows = append(rows, wor.listItem())
 		}
+		sit.mu.Lock()
+		delay := sit.listDelay
+		sit.mu.Unlock()
+		time.Sleep(delay)
 		writeJSON(wri, http.StatusOK, map[string]any{"machines": rows, "next-token": nil})
 		return
 	}
@@ -54,6 +59,12 @@
 		wri.WriteHeader(http.StatusNotFound)
 		return
 	}
+	sit.mu.Lock()
+	lost := sit.machineAnswersLost
+	sit.mu.Unlock()
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
 	if reason != "" {
 		writeJSON(wri, http.StatusConflict, map[string]string{"reason": reason})
 		return
@@ -61,6 +72,22 @@
 	writeJSON(wri, http.StatusOK, struct{}{})
 }
 
+// SetListDelay starts a fault in which a list of machines is answered only some time
+// after it was read, or ends it with 0.
+func (sit *Site) SetListDelay(delay time.Duration) {
+	sit.mu.Lock()
+	defer sit.mu.Unlock()
+	sit.listDelay = delay
+}
+
+// SetMachineAnswersLost starts or ends a fault in which orders for machines are
+// carried out and their connections closed without an answer.
+func (sit *Site) SetMachineAnswersLost(lost bool) {
+	sit.mu.Lock()
+	defer sit.mu.Unlock()
+	sit.machineAnswersLost = lost
+}
+
 // listItem returns the machine as the list of machines shows it.
 func (wor *Worker) listItem() map[string]any {
 	wor.mu.Lock()
@@ -103,11 +130,8 @@
 // turn in this wave. It returns the reason of a refusal, or "". Upkeep beyond the
 // wave's cap is carried out and reported as a violation.
 func (sit *Site) startUpkeep(wor *Worker, number int64) (reason string) {
-	var wav struct {
-		Machines []string `json:"machines"`
-		Cap      int      `json:"cap"`
-	}
-	if raw := sit.Store.Value(fmt.Sprintf("op/wave/%d", number)); raw == nil || json.Unmarshal(raw, &wav) != nil || !slices.Contains(wav.Machines, wor.MachineName()) {
+	wav, ok := sit.wave(number)
+	if !ok || !slices.Contains(wav.Machines, wor.MachineName()) {
 		return "wave"
 	}
 	wor.mu.Lock()
@@ -136,3 +160,43 @@
 	wor.endIncarnation(machineUpkeep, upkeepTime, "", false)
 	return ""
 }
+
+// wave is a wave as the operator requests it.
+type wave struct {
+	Machines []string `json:"machines"`
+	Cap      int      `json:"cap"`
+}
+
+// wave returns a wave that the operator requested.
+func (sit *Site) wave(number int64) (wav wave, ok bool) {
+	raw := sit.Store.Value(fmt.Sprintf("op/wave/%d", number))
+	return wav, raw != nil && json.Unmarshal(raw, &wav) == nil
+}
+
+// waveStatusPrefix is the prefix of the keys under which the state of a wave is
+// written.
+const waveStatusPrefix = "status/wave/"
+
+// checkWave reports a violation if a value says that a wave is completed in which the
+// upkeep of a machine has not begun.
+func (sit *Site) checkWave(key string, value []byte) {
+	number, err := strconv.ParseInt(strings.TrimPrefix(key, waveStatusPrefix), 10, 64)
+	if !strings.HasPrefix(key, waveStatusPrefix) || err != nil {
+		return
+	}
+	var status struct {
+		State string `json:"state"`
+	}
+	wav, ok := sit.wave(number)
+	if !ok || json.Unmarshal(value, &status) != nil || status.State != "completed" {
+		return
+	}
+	for _, wor := range sit.Workers {
+		wor.mu.Lock()
+		begun := wor.begun[number]
+		wor.mu.Unlock()
+		if !begun && slices.Contains(wav.Machines, wor.MachineName()) {
+			sit.reportViolation("wave %d is reported as completed, but the upkeep of %s has not begun", number, wor.MachineName())
+		}
+	}
+}
--- a/internal/standin/site/operator.go
+++ b/internal/standin/site/operator.go
@@ -156,7 +156,7 @@
 func (pro Process) Settings() string {
 	return fmt.Sprintf("node-name = %q\nip = \"127.0.0.1\"\nzone = \"az0\"\ninternal-ports = [%d,%d]\nadvice = %q\n"+
 		"[listen-addrs]\nfront = %q\nready = %q\n[platform]\naddress = %q\n[cloud]\naddress = %q\nduty-per-s = 64.0\n"+
-		"[bounds]\ngrace-s = %g\nrevoke-ms = %d\nhold-max-ms = 6000\nstop-ms = 400\nmaintenance-s = %g\n",
+		"[bounds]\ngrace-s = %g\nrevoke-ms = %d\nhold-max-ms = %d\nstop-ms = 400\nmaintenance-s = %g\n",
 		pro.Name, pro.Port, pro.Port, pro.Advisor, pro.Callers, pro.Ready, pro.Store, pro.Machines,
-		pro.Grace.Seconds(), pro.Revoke.Milliseconds(), upkeepTime.Seconds())
+		pro.Grace.Seconds(), pro.Revoke.Milliseconds(), maxLease.Milliseconds(), upkeepTime.Seconds())
 }
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -50,6 +50,10 @@
 	// started counts the started runs of each job.
 	started    map[string]int
 	violations []string
+	// listDelay is the time after which a list of machines is answered once it was
+	// read, and machineAnswersLost is set if orders for machines get no answer.
+	listDelay          time.Duration
+	machineAnswersLost bool
 }
 
 // Options configure a Site.
@@ -85,7 +89,7 @@
 // order.
 type Observer interface {
 	// Started is called when a run has started, with the payload of the order.
-	Started(vm, zone, task string, run int, payload string)
+	Started(vm, pool, zone, task string, run int, payload string)
 	// Ended is called when a run has ended. The outcome is the one that the VM
 	// reports, or "gone" if its VM ended with it.
 	Ended(vm, task string, run int, outcome string)
@@ -107,6 +111,7 @@
 			err = fmt.Errorf("start stand-in of the platform: %w", err)
 		}
 	}()
+	sit.Store.written = sit.checkWave
 	if sit.StoreAddress, err = sit.serve(sit.Store); err != nil {
 		return nil, err
 	}
@@ -180,7 +185,7 @@
 
 // recordStart counts a run that started. Two runs of a task in progress, and a
 // run of a task that was done and acknowledged, are violations.
-func (sit *Site) recordStart(vm, zone, task string, run int, payload string) {
+func (sit *Site) recordStart(vm, pool, zone, task string, run int, payload string) {
 	sit.mu.Lock()
 	defer sit.mu.Unlock()
 	sit.running[task]++
@@ -192,7 +197,7 @@
 		sit.violations = append(sit.violations, fmt.Sprintf("%s starts on %s after its end was acknowledged", task, vm))
 	}
 	if sit.opt.Observer != nil {
-		sit.opt.Observer.Started(vm, zone, task, run, payload)
+		sit.opt.Observer.Started(vm, pool, zone, task, run, payload)
 	}
 }
 
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -34,6 +34,8 @@
 	// dropResponses is the number of further transactions that take effect but get
 	// no response.
 	dropResponses int
+	// written is called with each value that a transaction has written; it may be nil.
+	written func(key string, value []byte)
 }
 
 type lease struct {
@@ -268,13 +270,26 @@
 }
 
 type txn struct {
-	Expected []item `json:"expected"`
-	Puts     []struct {
-		Key   string `json:"key"`
-		Value []byte `json:"value"`
-		Lease int64  `json:"lease"`
-	} `json:"puts"`
-	Deletes []string `json:"deletes"`
+	Expected []item   `json:"expected"`
+	Puts     []txnPut `json:"puts"`
+	Deletes  []string `json:"deletes"`
+}
+
+type txnPut struct {
+	Key   string `json:"key"`
+	Value []byte `json:"value"`
+	Lease int64  `json:"lease"`
+}
+
+// reportWritten calls written for each value that a transaction has written. The lock
+// must not be held.
+func (sto *Store) reportWritten(puts []txnPut) {
+	if sto.written == nil {
+		return
+	}
+	for _, put := range puts {
+		sto.written(put.Key, put.Value)
+	}
 }
 
 func (sto *Store) serveTxn(wri http.ResponseWriter, req *http.Request) {
@@ -283,6 +298,9 @@
 		wri.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	var written []txnPut
+	// written may call the store.
+	defer func() { sto.reportWritten(written) }()
 	sto.mu.Lock()
 	defer sto.mu.Unlock()
 	current := []item{}
@@ -311,6 +329,7 @@
 	for _, key := range request.Deletes {
 		sto.remove(key)
 	}
+	written = request.Puts
 	if sto.dropResponses > 0 {
 		sto.dropResponses--
 		panic(http.ErrAbortHandler)
--- a/internal/standin/site/worker.go
+++ b/internal/standin/site/worker.go
@@ -46,6 +46,9 @@
 	// set if they get no answer.
 	orderDelay  time.Duration
 	answersLost bool
+	// late is the time after which starts and stops are carried out whose connections
+	// are closed at once.
+	late time.Duration
 	// begun holds the waves in which the machine's upkeep has begun; lastWave is the
 	// last of them.
 	begun    map[int64]bool
@@ -111,6 +114,15 @@
 	wor.answersLost = lost
 }
 
+// SetOrdersLate starts a fault in which starts and stops get no answer and arrive only
+// after a delay, at whichever incarnation has the expected id then, or ends it with 0.
+// Polls arrive at once.
+func (wor *Worker) SetOrdersLate(delay time.Duration) {
+	wor.mu.Lock()
+	defer wor.mu.Unlock()
+	wor.late = delay
+}
+
 // RunningVM returns the id of the VM that runs on the machine, the machine's pool,
 // and whether there is a VM that answers.
 func (wor *Worker) RunningVM() (id, pool string, ok bool) {
@@ -257,6 +269,16 @@
 	}
 	wor.mu.Lock()
 	defer wor.mu.Unlock()
+	if wor.late > 0 && req.URL.Path != "/hold" {
+		time.AfterFunc(wor.late, func() {
+			wor.mu.Lock()
+			defer wor.mu.Unlock()
+			if wor.state == machineUp {
+				wor.carryOut(noAnswer{}, req.URL.Path, req.Header.Get("X-Expected-Instance"), ord)
+			}
+		})
+		panic(http.ErrAbortHandler)
+	}
 	if delay := wor.orderDelay; delay > 0 {
 		born := wor.born
 		wor.mu.Unlock()
@@ -279,7 +301,12 @@
 	if wor.state != machineUp {
 		panic(http.ErrAbortHandler)
 	}
-	if req.Header.Get("X-Expected-Instance") != wor.id {
+	wor.carryOut(wri, req.URL.Path, req.Header.Get("X-Expected-Instance"), ord)
+}
+
+// carryOut carries out an order to an incarnation. The lock must be held.
+func (wor *Worker) carryOut(wri http.ResponseWriter, path, expectedID string, ord order) {
+	if expectedID != wor.id {
 		wri.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -288,8 +315,8 @@
 		return
 	}
 	wor.vmToken = ord.Token
-	wor.deadline = max(wor.deadline, time.Duration(ord.Deadline)*time.Millisecond)
-	switch req.URL.Path {
+	wor.deadline = max(wor.deadline, min(time.Duration(ord.Deadline)*time.Millisecond, wor.clock()+maxLease))
+	switch path {
 	case "/run-start":
 		wor.start(wri, ord)
 	case "/run-stop":
@@ -306,6 +333,21 @@
 	}
 }
 
+// maxLease is the longest lease that a VM grants.
+const maxLease = 6 * time.Second
+
+// noAnswer drops an answer that nobody waits for.
+type noAnswer struct{}
+
+// Header returns a header that is dropped.
+func (noAnswer) Header() http.Header { return http.Header{} }
+
+// Write drops the bytes.
+func (noAnswer) Write(raw []byte) (num int, err error) { return len(raw), nil }
+
+// WriteHeader drops the status.
+func (noAnswer) WriteHeader(int) {}
+
 // refuse rejects an order with a reason.
 func (wor *Worker) refuse(wri http.ResponseWriter, reason string) {
 	writeJSON(wri, http.StatusConflict, map[string]any{"clock-ms": wor.clock().Milliseconds(), "reason": reason})
@@ -327,7 +369,7 @@
 		wor.refuse(wri, "ticket")
 		return
 	default:
-		wor.sit.recordStart(wor.id, wor.zone(), ord.Task, ord.Run, ord.Spec)
+		wor.sit.recordStart(wor.id, wor.pool, wor.zone(), ord.Task, ord.Run, ord.Spec)
 		run = &activeRun{run: ord.Run, stop: make(chan struct{})}
 		wor.runs[ord.Task] = run
 		go wor.run(ord.Task, run)
