--- a/internal/soak/injectseries.go
+++ b/internal/soak/injectseries.go
@@ -217,12 +217,13 @@
 	}
 }
 
-// usableVMs returns the VMs of the queue's pool that run.
-func (run *Run) usableVMs() (ids []string) {
-	for _, wor := range run.sit.Workers {
+// usableVMs returns the VMs of the queues' pool that run, and the numbers of their
+// machines.
+func (run *Run) usableVMs() (ids []string, machines []int) {
+	for i, wor := range run.sit.Workers {
 		if id, pool, ok := wor.RunningVM(); ok && pool == queuePool {
-			ids = append(ids, id)
+			ids, machines = append(ids, id), append(machines, i)
 		}
 	}
-	return ids
+	return ids, machines
 }
--- a/internal/soak/lag.go
+++ b/internal/soak/lag.go
@@ -112,9 +112,14 @@
 	}
 }
 
-// rebearVM injects VMReborn.
+// rebearVM injects VMReborn at one of the VMs that run tasks.
 func (run *Run) rebearVM(fau Fault) {
-	wor, prx, machine := run.sit.Workers[fau.Target], run.vmProxies[fau.Target], fmt.Sprintf("vm-%d", fau.Target)
+	_, usable := run.usableVMs()
+	if len(usable) == 0 {
+		return
+	}
+	num := usable[fau.Target%len(usable)]
+	wor, prx, machine := run.sit.Workers[num], run.vmProxies[num], fmt.Sprintf("vm-%d", num)
 	delay := rebornLead + fau.For + cutDrainTime
 	run.ledger.LinkCut(time.Now(), machine)
 	wor.SetOrdersLate(delay)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -278,7 +278,8 @@
 	clock.Pause(ctx, vmLease)
 	calmAt := time.Now().Add(ledger.PlatformBounds.Wait + 10*watchInterval)
 	for ended := false; ctx.Err() == nil; clock.Pause(ctx, watchInterval) {
-		run.ledger.CheckWaiting(time.Now(), run.usableVMs())
+		vms, _ := run.usableVMs()
+		run.ledger.CheckWaiting(time.Now(), vms)
 		if !ended && time.Now().After(calmAt) {
 			ended = true
 			close(run.calm)
