soak: a request without a connection is not one that its process cut

The listener was closed by a SIGTERM; the caller itself waited for a processor for 0.2 s, so that the refusal came after unreadWindow.

The check asks for an answer to each request that a process has read, and took the time of the failure as the only sign of that. Without a connection nothing was read, however late the caller sees it. All other failures count as before.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -262,11 +264,21 @@
 		}
 		err = readErr
 	}
-	// A process answers every request that it has read, also while it shuts down.
-	// The request may not have been read if it fails within unreadWindow, and the
-	// caller may have given up if it fails near callTimeout.
-	if took := time.Since(sent); took > unreadWindow && took < callTimeout-unreadWindow && !nod.disruptedAt(sent) && !nod.disruptedAt(time.Now()) {
+	if took := time.Since(sent); mayHaveBeenRead(err, took) && !nod.disruptedAt(sent) && !nod.disruptedAt(time.Now()) {
 		cal.run.ledger.AddViolation(time.Now(), fmt.Sprintf("%s of job %s was cut by %s after %v: %v", method, job.ID, nod.name, took, err))
 	}
 	return nod, 0, ""
 }
+
+// mayHaveBeenRead reports whether a process may have read a request that failed after
+// a time. A process answers every request that it has read, also while it shuts down.
+// It has not read one for which there was no connection, however late the caller
+// notices that. It may not have read one that fails within unreadWindow, and the caller
+// may have given up one that fails near callTimeout.
+func mayHaveBeenRead(err error, took time.Duration) bool {
+	var failed *net.OpError
+	if errors.As(err, &failed) && failed.Op == "dial" {
+		return false
+	}
+	return took > unreadWindow && took < callTimeout-unreadWindow
+}
