--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -14,7 +14,7 @@
 
 // TestScheduleIsDeterministic checks that a seed always gives the same schedule,
 // that another seed gives another one, and that a long schedule has every kind of
-// fault.
+// fault. ScheduleLag has a test of its own.
 func TestScheduleIsDeterministic(t *testing.T) {
 	draw := func(seed uint64) []Fault {
 		return merge(Schedule(seed, 20*time.Minute, 3, 8, 3), ScheduleSeries(seed, 20*time.Minute, 3, 8, 3))
@@ -49,8 +49,8 @@
 		// cut. The VM starts the run late, which the platform's specification allows.
 		{1102, false},
 		// Shutdowns that overlap, are killed or paused, holders ended in a row, a kill
-		// after an acceptance, all processes killed, a VM under the same id again and
-		// an odd registration.
+		// after an acceptance, all processes killed, a VM under the same id again, an
+		// odd registration, and each kind of fault of ScheduleLag.
 		{1621, true},
 	} {
 		dir := t.TempDir()
@@ -59,6 +59,10 @@
 		})
 		assert.NilError(t, err)
 		assert.Equal(t, len(rep.Violations), 0, "seed %d: %s", tst.seed, strings.Join(rep.Violations, "\n"))
+		for _, kind := range lagKinds {
+			has := slices.ContainsFunc(rep.Faults, func(fau Fault) bool { return fau.Kind == kind })
+			assert.Equal(t, has, tst.series, "seed %d: %s", tst.seed, kind)
+		}
 		assert.Assert(t, rep.Accepted > 0 && rep.Started > 0, "seed %d: %d jobs, %d runs", tst.seed, rep.Accepted, rep.Started)
 	}
 }
