--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -36,6 +38,8 @@
 type caller struct {
 	run    *Run
 	number int
+	// annex is set if the caller submits to the annex only.
+	annex  bool
 	rng    *rand.Rand
 	client *http.Client
 	sent   int
@@ -53,7 +57,7 @@
 func (cal *caller) work(ctx, settleCtx context.Context) {
 	var polls sync.WaitGroup
 	for ctx.Err() == nil {
-		job := cal.newJob()
+		job := cal.nextJob()
 		seed := cal.rng.Uint64()
 		if cal.submit(ctx, job) {
 			polls.Go(func() { cal.pollJob(settleCtx, job, rand.New(rand.NewPCG(seed, 1))) })
@@ -71,14 +75,27 @@
 	wideStepCPU   = 500
 )
 
+// nextJob returns a random job of the caller's queue.
+func (cal *caller) nextJob() ledger.Job {
+	if cal.annex {
+		return cal.annexJob()
+	}
+	return cal.newJob()
+}
+
+// jobOf returns a job without steps.
+func (cal *caller) jobOf(path, account string, attempts int) ledger.Job {
+	return ledger.Job{
+		ID: fmt.Sprintf("%08x%08x", cal.number, cal.sent), Account: account, Payload: fmt.Sprintf("%d-%d", cal.number, cal.sent),
+		Path: path, Pool: queuePool, Attempts: attempts,
+	}
+}
+
 // newJob returns a random job: one in 20 has lasting tasks, the others have up to
 // three steps.
 func (cal *caller) newJob() ledger.Job {
 	cal.sent++
-	job := ledger.Job{
-		ID: fmt.Sprintf("%08x%08x", cal.number, cal.sent), Account: accounts[cal.rng.IntN(len(accounts))],
-		Payload: fmt.Sprintf("%d-%d", cal.number, cal.sent),
-	}
+	job := cal.jobOf(queuePrefix, accounts[cal.rng.IntN(len(accounts))], ledger.PlatformBounds.Attempts)
 	if cal.rng.IntN(20) == 0 {
 		job.Steps = []ledger.Step{{Count: 2, CPU: 500, Lasting: true}}
 		return job
@@ -135,6 +152,12 @@
 		case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusUnauthorized:
 			out = ledger.Refused
 		case 0, http.StatusGatewayTimeout, http.StatusBadGateway:
+		case http.StatusNotFound:
+			out = ledger.Refused
+			// The annex is the only queue that is removed at times.
+			if job.Path != annexPrefix {
+				cal.run.ledger.AddViolation(time.Now(), fmt.Sprintf("submission of job %s was answered with status %d", job.ID, status))
+			}
 		default:
 			cal.run.ledger.AddViolation(time.Now(), fmt.Sprintf("submission of job %s was answered with status %d", job.ID, status))
 		}
@@ -224,7 +247,7 @@
 // reply was received.
 func (cal *caller) call(rng *rand.Rand, method string, job ledger.Job, key, text string) (nod *node, status int, answer string) {
 	nod = cal.run.nodes[rng.IntN(len(cal.run.nodes))]
-	req, err := http.NewRequest(method, "http://"+nod.callersAddress+queuePrefix+job.ID, strings.NewReader(text))
+	req, err := http.NewRequest(method, "http://"+nod.callersAddress+job.Path+job.ID, strings.NewReader(text))
 	if err != nil {
 		panic(err)
 	}
@@ -241,11 +264,21 @@
 		}
 		err = readErr
 	}
-	// A process answers every request that it has read, also while it shuts down.
-	// The request may not have been read if it fails within unreadWindow, and the
-	// caller may have given up if it fails near callTimeout.
-	if took := time.Since(sent); took > unreadWindow && took < callTimeout-unreadWindow && !nod.disruptedAt(sent) && !nod.disruptedAt(time.Now()) {
+	if took := time.Since(sent); mayHaveBeenRead(err, took) && !nod.disruptedAt(sent) && !nod.disruptedAt(time.Now()) {
 		cal.run.ledger.AddViolation(time.Now(), fmt.Sprintf("%s of job %s was cut by %s after %v: %v", method, job.ID, nod.name, took, err))
 	}
 	return nod, 0, ""
 }
+
+// mayHaveBeenRead reports whether a process may have read a request that failed after
+// a time. A process answers every request that it has read, also while it shuts down.
+// It has not read one for which there was no connection, however late the caller
+// notices that. It may not have read one that fails within unreadWindow, and the caller
+// may have given up one that fails near callTimeout.
+func mayHaveBeenRead(err error, took time.Duration) bool {
+	var failed *net.OpError
+	if errors.As(err, &failed) && failed.Op == "dial" {
+		return false
+	}
+	return took > unreadWindow && took < callTimeout-unreadWindow
+}
