scheduler: fault injection with VMs that restart under their ID

The emulator's VMs got a new ID with each restart in fault injection. With their former ID, and orders without an answer sent again, a task that is done may start again: a late start reaches the next incarnation of its VM while no dispatcher has it registered.

--- a/internal/core/scheduler/schedule_test.go
+++ b/internal/core/scheduler/schedule_test.go
@@ -50,15 +50,25 @@
 	return job.Spec{ID: jobName(n), Queue: "gate", Account: account, Payload: "x", Steps: []job.Step{ste, next}}
 }
 
+// faultOptions vary a fault scenario.
+type faultOptions struct {
+	// repeats is how often an order without an answer is sent again.
+	repeats int
+	// keepsIDs has VMs restart under their ID.
+	keepsIDs bool
+}
+
 // faultScenario runs half a minute of jobs with faults of every kind, and then
-// continues without faults until 75 s. Orders without an answer are repeated a number
-// of times.
-func faultScenario(seed uint64, repeats int) *emulator {
+// continues without faults until 75 s.
+func faultScenario(seed uint64, opt faultOptions) *emulator {
 	emu := newEmulator(seed, testCatalog())
-	emu.repeats = repeats
+	emu.repeats = opt.repeats
 	emu.catalog.Pools[0].EnforcesCapacity = seed%3 != 0
 	emu.addVMs("lots", 9, 3, job.Size{CPU: 16_000, Memory: 32_768})
 	emu.loseAnswer, emu.loseOrder, emu.lateOrder = 0.03, 0.02, 0.03
+	for _, vm := range emu.vms {
+		vm.keepsID = opt.keepsIDs
+	}
 	emu.loseCommit, emu.lateCommit = 0.1, 0.1
 	emu.duration = func(_ job.Task, ste job.Step) time.Duration {
 		return time.Duration(float64(ste.Estimate) * (0.5 + emu.rng.Float64()))
@@ -140,7 +150,7 @@
 		seeds = 20
 	}
 	for seed := range seeds {
-		checkFaultScenario(t, seed, 0)
+		checkFaultScenario(t, seed, faultOptions{})
 	}
 }
 
@@ -153,12 +163,20 @@
 		seeds = 10
 	}
 	for seed := range seeds {
-		checkFaultScenario(t, 1000+seed, 3)
+		checkFaultScenario(t, 1000+seed, faultOptions{repeats: 3})
+	}
+}
+
+// TestFaultInjectionWithRestartsUnderOneID guards against tasks that run twice: a late start
+// reaches a VM that has restarted under its ID while there was no dispatcher to tell it.
+func TestFaultInjectionWithRestartsUnderOneID(t *testing.T) {
+	for seed := range uint64(60) {
+		checkFaultScenario(t, 7000+seed, faultOptions{repeats: 3, keepsIDs: true})
 	}
 }
 
-func checkFaultScenario(t *testing.T, seed uint64, repeats int) {
-	emu := faultScenario(seed, repeats)
+func checkFaultScenario(t *testing.T, seed uint64, opt faultOptions) {
+	emu := faultScenario(seed, opt)
 	for id := range emu.specs {
 		if _, ok := emu.finished[id]; !ok {
 			emu.fail("job %s has not ended", id)
