scheduler: stops of serving tasks, repeated starts and the other run of an unwanted one are logged

A serving task that an order ended was logged as ended, kind stopped, with nothing on which rule stopped it. serving_run_stopped names the reason, what was known of the run, and how many tasks of its step were unavailable of those that may be; start_repeated has the age of the start before; run_adopted of an unwanted run names the one that the task has.

The map of recent entries moves to a package of its own, which has nothing to do with dispatching.

--- a/internal/core/scheduler/assign.go
+++ b/internal/core/scheduler/assign.go
@@ -308,6 +308,7 @@
 		return false
 	}
 	pla.repeats++
+	sta.logDecision("start_repeated", pla.task.Job, map[string]any{"task": pla.task.String(), "run": pla.run, "vm": hos.vm.ID, "repeats": pla.repeats, "age_ms": sta.now.Sub(pla.since).Milliseconds()})
 	pla.setState(runOrdered, sta.now)
 	sta.sendStart(hos, pla)
 	return true
--- a/internal/core/scheduler/gang.go
+++ b/internal/core/scheduler/gang.go
@@ -41,7 +41,7 @@
 func (sta *State) breakGang(stg *stage) {
 	for i := range stg.tasks {
 		if hos := stg.tasks[i].host; hos != nil {
-			sta.stop(hos.runs[stg.task(i)])
+			sta.stop(hos, hos.runs[stg.task(i)], stopGangBroken)
 		}
 	}
 }
--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -48,7 +48,7 @@
 
 // register applies a VM's registration.
 func (sta *State) register(one worker.VM) {
-	if old, ok := sta.lostVMs.get(one.ID); ok && old.vm.SameIncarnation(one) {
+	if old, ok := sta.lostVMs.Get(one.ID); ok && old.vm.SameIncarnation(one) {
 		return
 	}
 	hos := sta.hosts[one.ID]
@@ -81,7 +81,7 @@
 func (sta *State) rejectLateStarts(hos *host) {
 	for _, run := range sta.lateStarts.Pending(hos.vm.ID, sta.now) {
 		sta.logDecision("late_start_rejected", run.Task.Job, map[string]any{"task": run.Task.String(), "run": run.Number, "vm": hos.vm.ID})
-		sta.stop(sta.reserve(hos, sta.stageOfRun(run.Task), run.Task, run.Number, runUnknown))
+		sta.stop(hos, sta.reserve(hos, sta.stageOfRun(run.Task), run.Task, run.Number, runUnknown), stopLateStart)
 	}
 }
 
@@ -108,7 +108,7 @@
 		sta.release(hos, pla)
 	}
 	delete(sta.hosts, hos.vm.ID)
-	sta.lostVMs.put(sta.now, hos.vm.ID, lostVM{hos.vm, sta.now})
+	sta.lostVMs.Put(sta.now, hos.vm.ID, lostVM{hos.vm, sta.now})
 	sta.emit(Forget{VM: hos.vm})
 	sta.unindexHost(hos)
 }
@@ -336,11 +336,16 @@
 // unless its task is waiting for one.
 func (sta *State) adopt(hos *host, stg *stage, row worker.Running) *placement {
 	wanted := stg != nil && stg.liveJob.final == "" && stg.tasks[row.Task.Index].phase == phaseWaiting
+	fields := map[string]any{"task": row.Task.String(), "run": row.Run, "vm": hos.vm.ID, "wanted": wanted}
+	if stg != nil && stg.tasks[row.Task.Index].host != nil {
+		oth := stg.tasks[row.Task.Index].host
+		fields["other_vm"], fields["other_run"], fields["other_state"] = oth.vm.ID, oth.runs[row.Task].run, oth.runs[row.Task].state.String()
+	}
 	pla := sta.reserve(hos, stg, row.Task, row.Run, runRunning)
 	pla.adopted = true
-	sta.logDecision("run_adopted", row.Task.Job, map[string]any{"task": row.Task.String(), "run": row.Run, "vm": hos.vm.ID, "wanted": wanted})
+	sta.logDecision("run_adopted", row.Task.Job, fields)
 	if !wanted {
-		sta.stop(pla)
+		sta.stop(hos, pla, stopUnwanted)
 	}
 	return pla
 }
@@ -354,7 +359,7 @@
 	switch pla.state {
 	case runUnknown:
 		if !sta.startAgain(hos, pla) {
-			sta.stop(pla)
+			sta.stop(hos, pla, stopUnanswered)
 		}
 	case runRunning, runStopAccepted:
 		sta.release(hos, pla)
@@ -421,7 +426,7 @@
 		if hos.unregistered && !hos.pollInFlight && len(hos.runs) == 0 {
 			sta.removeHost(hos, "not registered and not answering")
 			// The VM may be alive behind a network partition, and register again.
-			sta.lostVMs.remove(hos.vm.ID)
+			sta.lostVMs.Remove(hos.vm.ID)
 		}
 	}
 }
--- a/internal/core/scheduler/jobs.go
+++ b/internal/core/scheduler/jobs.go
@@ -12,7 +12,7 @@
 // accept adds a stored job.
 func (sta *State) accept(evt JobAccepted) {
 	id := evt.Spec.ID
-	if _, ended := sta.ended.get(id); ended || sta.jobs[id] != nil {
+	if _, ended := sta.ended.Get(id); ended || sta.jobs[id] != nil {
 		return
 	}
 	liv := &liveJob{
@@ -223,7 +223,7 @@
 			stg := &occ.stages[i]
 			for j := range stg.tasks {
 				if hos := stg.tasks[j].host; hos != nil {
-					sta.stop(hos.runs[stg.task(j)])
+					sta.stop(hos, hos.runs[stg.task(j)], stopJobEnded)
 				}
 			}
 		}
@@ -356,7 +356,7 @@
 // stopOtherRun stops the run of a task that was done by another run.
 func (sta *State) stopOtherRun(stg *stage, tas job.Task) {
 	if hos := stg.tasks[tas.Index].host; hos != nil {
-		sta.stop(hos.runs[tas])
+		sta.stop(hos, hos.runs[tas], stopTaskDone)
 	}
 }
 
@@ -371,7 +371,7 @@
 		if hos := stg.tasks[i].host; hos != nil {
 			name := end.Task
 			name.Index = i
-			sta.stop(hos.runs[name])
+			sta.stop(hos, hos.runs[name], stopGangBroken)
 		}
 	}
 }
--- a/internal/core/scheduler/orders.go
+++ b/internal/core/scheduler/orders.go
@@ -18,12 +18,42 @@
 	unhealthyPause = time.Second
 )
 
+// stopReason is why a run is stopped, as it is logged.
+type stopReason string
+
+// Reasons for the stop of a run.
+const (
+	// stopJobEnded means that the job has ended, stopTaskDone that another run of the
+	// task is done.
+	stopJobEnded stopReason = "job_ended"
+	stopTaskDone stopReason = "task_done"
+	// stopGangBroken means that other members of the gang don't run.
+	stopGangBroken stopReason = "gang_broken"
+	// stopRelocated means that the task moves off a machine that is due for upkeep.
+	stopRelocated stopReason = "relocated"
+	// stopUnwanted means that the run was reported, and its task doesn't wait for one.
+	stopUnwanted stopReason = "unwanted"
+	// stopUnanswered means that the start got no answer, and the VM doesn't list the
+	// run. stopLateStart means that the start was meant for a former VM with the ID.
+	stopUnanswered stopReason = "unanswered_start"
+	stopLateStart  stopReason = "late_start"
+	// stopRefused means that a start was refused, and another one of the run may still
+	// arrive.
+	stopRefused stopReason = "refused_start"
+)
+
 // stop marks a run to be stopped. The run takes up capacity until the VM reports
 // its end, or has accepted the stop and no longer lists the run.
-func (sta *State) stop(pla *placement) {
-	if pla == nil || pla.state == runStopping || pla.state == runStopAccepted {
+func (sta *State) stop(hos *host, pla *placement, reason stopReason) {
+	if pla == nil || pla.ending() {
 		return
 	}
+	if stg := pla.stage; stg != nil && stg.step.LongRunning && stg.liveJob.final == "" {
+		sta.logDecision("serving_run_stopped", pla.task.Job, map[string]any{
+			"task": pla.task.String(), "run": pla.run, "vm": hos.vm.ID, "reason": reason, "run_state": pla.state.String(), "working": pla.working(), "repeats": pla.repeats,
+			"unavailable": stg.countUnavailable(nil), "may_be": stg.step.MaxUnavailable,
+		})
+	}
 	pla.state, pla.since, pla.stopSent = runStopping, sta.now, time.Time{}
 	sta.hasStops = true
 }
@@ -123,7 +153,7 @@
 		sta.removeHost(hos, "another VM answers at its address")
 	default:
 		if sta.lateStarts.MayArrive(hos.vm.ID, latestart.Run{Task: name, Number: pla.run}, sta.now) {
-			sta.stop(pla)
+			sta.stop(hos, pla, stopRefused)
 		} else {
 			sta.release(hos, pla)
 		}
--- a/internal/core/scheduler/repeatstart_test.go
+++ b/internal/core/scheduler/repeatstart_test.go
@@ -17,7 +17,9 @@
 	vm     worker.VM
 	starts []Start
 	stops  int
-	report worker.Report
+	// stopResult is the answer to stops.
+	stopResult worker.Result
+	report     worker.Report
 }
 
 func newRepeatFixture() *repeatFixture {
@@ -38,7 +40,7 @@
 			fix.starts = append(fix.starts, eff)
 		case Stop:
 			fix.stops++
-			return []Event{StopAnswered{VM: eff.VM, Task: eff.Task, Run: eff.Run}}
+			return []Event{StopAnswered{VM: eff.VM, Task: eff.Task, Run: eff.Run, Result: fix.stopResult}}
 		case Poll:
 			return []Event{PollAnswered{VM: eff.VM, Sent: fix.now, Report: fix.report}}
 		}
--- a/internal/core/scheduler/save.go
+++ b/internal/core/scheduler/save.go
@@ -211,6 +211,6 @@
 	id := liv.spec.ID
 	delete(sta.jobs, id)
 	sta.jobList = slices.DeleteFunc(sta.jobList, func(oth *liveJob) bool { return oth == liv })
-	sta.ended.put(sta.now, id, true)
+	sta.ended.Put(sta.now, id, true)
 	sta.endedJobs = append(sta.endedJobs, EndedJob{ID: id, At: sta.now})
 }
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -9,6 +9,7 @@
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
 	"github.com/balsamgauge/balsamgauge/internal/core/latestart"
 	"github.com/balsamgauge/balsamgauge/internal/core/pace"
+	"github.com/balsamgauge/balsamgauge/internal/core/recent"
 	"github.com/balsamgauge/balsamgauge/internal/core/upkeep"
 	"github.com/balsamgauge/balsamgauge/internal/core/vmclock"
 	"github.com/balsamgauge/balsamgauge/internal/core/worker"
@@ -353,12 +354,12 @@
 	jobsSyncedAt time.Time
 	// ended holds the jobs that were recently stored as ended, so that a delayed
 	// event does not bring them back.
-	ended *recentMap[job.ID, bool]
+	ended *recent.Map[job.ID, bool]
 	// endedJobs lists the records of ended jobs that are stored, oldest first.
 	endedJobs []EndedJob
 	// lostVMs holds the VMs that ended recently, by ID. Their registrations last
 	// some seconds longer.
-	lostVMs *recentMap[string, lostVM]
+	lostVMs *recent.Map[string, lostVM]
 	// lateStarts holds the starts that VMs may carry out late.
 	lateStarts *latestart.Starts
 	// leases holds what extends the leases of VMs.
@@ -444,7 +445,7 @@
 		opt: opt, starts: newStartWindow(opt.LinkBytesPerSecond), jobsSyncedAt: opt.Since, zonesOut: map[string]bool{}, outages: map[string]time.Time{}, jobs: map[job.ID]*liveJob{}, hosts: map[string]*host{},
 		pools: map[string][]*host{}, usage: map[string]job.Size{}, allowances: map[string]allowance.Bucket{}, waves: map[int64]*wave{}, upkeeps: upkeep.NewOrders(), lateStarts: latestart.NewStarts(vmclock.LongestLease(opt.LongestLease)), leases: vmclock.NewLeases(opt.Lease, opt.LongestLease, latestart.MaxDelay+pollWait),
 		machines: machines{byName: map[string]worker.Machine{}, byVM: map[string]string{}},
-		ended:    newRecentMap[job.ID, bool](), lostVMs: newRecentMap[string, lostVM](), runtimeRatios: map[string]*runtimeRatio{},
+		ended:    recent.NewMap[job.ID, bool](), lostVMs: recent.NewMap[string, lostVM](), runtimeRatios: map[string]*runtimeRatio{},
 		demands: map[string]*demand{}, moves: map[string]pendingMove{}, forbiddenMoves: map[string]bool{},
 	}
 }
--- a/internal/core/scheduler/waves.go
+++ b/internal/core/scheduler/waves.go
@@ -228,7 +228,7 @@
 		}
 		done[stg] = true
 		sta.logDecision("task_relocated", pla.task.Job, map[string]any{"task": pla.task.String(), "run": pla.run, "vm": hos.vm.ID, "machine": name})
-		sta.stop(pla)
+		sta.stop(hos, pla, stopRelocated)
 	}
 }
 
@@ -261,7 +261,7 @@
 	n := 0
 	for i := range stg.tasks {
 		hos := stg.tasks[i].host
-		if hos == local {
+		if hos != nil && hos == local {
 			name := stg.task(i)
 			if pla := hos.runs[name]; pla != nil && !pla.working() {
 				n++
@@ -387,7 +387,7 @@
 // unseen. A registration doesn't name the machine, but its availability zone, kind and
 // rack. If a report of the listed VM can settle it, one is requested.
 func (sta *State) confirmListedVM(mac worker.Machine) bool {
-	los, lost := sta.lostVMs.get(mac.VM)
+	los, lost := sta.lostVMs.Get(mac.VM)
 	if lost && !los.at.Before(sta.machines.asOf) {
 		return false
 	}
