scheduler, settle: a start without an answer is stopped only within its step's budget

Cause: an order whose effect depends on another one that is still on its way. A start that got no answer three times was settled by a stop, which makes the VM reject it. If a start of the run arrived first, the stop ended a task at work; the stop itself got no answer either and was sent again for seconds, also after the report showed the run. No budget was looked at.

Change: package settle decides what becomes of such a start. A serving run is stopped only while its step can bear one more end, checked with each stop that is sent. A run that is found at work before its VM has accepted the stop keeps its task. A run that the VM has rejected is released without a stop.

--- a/internal/core/scheduler/assign.go
+++ b/internal/core/scheduler/assign.go
@@ -289,31 +289,6 @@
 	})
 }
 
-// maxStartRepeats is how often a start without an answer is sent again to the same VM.
-const maxStartRepeats = 2
-
-// startAgain sends a start again that got no answer, and whose run the VM doesn't
-// list. The VM carries it out once, however often it arrives, so that a late start
-// does no harm; a stop could end a task that has just started late. It reports whether
-// the start was sent.
-func (sta *State) startAgain(hos *host, pla *placement) bool {
-	stg := pla.stage
-	if stg == nil || stg.liveJob.final != "" || pla.repeats >= maxStartRepeats || !hos.usable(sta.now) || sta.zonesOut[hos.vm.AZ] {
-		return false
-	}
-	if tas := &stg.tasks[pla.task.Index]; tas.host != hos || tas.run != pla.run {
-		return false
-	}
-	if sta.needsAdvice(stg.liveJob) && stg.advice.ticketFor(hos.vm.ID, sta.now) == "" {
-		return false
-	}
-	pla.repeats++
-	sta.logDecision("start_repeated", pla.task.Job, map[string]any{"task": pla.task.String(), "run": pla.run, "vm": hos.vm.ID, "repeats": pla.repeats, "age_ms": sta.now.Sub(pla.since).Milliseconds()})
-	pla.setState(runOrdered, sta.now)
-	sta.sendStart(hos, pla)
-	return true
-}
-
 // packs reports whether the host that is best for a task of the stage is also best
 // for the next one, if that fits: it is the one with the least free CPU that
 // differs from others in nothing else.
--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -228,7 +228,7 @@
 // active on the VM. A poll that does not wait resolves them.
 func (hos *host) hasUnresolvedRuns() bool {
 	for _, pla := range hos.runList {
-		if pla.state == runUnknown || pla.state == runStopAccepted {
+		if pla.state == runUnknown && !pla.waits || pla.state == runStopAccepted {
 			return true
 		}
 	}
@@ -326,6 +326,9 @@
 	if pla.state == runOrdered || pla.state == runUnknown {
 		pla.setState(runRunning, sta.now)
 	}
+	if pla.state == runStopping && pla.rejectsStart() && sta.isWanted(hos, pla) {
+		sta.withdrawStop(hos, pla, runRunning)
+	}
 	pla.percent, pla.load, pla.checkpoint = row.Percent, row.Load, row.Checkpoint
 	if stg != nil && row.Checkpoint != "" {
 		stg.tasks[row.Task.Index].checkpoint = row.Checkpoint
@@ -358,9 +361,7 @@
 	}
 	switch pla.state {
 	case runUnknown:
-		if !sta.startAgain(hos, pla) {
-			sta.stop(hos, pla, stopUnanswered)
-		}
+		sta.settleStart(hos, pla)
 	case runRunning, runStopAccepted:
 		sta.release(hos, pla)
 	case runOrdered, runStopping:
--- a/internal/core/scheduler/orders.go
+++ b/internal/core/scheduler/orders.go
@@ -51,10 +51,10 @@
 	if stg := pla.stage; stg != nil && stg.step.LongRunning && stg.liveJob.final == "" {
 		sta.logDecision("serving_run_stopped", pla.task.Job, map[string]any{
 			"task": pla.task.String(), "run": pla.run, "vm": hos.vm.ID, "reason": reason, "run_state": pla.state.String(), "working": pla.working(), "repeats": pla.repeats,
-			"unavailable": stg.countUnavailable(nil), "may_be": stg.step.MaxUnavailable,
+			"unavailable": stg.countUnavailableBeside(pla.task.Index), "may_be": stg.step.MaxUnavailable,
 		})
 	}
-	pla.state, pla.since, pla.stopSent = runStopping, sta.now, time.Time{}
+	pla.state, pla.since, pla.stopSent, pla.stopReason = runStopping, sta.now, time.Time{}, reason
 	sta.hasStops = true
 }
 
@@ -74,6 +74,10 @@
 			if !due || pla.stopInFlight || sta.now.Sub(pla.stopSent) < stopRetryInterval {
 				continue
 			}
+			if pla.stopReason == stopUnanswered && !pla.mayEnd() {
+				sta.withdrawStop(hos, pla, runUnknown)
+				continue
+			}
 			pla.stopSent, pla.stopInFlight = sta.now, true
 			sta.emit(Stop{VM: hos.vm, Task: pla.task, Run: pla.run})
 		}
@@ -120,7 +124,7 @@
 	case worker.ResultOldRun:
 		// An earlier start of the run was carried out late, and its end is about to be
 		// reported.
-		pla.state, pla.since, pla.repeats = runUnknown, sta.now, maxStartRepeats
+		pla.state, pla.since, pla.rejected = runUnknown, sta.now, true
 		hos.nextPoll = sta.now
 	default:
 		sta.startRefused(hos, pla, evt.Result)
--- a/internal/core/scheduler/repeatstart_test.go
+++ b/internal/core/scheduler/repeatstart_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
+	"github.com/balsamgauge/balsamgauge/internal/core/settle"
 	"github.com/balsamgauge/balsamgauge/internal/core/worker"
 	"gotest.tools/v3/assert"
 )
@@ -125,7 +126,7 @@
 func TestStartIsNotRepeatedForEver(t *testing.T) {
 	fix := newRepeatFixture()
 	fix.submitServing()
-	for range maxStartRepeats {
+	for range settle.MaxRepeats {
 		fix.answer(worker.ResultUnknown)
 		fix.run(500 * time.Millisecond)
 	}
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -216,8 +216,10 @@
 	state            runState
 	// stage is nil for a run of an unknown job.
 	stage *stage
-	// repeats counts how often the start was sent again.
-	repeats int
+	// repeats counts how often the start was sent again. rejected reports whether the
+	// VM has rejected the run, and waits whether only the VM's report can settle it.
+	repeats         int
+	rejected, waits bool
 	// since is when the run entered its state.
 	since time.Time
 	// percent and load are the values of worker.Running.
@@ -232,6 +234,8 @@
 	// answer is outstanding.
 	stopSent     time.Time
 	stopInFlight bool
+	// stopReason is why the run is being stopped.
+	stopReason stopReason
 }
 
 // host is the scheduler's record of a VM and of the runs that may be active
--- a/internal/core/scheduler/waves.go
+++ b/internal/core/scheduler/waves.go
@@ -260,27 +260,35 @@
 func (stg *stage) countUnavailable(local *host) int {
 	n := 0
 	for i := range stg.tasks {
-		hos := stg.tasks[i].host
-		if hos != nil && hos == local {
-			name := stg.task(i)
-			if pla := hos.runs[name]; pla != nil && !pla.working() {
-				n++
-			}
-			continue
-		}
-		if hos == nil || hos.failedPolls > 0 || hos.vm.Leaving || hos.goingDown {
+		if stg.isUnavailable(i, local) {
 			n++
-			continue
 		}
-		for _, pla := range hos.runList {
-			if pla.stage == stg && pla.task.Index == i && !pla.working() {
-				n++
-			}
+	}
+	return n
+}
+
+// countUnavailableBeside returns the number of a stage's unavailable tasks other than
+// one.
+func (stg *stage) countUnavailableBeside(index int) int {
+	n := 0
+	for i := range stg.tasks {
+		if i != index && stg.isUnavailable(i, nil) {
+			n++
 		}
 	}
 	return n
 }
 
+// isUnavailable reports whether a task counts as unavailable for countUnavailable.
+func (stg *stage) isUnavailable(index int, local *host) bool {
+	hos := stg.tasks[index].host
+	if hos == nil || hos != local && (hos.failedPolls > 0 || hos.vm.Leaving || hos.goingDown) {
+		return true
+	}
+	pla := hos.runs[stg.task(index)]
+	return pla != nil && !pla.working()
+}
+
 // machineAnswered handles the answer to a machine order.
 func (sta *State) machineAnswered(evt MachineAnswered) {
 	sta.logDecision("machine_answered", "", map[string]any{"machine": evt.Machine, "wave": evt.Wave, "result": evt.Result.String()})
