scheduler: the stop after a refused repeat keeps to its step's budget

What callers would see: a serving task is ended while too many others of its step are away (AVAIL). One try of its start gets no answer, another is refused, and the run is stopped so that the VM rejects the late one; it has begun to work by then.

Cause: the stop after a refusal was sent whatever the step could bear, like the one after a start without an answer. The two are the same case, a run whose start may still arrive.

Change: such a run is settled by the next report like one without an answer, without further repeats: stopped within the budget, kept if it has begun, released once its start can't arrive.

TestRefusedRepeatDoesNotSettleLateStart and TestRefusalOfRepeatedStartLeavesFirst hold.

--- a/internal/core/scheduler/orders.go
+++ b/internal/core/scheduler/orders.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/balsamgauge/balsamgauge/internal/core/latestart"
+	"github.com/balsamgauge/balsamgauge/internal/core/settle"
 	"github.com/balsamgauge/balsamgauge/internal/core/worker"
 )
 
@@ -37,9 +38,6 @@
 	// run. stopLateStart means that the start was meant for a former VM with the ID.
 	stopUnanswered stopReason = "unanswered_start"
 	stopLateStart  stopReason = "late_start"
-	// stopRefused means that a start was refused, and another one of the run may still
-	// arrive.
-	stopRefused stopReason = "refused_start"
 )
 
 // stop marks a run to be stopped. The run takes up capacity until the VM reports
@@ -149,6 +147,7 @@
 // do so later only if an earlier start of the run is still without an answer.
 func (sta *State) startRefused(hos *host, pla *placement, res worker.Result) {
 	stg, name := pla.stage, pla.task
+	mayArrive := sta.lateStarts.MayArrive(hos.vm.ID, latestart.Run{Task: name, Number: pla.run}, sta.now)
 	switch res {
 	case worker.ResultFenced:
 		sta.stepDown("VM " + hos.vm.ID + " has accepted a higher term")
@@ -156,8 +155,9 @@
 	case worker.ResultOtherIncarnation:
 		sta.removeHost(hos, "another VM answers at its address")
 	default:
-		if sta.lateStarts.MayArrive(hos.vm.ID, latestart.Run{Task: name, Number: pla.run}, sta.now) {
-			sta.stop(hos, pla, stopRefused)
+		if mayArrive {
+			pla.state, pla.since, pla.repeats = runUnknown, sta.now, settle.MaxRepeatsBeyondBudget
+			hos.nextPoll = sta.now
 		} else {
 			sta.release(hos, pla)
 		}
--- a/internal/core/scheduler/servingstop_test.go
+++ b/internal/core/scheduler/servingstop_test.go
@@ -105,3 +105,16 @@
 	assert.Equal(t, fix.stops, 0)
 	assert.Assert(t, fix.starts[len(fix.starts)-1].Run > 1)
 }
+
+// TestStopAfterRefusedRepeatKeepsBudget guards against a serving task that ends while too
+// many others of its step are unavailable: its first start got no answer and was carried
+// out late, and the repeat was refused, so that the run was stopped.
+func TestStopAfterRefusedRepeatKeepsBudget(t *testing.T) {
+	fix := newServingFixture(3)
+	fix.reduce(StartAnswered{VM: fix.vm, Task: fix.task(2), Run: 1, Result: worker.ResultUnhealthy, Unanswered: true})
+	fix.run(2 * time.Second)
+	fix.working(2)
+	fix.run(2 * time.Second)
+	assert.Equal(t, fix.stops, 0)
+	assert.Equal(t, fix.sta.hosts[fix.vm.ID].runs[fix.task(2)].state, runRunning)
+}
