scheduler: the stop of a relocated task is sent again only within its step's budget

What callers would see: a serving task that moves off a machine before its upkeep is ended while another one of its step is away (AVAIL). The first stop got no answer, the other task went away, and the stop was sent again.

Cause: as for unanswered starts, the budget was looked at when the stop was decided, not when it was sent. A stop that is withdrawn leaves the task at work; the wave plans its relocation anew.

The tests of stops of serving tasks report working runs before their starts are answered: the polls between released them, so that the tasks had a second run.

--- a/internal/core/scheduler/orders.go
+++ b/internal/core/scheduler/orders.go
@@ -72,8 +72,7 @@
 			if !due || pla.stopInFlight || sta.now.Sub(pla.stopSent) < stopRetryInterval {
 				continue
 			}
-			if pla.stopReason == stopUnanswered && !pla.mayEnd() {
-				sta.withdrawStop(hos, pla, runUnknown)
+			if sta.withdrawBeyondBudget(hos, pla) {
 				continue
 			}
 			pla.stopSent, pla.stopInFlight = sta.now, true
--- a/internal/core/scheduler/servingstop_test.go
+++ b/internal/core/scheduler/servingstop_test.go
@@ -7,6 +7,7 @@
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
 	"github.com/balsamgauge/balsamgauge/internal/core/latestart"
 	"github.com/balsamgauge/balsamgauge/internal/core/settle"
+	"github.com/balsamgauge/balsamgauge/internal/core/upkeep"
 	"github.com/balsamgauge/balsamgauge/internal/core/worker"
 	"gotest.tools/v3/assert"
 )
@@ -65,9 +66,9 @@
 func TestUnansweredStartIsNotStoppedBeyondBudget(t *testing.T) {
 	fix := newServingFixture(3)
 	assert.Equal(t, len(fix.starts), 3)
+	fix.working(0)
 	fix.answerFirst(worker.ResultOK, 0)
 	fix.answerFirst(worker.ResultUnknown, 1, 2)
-	fix.working(0)
 	lost := fix.loseStarts(2, 5*time.Second)
 	assert.Equal(t, fix.stops, 0)
 	assert.Assert(t, lost > settle.MaxRepeats+1, "the start was sent %d times", lost)
@@ -82,8 +83,8 @@
 // in the meantime.
 func TestStopOfUnansweredStartIsWithdrawn(t *testing.T) {
 	fix := newServingFixture(3)
-	fix.answerFirst(worker.ResultOK, 0, 1)
 	fix.working(0, 1)
+	fix.answerFirst(worker.ResultOK, 0, 1)
 	fix.stopResult = worker.ResultUnknown
 	for fix.stops == 0 {
 		fix.loseStarts(2, 100*time.Millisecond)
@@ -118,3 +119,28 @@
 	assert.Equal(t, fix.stops, 0)
 	assert.Equal(t, fix.sta.hosts[fix.vm.ID].runs[fix.task(2)].state, runRunning)
 }
+
+// TestStopOfRelocationKeepsBudget guards against a serving task that is ended by the
+// second stop of its relocation: the first got no answer, and another task of the step
+// has become unavailable in the meantime.
+func TestStopOfRelocationKeepsBudget(t *testing.T) {
+	fix := newServingFixture(3)
+	fix.working(0, 1, 2)
+	fix.answerFirst(worker.ResultOK, 0, 1, 2)
+	fix.run(time.Second)
+	fix.stopResult = worker.ResultUnknown
+	fix.reduce(
+		MachinesListed{RequestedAt: fix.now, Machines: []worker.Machine{{Name: "m-1", Pool: "lots", State: worker.MachineUp, VM: fix.vm.ID}}},
+		WaveRequested{Wave: upkeep.Wave{Number: 1, Machines: []string{"m-1"}, Duration: time.Minute, Cap: 1}},
+	)
+	for range 100 {
+		if fix.stops > 0 {
+			break
+		}
+		fix.run(10 * time.Millisecond)
+	}
+	assert.Equal(t, fix.stops, 1)
+	fix.working(0, 1)
+	fix.run(5 * time.Second)
+	assert.Equal(t, fix.stops, 1)
+}
--- a/internal/core/scheduler/unanswered.go
+++ b/internal/core/scheduler/unanswered.go
@@ -69,6 +69,23 @@
 	return pla.stopReason == stopUnanswered || pla.stopReason == stopLateStart
 }
 
+// withdrawBeyondBudget withdraws the stop of a run that may wait, if the step's budget
+// doesn't allow its end by now. It reports whether it did.
+func (sta *State) withdrawBeyondBudget(hos *host, pla *placement) bool {
+	if pla.mayEnd() {
+		return false
+	}
+	switch pla.stopReason {
+	case stopUnanswered:
+		sta.withdrawStop(hos, pla, runUnknown)
+	case stopRelocated:
+		sta.withdrawStop(hos, pla, runRunning)
+	default:
+		return false
+	}
+	return true
+}
+
 // withdrawStop returns a run whose stop the VM has not accepted to a former state: it has
 // begun to work, or too many other tasks of its step are unavailable by now.
 func (sta *State) withdrawStop(hos *host, pla *placement, state runState) {
