--- a/internal/core/scheduler/emulator_test.go
+++ b/internal/core/scheduler/emulator_test.go
@@ -46,7 +46,9 @@
 	loseAnswer, loseOrder, lateOrder float64
 	// repeats is how often an order without an answer is sent again after
 	// emulatedRepeatDelay, while those before it may still be carried out.
-	repeats                int
+	repeats int
+	// heldUp reports whether an order that is late is being carried out.
+	heldUp                 bool
 	loseCommit, lateCommit float64
 	// watchSilent suppresses changes of jobs to the dispatcher.
 	watchSilent bool
@@ -77,7 +79,9 @@
 	decisions  map[string]int
 	// finished holds when each job was stored as ended.
 	finished map[job.ID]time.Time
-	specs    map[job.ID]job.Spec
+	// jobsEnded holds the jobs that a dispatcher has taken for ended.
+	jobsEnded map[job.ID]bool
+	specs     map[job.ID]job.Spec
 	// connected holds the IDs of the VMs to which connections are open.
 	connected map[string]bool
 	// duration returns a task's actual run time; failing reports whether its
@@ -102,6 +106,10 @@
 	starts, failedAcked []time.Time
 	// crashes holds when VMs crashed that ran the task.
 	crashes []time.Time
+	// endedAt is when the last run ended, and stopped reports whether an order ended
+	// it.
+	endedAt time.Time
+	stopped bool
 }
 
 // timer calls a function at a time; order breaks ties.
@@ -206,7 +214,7 @@
 	return &emulator{
 		rng: rand.New(rand.NewPCG(seed, 1)), now: start, start: start, catalog: cat, vms: map[string]*emulatedVM{},
 		store: &emulatedStore{rev: 1, items: map[string]kv.Item{}}, truth: map[job.Task]*taskTruth{}, decisions: map[string]int{},
-		finished: map[job.ID]time.Time{}, specs: map[job.ID]job.Spec{}, connected: map[string]bool{},
+		finished: map[job.ID]time.Time{}, jobsEnded: map[job.ID]bool{}, specs: map[job.ID]job.Spec{}, connected: map[string]bool{},
 		duration: func(_ job.Task, ste job.Step) time.Duration { return ste.Estimate },
 		failing:  func(job.Task) bool { return false },
 	}
@@ -301,7 +309,9 @@
 func (emu *emulator) recordEnd(name job.Task, run *emulatedRun) {
 	if !run.ended {
 		run.ended = true
-		emu.truthOf(name).running--
+		tru := emu.truthOf(name)
+		tru.running--
+		tru.endedAt, tru.stopped = emu.now, false
 	}
 }
 
@@ -506,6 +516,9 @@
 		delete(emu.connected, eff.VM.ID)
 	case LogDecision:
 		emu.decisions[eff.Name]++
+		if eff.Name == "job_ended" {
+			emu.jobsEnded[eff.Job] = true
+		}
 	}
 }
 
@@ -675,12 +688,12 @@
 	if delay := emu.delayOf(eff); delay > 0 {
 		reply(time.Second, worker.ResultUnknown)
 		// The order has passed the partition, if there is one.
-		emu.after(delay, func() { arrive(emu.vms[one.Address]) })
+		emu.after(delay, func() { emu.arriveLate(func() { arrive(emu.vms[one.Address]) }) })
 		return
 	}
 	if chance < emu.lateOrder {
 		reply(time.Second, worker.ResultUnknown)
-		emu.after(2*time.Second+time.Duration(emu.rng.Int64N(int64(10*time.Second))), func() { arrive(emu.find(one)) })
+		emu.after(2*time.Second+time.Duration(emu.rng.Int64N(int64(10*time.Second))), func() { emu.arriveLate(func() { arrive(emu.find(one)) }) })
 		return
 	}
 	emu.after(emu.link.send(emu.now, emulatedOrderBytes), func() {
@@ -706,6 +719,13 @@
 	return emu.late(eff)
 }
 
+// arriveLate carries out an order that is late.
+func (emu *emulator) arriveLate(arrive func()) {
+	emu.heldUp = true
+	arrive()
+	emu.heldUp = false
+}
+
 // extend extends a VM's lease and ends its runs when the lease expires.
 func (emu *emulator) extend(vm *emulatedVM, deadline time.Duration) {
 	deadline = min(deadline, emu.clock(vm)+emulatedMaxLease)
@@ -935,6 +955,8 @@
 	vm.endTimes[vm.number] = emu.now
 	vm.ends = append(vm.ends, worker.End{Number: vm.number, Task: name, Run: run.run, Kind: kind})
 	switch kind {
+	case worker.EndStopped:
+		emu.truthOf(name).stopped = true
 	case worker.EndDone:
 		emu.truthOf(name).done = true
 	case worker.EndFailed:
@@ -956,6 +978,7 @@
 	vm.tombstones[ord.Task] = max(vm.tombstones[ord.Task], ord.Run)
 	run := vm.runs[ord.Task]
 	if run != nil && run.run <= ord.Run {
+		emu.checkBudget(vm, ord)
 		emu.after(emulatedStopTime, func() {
 			if vm.runs[ord.Task] == run {
 				emu.endRun(vm, ord.Task, run, worker.EndStopped)
@@ -965,6 +988,44 @@
 	return worker.ResultOK
 }
 
+// checkBudget checks that a stop that wasn't held up ends a serving task of a live job only
+// while its step can bear it.
+func (emu *emulator) checkBudget(vm *emulatedVM, ord Stop) {
+	spe := emu.specs[ord.Task.Job]
+	if emu.heldUp || emu.jobsEnded[spe.ID] || ord.Task.Step >= len(spe.Steps) {
+		return
+	}
+	ste := spe.Steps[ord.Task.Step]
+	if !ste.LongRunning || ste.MaxUnavailable == 0 {
+		return
+	}
+	away := 0
+	for i := range ste.Count {
+		name := ord.Task
+		name.Index = i
+		if i != ord.Task.Index && emu.isAway(name, spe) {
+			away++
+		}
+	}
+	if away >= ste.MaxUnavailable {
+		emu.fail("%s run %d is stopped on %s while %d others are away", ord.Task, ord.Run, vm.vm.ID, away)
+	}
+}
+
+// emulatedNotice is the time after which a serving task that doesn't run counts as away,
+// if no order has ended it.
+const emulatedNotice = 4500 * time.Millisecond
+
+// isAway reports whether a serving task of a job counts as away.
+func (emu *emulator) isAway(name job.Task, spe job.Spec) bool {
+	tru := emu.truthOf(name)
+	since := tru.endedAt
+	if since.IsZero() {
+		since = spe.Accepted
+	}
+	return tru.running == 0 && (tru.stopped || emu.now.Sub(since) > emulatedNotice)
+}
+
 // performPoll polls a VM. The poll fails if its answer does not arrive in time.
 func (emu *emulator) performPoll(eff Poll) {
 	sent, term := emu.now, emu.term
