--- a/internal/core/scheduler/assign.go
+++ b/internal/core/scheduler/assign.go
@@ -181,7 +181,7 @@
 	liv := stg.liveJob
 	occ := liv.occs[stg.occ]
 	priorityKey := priority.Key{IsLongRunning: stg.step.LongRunning, Excess: liv.excess, Job: string(liv.spec.ID), Priority: sta.queueOf(liv).Priority}
-	rem, factor := occ.remainder(liv.spec), sta.runtimeRatios[liv.spec.Queue].factor()
+	rem, factor := occ.remainder(liv.spec), sta.runtimeRatios.Factor(liv.spec.Queue)
 	priorityKey.Remaining, priorityKey.Work = time.Duration(float64(rem.path)*factor), rem.work*factor
 	if sta.needsAdvice(liv) {
 		priorityKey.Remaining = sta.criticalPath(liv, func(step int) bool { return occ.stages[step].left > 0 })
--- a/internal/core/scheduler/jobs.go
+++ b/internal/core/scheduler/jobs.go
@@ -56,7 +56,7 @@
 // criticalPath returns the duration of the longest chain of dependent steps
 // among those that count. Estimates are scaled by the queue's run-time ratio.
 func (sta *State) criticalPath(liv *liveJob, counts func(step int) bool) time.Duration {
-	factor, latency := sta.runtimeRatios[liv.spec.Queue].factor(), sta.advisorLatency(liv)
+	factor, latency := sta.runtimeRatios.Factor(liv.spec.Queue), sta.advisorLatency(liv)
 	return liv.spec.CriticalPath(counts, func(ste job.Step) time.Duration {
 		return time.Duration(float64(ste.Estimate)*factor) + latency
 	})
@@ -344,13 +344,7 @@
 	if started.IsZero() || stg.step.Estimate <= 0 || stg.step.Checkpointing {
 		return
 	}
-	queue := stg.liveJob.spec.Queue
-	rat := sta.runtimeRatios[queue]
-	if rat == nil {
-		rat = &runtimeRatio{}
-		sta.runtimeRatios[queue] = rat
-	}
-	rat.add(sta.now.Sub(started).Seconds() / stg.step.Estimate.Seconds())
+	sta.runtimeRatios.Add(stg.liveJob.spec.Queue, sta.now.Sub(started).Seconds()/stg.step.Estimate.Seconds())
 }
 
 // stopOtherRun stops the run of a task that was done by another run.
--- a/internal/core/scheduler/orders.go
+++ b/internal/core/scheduler/orders.go
@@ -154,12 +154,12 @@
 	case worker.ResultOtherIncarnation:
 		sta.removeHost(hos, "another VM answers at its address")
 	default:
-		if mayArrive {
-			pla.state, pla.since, pla.repeats = runUnknown, sta.now, settle.MaxRepeatsBeyondBudget
-			hos.nextPoll = sta.now
-		} else {
+		if !mayArrive {
 			sta.release(hos, pla)
+			break
 		}
+		pla.state, pla.since, pla.repeats = runUnknown, sta.now, settle.MaxRepeatsBeyondBudget
+		hos.nextPoll = sta.now
 	}
 	switch res {
 	case worker.ResultNoRoom, worker.ResultLate:
--- a/internal/core/scheduler/rebalance.go
+++ b/internal/core/scheduler/rebalance.go
@@ -20,8 +20,6 @@
 	usableTimeShare = 0.7
 	// leadTime is how far ahead arriving work is planned for.
 	leadTime = 500 * time.Millisecond
-	// rateWindow is the time constant of the average rate of arriving work.
-	rateWindow = 700 * time.Millisecond
 	// peakWindow is how long a pool keeps the machines of a peak of its demand.
 	peakWindow = 800 * time.Millisecond
 	// totalPeakWindow is how long all pools together keep the machines of a
@@ -44,50 +42,6 @@
 	moveTimeout = 10 * time.Second
 )
 
-// demand measures the demand for a pool's machines.
-type demand struct {
-	// rate is the average of the arriving work, in cores; updated is when it was
-	// last averaged.
-	rate    float64
-	updated time.Time
-	// arrived is the work that has arrived since then, in core-seconds.
-	arrived float64
-	// samples holds the recent numbers of wanted machines, oldest first.
-	samples []demandSample
-}
-
-// demandSample is the number of machines wanted at one time.
-type demandSample struct {
-	at   time.Time
-	want int
-}
-
-// recordWant records the number of machines wanted now, and returns the maximum
-// of the numbers recorded within the given time.
-func (dem *demand) recordWant(now time.Time, want int, within time.Duration) (keep int) {
-	dem.samples = append(dem.samples, demandSample{now, want})
-	for now.Sub(dem.samples[0].at) > within {
-		dem.samples = dem.samples[1:]
-	}
-	for _, sam := range dem.samples {
-		keep = max(keep, sam.want)
-	}
-	return keep
-}
-
-// average updates the rate with the work that has arrived since the last
-// update.
-func (dem *demand) average(now time.Time) {
-	span := now.Sub(dem.updated)
-	if dem.updated.IsZero() || span <= 0 {
-		dem.updated = now
-		return
-	}
-	weight := 1 - math.Exp(-span.Seconds()/rateWindow.Seconds())
-	dem.rate += (dem.arrived/span.Seconds() - dem.rate) * weight
-	dem.arrived, dem.updated = 0, now
-}
-
 // pendingMove is the move of a machine to another pool.
 type pendingMove struct {
 	to string
@@ -113,14 +67,14 @@
 	if liv.spec.IsLongRunning() || liv.restored {
 		return
 	}
-	sta.demandOf(sta.poolOf(liv)).arrived += liv.work * sta.runtimeRatios[liv.spec.Queue].factor()
+	sta.demandOf(sta.poolOf(liv)).Add(liv.work * sta.runtimeRatios.Factor(liv.spec.Queue))
 }
 
 // demandOf returns the demand of a pool, and creates it if necessary.
-func (sta *State) demandOf(pool string) *demand {
+func (sta *State) demandOf(pool string) *rebalance.Demand {
 	dem := sta.demands[pool]
 	if dem == nil {
-		dem = &demand{}
+		dem = &rebalance.Demand{}
 		sta.demands[pool] = dem
 	}
 	return dem
@@ -164,7 +118,7 @@
 			want += poo.Want
 		}
 	}
-	most := sta.totalDemand.recordWant(sta.now, want, totalPeakWindow)
+	most := sta.totalDemand.RecordWant(sta.now, want, totalPeakWindow)
 	if sta.now.Sub(sta.opt.Since) < totalPeakWindow {
 		return 0
 	}
@@ -198,7 +152,7 @@
 			continue
 		}
 		dem := sta.demandOf(poo.Name)
-		dem.average(sta.now)
+		dem.Average(sta.now)
 		cores, longRunningHosts, machineCores := 0.0, 0, 0.0
 		for _, hos := range sta.pools[poo.Name] {
 			if !hos.termAccepted && hos.failedPolls == 0 && !hos.vm.Leaving {
@@ -218,9 +172,9 @@
 				rbp.Idle = append(rbp.Idle, rebalance.IdleMachine{Machine: name, IdleFor: sta.now.Sub(hos.idleSince)})
 			}
 		}
-		cores += neededCores[poo.Name] + dem.rate*leadTime.Seconds()
+		cores += neededCores[poo.Name] + dem.Rate()*leadTime.Seconds()
 		rbp.Want = max(minMachines, longRunningHosts, int(math.Ceil(cores/(sta.coresPerMachine(machineCores)*targetUtilization))))
-		rbp.Keep = dem.recordWant(sta.now, rbp.Want, peakWindow)
+		rbp.Keep = dem.RecordWant(sta.now, rbp.Want, peakWindow)
 		pools = append(pools, rbp)
 	}
 	return pools
@@ -286,7 +240,7 @@
 		if liv.final != "" || liv.spec.IsLongRunning() {
 			continue
 		}
-		factor := sta.runtimeRatios[liv.spec.Queue].factor()
+		factor := sta.runtimeRatios.Factor(liv.spec.Queue)
 		sum := 0.0
 		pool := sta.poolOf(liv)
 		for _, occ := range liv.occs {
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -6,9 +6,11 @@
 
 	"github.com/balsamgauge/balsamgauge/internal/core/allowance"
 	"github.com/balsamgauge/balsamgauge/internal/core/catalog"
+	"github.com/balsamgauge/balsamgauge/internal/core/estimate"
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
 	"github.com/balsamgauge/balsamgauge/internal/core/latestart"
 	"github.com/balsamgauge/balsamgauge/internal/core/pace"
+	"github.com/balsamgauge/balsamgauge/internal/core/rebalance"
 	"github.com/balsamgauge/balsamgauge/internal/core/recent"
 	"github.com/balsamgauge/balsamgauge/internal/core/upkeep"
 	"github.com/balsamgauge/balsamgauge/internal/core/vmclock"
@@ -372,13 +374,13 @@
 	// doesn't show, as of the last plan of waves or moves.
 	unlisted []*host
 	// runtimeRatios holds, by queue, the ratio of actual to estimated run times.
-	runtimeRatios map[string]*runtimeRatio
+	runtimeRatios estimate.Ratios
 	steppedDown   bool
 	// machineNames holds the sorted names of the listed machines.
 	machineNames []string
-	demands      map[string]*demand
+	demands      map[string]*rebalance.Demand
 	// totalDemand is the demand of all pools together.
-	totalDemand demand
+	totalDemand rebalance.Demand
 	// moves holds the machines that are moving to another pool. movesPlannedAt
 	// is when moves were last planned.
 	moves          map[string]pendingMove
@@ -449,8 +451,8 @@
 		opt: opt, starts: newStartWindow(opt.LinkBytesPerSecond), jobsSyncedAt: opt.Since, zonesOut: map[string]bool{}, outages: map[string]time.Time{}, jobs: map[job.ID]*liveJob{}, hosts: map[string]*host{},
 		pools: map[string][]*host{}, usage: map[string]job.Size{}, allowances: map[string]allowance.Bucket{}, waves: map[int64]*wave{}, upkeeps: upkeep.NewOrders(), lateStarts: latestart.NewStarts(vmclock.LongestLease(opt.LongestLease)), leases: vmclock.NewLeases(opt.Lease, opt.LongestLease, latestart.MaxDelay+pollWait),
 		machines: machines{byName: map[string]worker.Machine{}, byVM: map[string]string{}},
-		ended:    recent.NewMap[job.ID, bool](), lostVMs: recent.NewMap[string, lostVM](), runtimeRatios: map[string]*runtimeRatio{},
-		demands: map[string]*demand{}, moves: map[string]pendingMove{}, forbiddenMoves: map[string]bool{},
+		ended:    recent.NewMap[job.ID, bool](), lostVMs: recent.NewMap[string, lostVM](), runtimeRatios: estimate.Ratios{},
+		demands: map[string]*rebalance.Demand{}, moves: map[string]pendingMove{}, forbiddenMoves: map[string]bool{},
 	}
 }
 
@@ -461,25 +463,3 @@
 func (sta *State) logDecision(name string, id job.ID, fields map[string]any) {
 	sta.emit(LogDecision{Name: name, Job: id, Fields: fields})
 }
-
-// runtimeRatio averages the ratio of actual to estimated run times.
-type runtimeRatio struct {
-	mean  float64
-	count int
-}
-
-// minSampleWeight is the weight of a new sample once there are enough of them.
-const minSampleWeight = 0.05
-
-func (rat *runtimeRatio) add(val float64) {
-	rat.count++
-	rat.mean += (val - rat.mean) * max(minSampleWeight, 1/float64(rat.count))
-}
-
-// factor returns the average, or 1 without samples.
-func (rat *runtimeRatio) factor() float64 {
-	if rat == nil || rat.count == 0 {
-		return 1
-	}
-	return rat.mean
-}
--- a/internal/core/scheduler/unanswered.go
+++ b/internal/core/scheduler/unanswered.go
@@ -8,7 +8,10 @@
 // settleStart settles a start that got no answer, and whose run the VM doesn't list.
 func (sta *State) settleStart(hos *host, pla *placement) {
 	run := latestart.Run{Task: pla.task, Number: pla.run}
-	next := sta.unanswered(hos, pla, run).Next()
+	next := settle.Start{
+		Repeats: pla.repeats, Rejected: pla.rejected, MayRepeat: sta.mayRepeat(hos, pla), MayStop: pla.mayEnd(),
+		MayArrive: sta.lateStarts.MayArrive(hos.vm.ID, run, sta.now),
+	}.Next()
 	pla.waits = next == settle.Wait
 	switch next {
 	case settle.Repeat:
@@ -25,14 +28,6 @@
 	}
 }
 
-// unanswered returns what is known of a start that got no answer.
-func (sta *State) unanswered(hos *host, pla *placement, run latestart.Run) settle.Start {
-	return settle.Start{
-		Repeats: pla.repeats, Rejected: pla.rejected, MayRepeat: sta.mayRepeat(hos, pla), MayStop: pla.mayEnd(),
-		MayArrive: sta.lateStarts.MayArrive(hos.vm.ID, run, sta.now),
-	}
-}
-
 // mayRepeat reports whether the start of a run may be sent to its VM again. After a
 // stop the VM may already reject the run.
 func (sta *State) mayRepeat(hos *host, pla *placement) bool {
--- a/internal/core/scheduler/waves.go
+++ b/internal/core/scheduler/waves.go
@@ -270,11 +270,9 @@
 // countUnavailableBeside returns the number of a stage's unavailable tasks other than
 // one.
 func (stg *stage) countUnavailableBeside(index int) int {
-	n := 0
-	for i := range stg.tasks {
-		if i != index && stg.isUnavailable(i, nil) {
-			n++
-		}
+	n := stg.countUnavailable(nil)
+	if stg.isUnavailable(index, nil) {
+		n--
 	}
 	return n
 }
