--- a/internal/core/scheduler/orders.go
+++ b/internal/core/scheduler/orders.go
@@ -146,7 +146,6 @@
 // do so later only if an earlier start of the run is still without an answer.
 func (sta *State) startRefused(hos *host, pla *placement, res worker.Result) {
 	stg, name := pla.stage, pla.task
-	mayArrive := sta.lateStarts.MayArrive(hos.vm.ID, latestart.Run{Task: name, Number: pla.run}, sta.now)
 	switch res {
 	case worker.ResultFenced:
 		sta.stepDown("VM " + hos.vm.ID + " has accepted a higher term")
@@ -154,7 +153,7 @@
 	case worker.ResultOtherIncarnation:
 		sta.removeHost(hos, "another VM answers at its address")
 	default:
-		if !mayArrive {
+		if !sta.lateStarts.MayArrive(hos.vm.ID, latestart.Run{Task: name, Number: pla.run}, sta.now) {
 			sta.release(hos, pla)
 			break
 		}
--- a/internal/core/scheduler/unanswered.go
+++ b/internal/core/scheduler/unanswered.go
@@ -21,7 +21,6 @@
 		sta.sendStart(hos, pla)
 	case settle.Stop:
 		sta.stop(hos, pla, stopUnanswered)
-	case settle.Wait:
 	case settle.Release:
 		sta.logDecision("start_lost", pla.task.Job, map[string]any{"task": pla.task.String(), "run": pla.run, "vm": hos.vm.ID, "repeats": pla.repeats, "rejected": pla.rejected})
 		sta.release(hos, pla)
