hedge: a call of which no try was sent returns what its tries returned

What callers saw: tasks run twice (TWICE).

Cause: a zero value read as an answer. If all tries of a call fail to be sent, as to a VM in a zone that is cut off for longer than a dial lasts, no answer was kept and the zero value was returned, which is ResultOK. For a poll that is a report without runs: its runs were released and their tasks started elsewhere, while they worked on under their lease. For a start it is a run that counts as running, for a stop one that counts as accepted.

Change: the answer of a try that was not sent is kept unless another try may have been sent, and then no try counts as unanswered.

--- a/internal/hedge/call.go
+++ b/internal/hedge/call.go
@@ -115,7 +115,7 @@
 	cancel()
 	giveUp(nil)
 	exc.report(-1, -1)
-	return Outcome[T]{Answer: exc.last, Err: exc.lastErr, Unanswered: true}
+	return Outcome[T]{Answer: exc.last, Err: exc.lastErr, Unanswered: exc.failed > 0}
 }
 
 // send starts a try.
@@ -149,7 +149,10 @@
 	exc.open--
 	switch {
 	case isNotSent(ans.err) && len(exc.sent) > 1:
-		exc.lastErr = ans.err
+		// A zero answer could read as a definite one.
+		if exc.lastErr = ans.err; exc.failed == 0 {
+			exc.last = ans.ans
+		}
 		return false
 	case !exc.call.Decides(ans.ans):
 		exc.last, exc.lastErr = ans.ans, ans.err
--- a/internal/hedge/hedge_test.go
+++ b/internal/hedge/hedge_test.go
@@ -185,3 +185,22 @@
 		assert.Assert(t, answered >= calls*9/10, "%d of %d calls were answered", answered, calls)
 	})
 }
+
+// TestCallOfWhichNoTryWasSent guards against tasks that run twice: the polls of a VM that
+// is cut off could not be sent, and the zero value that was returned instead reads as a
+// report without runs, which releases them while they work.
+func TestCallOfWhichNoTryWasSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fix := newFixture(t)
+		fix.learn()
+		notSent := scriptedTry{after: 300 * time.Millisecond, ans: "not sent", err: transport.ErrNotSent}
+		out, _ := fix.do(notSent, notSent, notSent, notSent)
+		assert.Assert(t, len(fix.sent) > 1)
+		assert.Equal(t, out.Answer, "not sent")
+		assert.ErrorIs(t, out.Err, transport.ErrNotSent)
+		assert.Assert(t, !out.Unanswered)
+		out, _ = fix.do(scriptedTry{silent: true}, notSent, notSent, notSent)
+		assert.Equal(t, out.Answer, "")
+		assert.Assert(t, out.Unanswered)
+	})
+}
