soak/ledger: a cut doesn't end the time in which late orders arrive

Orders that are late are recorded as a cut until the last of them arrives, which is a time to come. A cut of the same machine in between replaced it by the present, so that a late order after it would have counted as sent after the cancel.

The history "orders that were late, with a cut meanwhile" failed before: "starts 4s after its job was cancelled".

--- a/internal/soak/ledger/ledger.go
+++ b/internal/soak/ledger/ledger.go
@@ -249,11 +249,14 @@
 }
 
 // LinkCut records that the connection to a machine is cut now, or was cut until
-// now.
+// now, which may be a time to come if delayed orders arrive until then.
 func (led *Ledger) LinkCut(now time.Time, machine string) {
 	led.mu.Lock()
 	defer led.mu.Unlock()
-	led.linkCutAt[machine] = now
+	// Orders that are late may still arrive when another cut begins.
+	if now.After(led.linkCutAt[machine]) {
+		led.linkCutAt[machine] = now
+	}
 }
 
 // mayArriveLate reports whether an order that was sent before a given time may
--- a/internal/soak/ledger/ledger_test.go
+++ b/internal/soak/ledger/ledger_test.go
@@ -133,6 +133,12 @@
 		led.Cancelled(noon, "j")
 		led.Started(noon.Add(4*time.Second), "vm.2", "az0", first, 1, "p")
 	}, "after its job was cancelled"},
+	{"run of cancelled job after orders that were late, with a cut meanwhile", func(led *Ledger) {
+		led.Cancelled(noon, "j")
+		led.LinkCut(noon.Add(2*time.Second), "vm")
+		led.LinkCut(noon.Add(-time.Second), "vm")
+		led.Started(noon.Add(4*time.Second), "vm", "az0", first, 1, "p")
+	}, ""},
 	{"withdrawn key", func(led *Ledger) {
 		led.KeyWithdrawn(noon, "k")
 		led.Submitted(Job{ID: "w"})
