progress, scheduler: the progress of a large job is split over records that the store can hold

Callers saw: a job of 50,000 tasks makes progress beside others, and once its record exceeds what the store holds in a value, no end of any job in the same transaction is stored or acknowledged any more.

Cause: the progress of a job was one value of any size, and a transaction that the store rejects as it is (400) was repeated as it was, with all of its records, like one that it can't serve at present. Class: a limit of the platform that nothing enforced, and one failing part that takes its group with it.

Fix: package progress writes a job of more than 2,500 tasks as a head and parts for fixed ranges of tasks, in one transaction on the condition of the head's revision: no reader sees parts of two writes, and a late write changes nothing. The end of a job deletes all of its keys. The largest part of the jobs above has 155,009 bytes. A rejected transaction has an error of its own, and its records are written one by one; the one that is rejected alone waits for 10 s, with a line in the log. Reading ignores odd parts, each with a line that names it.

The emulator's store and the stand-in of the platform's store reject values above the limit, as the platform does; the emulator reads progress as the manager does.

--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -203,9 +203,8 @@
 	return longest
 }
 
-// Limits on the size of a job. They keep its progress record below the
-// megabyte that the store accepts, and bound the memory that the dispatcher uses
-// for its occurrences.
+// Limits on the size of a job. They bound the number of records that hold its
+// progress, and the memory that the dispatcher uses for its occurrences.
 const (
 	// MaxTasks is the maximum number of tasks in a step.
 	MaxTasks = 10_000
--- a/internal/core/job/progress.go
+++ b/internal/core/job/progress.go
@@ -42,6 +42,9 @@
 // made any progress.
 type Progress struct {
 	Tasks []TaskRecord `msgpack:"t"`
+	// Parts lists, in ascending order, the parts that hold the progress of a job with
+	// many tasks: see package progress.
+	Parts []int `msgpack:"p,omitempty"`
 }
 
 // Outcome is the record that is kept of a job that has ended.
@@ -71,7 +74,7 @@
 	case Spec:
 		err = rec.checkStored()
 	case Progress:
-		err = rec.check()
+		err = rec.Check()
 	}
 	return rec, err
 }
@@ -85,8 +88,8 @@
 	return spe.checkStructure()
 }
 
-// check returns an error if a task can't exist.
-func (pro Progress) check() error {
+// Check returns an error if a task can't exist.
+func (pro Progress) Check() error {
 	for _, rec := range pro.Tasks {
 		if min(rec.Occurrence, rec.Step, rec.Index, rec.Run) < 0 {
 			return fmt.Errorf("progress of task %d of step %d in occurrence %d with run %d", rec.Index, rec.Step, rec.Occurrence, rec.Run)
--- a/internal/core/scheduler/emulator_test.go
+++ b/internal/core/scheduler/emulator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"errors"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -11,6 +12,7 @@
 
 	"github.com/balsamgauge/balsamgauge/internal/core/catalog"
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
+	"github.com/balsamgauge/balsamgauge/internal/core/progress"
 	"github.com/balsamgauge/balsamgauge/internal/core/upkeep"
 	"github.com/balsamgauge/balsamgauge/internal/core/worker"
 	"github.com/balsamgauge/balsamgauge/internal/kv"
@@ -412,6 +414,7 @@
 
 // deliverJobs delivers the stored state to a new dispatcher.
 func (emu *emulator) deliverJobs() {
+	stored := progress.Join(emu.store.sorted(job.ProgressPrefix), func(itm kv.Item, err error) { emu.fail("record %s: %v", itm.Key, err) })
 	for _, itm := range emu.store.sorted(job.LivePrefix) {
 		id, cancelled := job.ParseLiveKey(itm.Key)
 		if cancelled {
@@ -420,10 +423,7 @@
 		}
 		evt := JobAccepted{Revision: itm.Revision}
 		evt.Spec, _ = job.Unmarshal[job.Spec](itm.Value)
-		if pro, ok := emu.store.items[job.ProgressKey(id)]; ok {
-			evt.Progress, _ = job.Unmarshal[job.Progress](pro.Value)
-			evt.ProgressRevision = pro.Revision
-		}
+		evt.Progress, evt.ProgressRevision = stored[id].Progress, stored[id].Revision
 		emu.deliver(evt)
 	}
 	if emu.wave != nil {
@@ -1183,6 +1183,9 @@
 
 // commit applies a transaction if its conditions hold.
 func (emu *emulator) commit(txn kv.Txn) (rev kv.Revision, err error) {
+	if tooLarge(txn) {
+		return 0, errors.Join(kv.ErrNotDone, kv.ErrRejected)
+	}
 	con := &kv.ConflictError{}
 	failed := false
 	for _, cnd := range txn.Conditions {
@@ -1262,15 +1265,8 @@
 	if _, ok := sto.items[job.EndedKey(tas.Job)]; ok {
 		return true
 	}
-	itm, ok := sto.items[job.ProgressKey(tas.Job)]
-	if !ok {
-		return false
-	}
-	pro, err := job.Unmarshal[job.Progress](itm.Value)
-	if err != nil {
-		panic(err)
-	}
-	for _, rec := range pro.Tasks {
+	stored := progress.Join(sto.sorted(job.ProgressKey(tas.Job)), func(itm kv.Item, err error) { panic(fmt.Sprintf("%s: %v", itm.Key, err)) })
+	for _, rec := range stored[tas.Job].Progress.Tasks {
 		if rec.Occurrence == tas.Occurrence && rec.Step == tas.Step && rec.Index == tas.Index {
 			return rec.Done
 		}
--- a/internal/core/scheduler/jobs.go
+++ b/internal/core/scheduler/jobs.go
@@ -6,6 +6,7 @@
 
 	"github.com/balsamgauge/balsamgauge/internal/core/catalog"
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
+	"github.com/balsamgauge/balsamgauge/internal/core/progress"
 	"github.com/balsamgauge/balsamgauge/internal/core/worker"
 )
 
@@ -17,7 +18,7 @@
 	}
 	liv := &liveJob{
 		spec: evt.Spec, revision: evt.Revision, occsLeft: evt.Spec.OccurrenceCount(),
-		progressRev: evt.ProgressRevision, work: evt.Spec.Work(),
+		record: progress.New(evt.Spec, evt.ProgressRevision), work: evt.Spec.Work(),
 		restored: evt.Revision <= sta.opt.Revision,
 		queue:    catalog.RecordedQueue(evt.Spec),
 	}
@@ -192,8 +193,7 @@
 	if liv.final != "" {
 		return
 	}
-	liv.final = state
-	sta.markDirty(liv)
+	liv.final, liv.dirtySince = state, sta.now
 	sta.logDecision("job_ended", liv.spec.ID, map[string]any{
 		"state": state, "reason": reason, "queue": liv.spec.Queue, "age_ms": sta.now.Sub(liv.spec.Accepted).Milliseconds(),
 		"late_ms": sta.now.Sub(liv.deadline).Milliseconds(),
--- a/internal/core/scheduler/records.go
+++ b/internal/core/scheduler/records.go
@@ -7,7 +7,7 @@
 	var live []*liveJob
 	for _, liv := range sta.jobList {
 		switch {
-		case liv.dirtySince.IsZero() || liv.saving:
+		case liv.dirtySince.IsZero() || liv.saving || sta.now.Before(liv.dirtySince):
 		case liv.final != "":
 			due = append(due, liv)
 		case sta.now.Sub(liv.dirtySince) >= saveDelay:
--- a/internal/core/scheduler/save.go
+++ b/internal/core/scheduler/save.go
@@ -16,6 +16,9 @@
 	saveDelay = 90 * time.Millisecond
 	// saveRetryDelay is the time between two attempts of a write that failed.
 	saveRetryDelay = 60 * time.Millisecond
+	// rejectedRetryDelay is the time between two attempts to write a record that the
+	// store rejects.
+	rejectedRetryDelay = 10 * time.Second
 )
 
 // Limits of writes. A transaction holds few records, so that one at a time does not
@@ -32,11 +35,9 @@
 // Reduce adds: the condition that this process still holds the duty.
 const reservedEntries = 1
 
-// Transaction entries of a job's record, including conditions.
-const (
-	progressEntries = 2
-	finalEntries    = 6
-)
+// outcomeEntries is the number of transaction entries that a job's outcome has more than
+// its progress.
+const outcomeEntries = 4
 
 // saveRecords writes the records that are due. Further transactions are sent while
 // the first is in flight only if there are many.
@@ -58,11 +59,11 @@
 	var txn kv.Txn
 	var writes []jobWrite
 	for _, liv := range due {
-		need := progressEntries
+		need := liv.record.MaxEntries()
 		if liv.final != "" {
-			need = finalEntries
+			need += outcomeEntries
 		}
-		if txn.Len()+need+reservedEntries > kv.MaxTxnEntries {
+		if txn.Len()+need+reservedEntries > kv.MaxTxnEntries || len(writes) > 0 && (liv.alone || writes[0].liveJob.alone) {
 			left = append(left, liv)
 			continue
 		}
@@ -72,7 +73,7 @@
 		}
 	}
 	purged := 0
-	if lane == 0 {
+	if lane == 0 && (len(writes) == 0 || !writes[0].liveJob.alone) {
 		purged = sta.purge(&txn)
 	}
 	if len(writes) == 0 && purged == 0 {
@@ -83,25 +84,28 @@
 	return left
 }
 
-// addRecord adds a job's record to a transaction.
+// addRecord adds a job's record to a transaction. One that can't be stored is left
+// out, and tried again later.
 func (sta *State) addRecord(txn *kv.Txn, liv *liveJob) (wri jobWrite, ok bool) {
 	id := liv.spec.ID
-	var value []byte
+	wri = jobWrite{liveJob: liv, acks: liv.acks, final: liv.final != ""}
+	var outcome []byte
 	var err error
-	if liv.final != "" {
-		value, err = job.Marshal(job.Outcome{State: liv.final, Queue: liv.spec.Queue, Account: liv.spec.Account, At: sta.now})
+	if wri.final {
+		outcome, err = job.Marshal(job.Outcome{State: liv.final, Queue: liv.spec.Queue, Account: liv.spec.Account, At: sta.now})
 	} else {
-		value, err = job.Marshal(liv.progress())
+		wri.progress, err = liv.record.Write(liv.progress(), sta.opt.MaxValueBytes)
 	}
 	if err != nil {
-		sta.logDecision("record_not_encoded", id, map[string]any{"error": err.Error()})
+		sta.postponeRecord(liv, err)
 		return jobWrite{}, false
 	}
-	wri = jobWrite{liveJob: liv, acks: liv.acks, final: liv.final != ""}
 	liv.acks, liv.dirtySince = nil, time.Time{}
 	if !wri.final {
-		txn.Conditions = append(txn.Conditions, kv.Condition{Key: job.ProgressKey(id), Revision: liv.progressRev})
-		txn.Puts = append(txn.Puts, kv.Put{Key: job.ProgressKey(id), Value: value})
+		if wri.progress.LeftOut > 0 {
+			sta.logDecision("checkpoints_not_stored", id, map[string]any{"count": wri.progress.LeftOut})
+		}
+		wri.progress.AddTo(txn)
 		return wri, true
 	}
 	// The outcome doesn't depend on the stored progress, so that needs no condition.
@@ -109,14 +113,13 @@
 	if liv.final != job.StateCancelled {
 		txn.Conditions = append(txn.Conditions, kv.Condition{Key: job.CancelKey(id)})
 	}
-	txn.Puts = append(txn.Puts, kv.Put{Key: job.EndedKey(id), Value: value})
-	txn.Deletes = append(txn.Deletes, job.LiveKey(id), job.CancelKey(id), job.ProgressKey(id))
+	txn.Puts = append(txn.Puts, kv.Put{Key: job.EndedKey(id), Value: outcome})
+	txn.Deletes = append(append(txn.Deletes, job.LiveKey(id), job.CancelKey(id)), liv.record.Keys()...)
 	return wri, true
 }
 
 // progress returns the state of the tasks that the next dispatcher needs.
-func (liv *liveJob) progress() job.Progress {
-	var pro job.Progress
+func (liv *liveJob) progress() (recs []job.TaskRecord) {
 	for num, occ := range liv.occs {
 		for i := range occ.stages {
 			stg := &occ.stages[i]
@@ -129,11 +132,11 @@
 				if !rec.Done {
 					rec.Checkpoint = tas.checkpoint
 				}
-				pro.Tasks = append(pro.Tasks, rec)
+				recs = append(recs, rec)
 			}
 		}
 	}
-	return pro
+	return recs
 }
 
 // committed handles the answer to a write.
@@ -160,17 +163,36 @@
 		sta.logDecision("write_failed", "", map[string]any{"jobs": len(writes), "error": evt.Err.Error()})
 		for _, wri := range writes {
 			sta.retryRecord(wri)
+			if errors.Is(evt.Err, kv.ErrRejected) {
+				sta.recordRejected(wri.liveJob, evt.Err)
+			}
 		}
 	}
 }
 
+// recordRejected handles that the store rejected a transaction with a job's record. The
+// record that it rejects alone doesn't keep the others from being stored.
+func (sta *State) recordRejected(liv *liveJob, err error) {
+	if liv.alone {
+		sta.postponeRecord(liv, err)
+	}
+	liv.alone = true
+}
+
+// postponeRecord handles a record that can't be stored as it is.
+func (sta *State) postponeRecord(liv *liveJob, err error) {
+	liv.dirtySince = sta.now.Add(rejectedRetryDelay)
+	sta.logDecision("record_not_stored", liv.spec.ID, map[string]any{"error": err.Error(), "unstored_ends": len(liv.acks), "retry_ms": rejectedRetryDelay.Milliseconds()})
+}
+
 // recordStored handles that a job's record has been stored.
 func (sta *State) recordStored(wri jobWrite, rev kv.Revision) {
 	for _, ack := range wri.acks {
 		sta.markAckable(ack.host, ack.number)
 	}
-	wri.liveJob.progressRev = rev
+	wri.liveJob.alone = false
 	if !wri.final {
+		wri.liveJob.record = wri.liveJob.record.WithStored(wri.progress, rev)
 		return
 	}
 	// Ends that arrived during the write of the final record need no further
@@ -192,7 +214,7 @@
 	}
 	switch {
 	case !wri.final:
-		wri.liveJob.progressRev = con.Item(job.ProgressKey(id)).Revision
+		wri.liveJob.record = wri.liveJob.record.WithRevision(con.Item(job.ProgressKey(id)).Revision)
 	case con.Item(job.CancelKey(id)).Revision != 0:
 		sta.cancel(id)
 	}
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/balsamgauge/balsamgauge/internal/core/pace"
 	"github.com/balsamgauge/balsamgauge/internal/core/rebalance"
 	"github.com/balsamgauge/balsamgauge/internal/core/recent"
+	"github.com/balsamgauge/balsamgauge/internal/core/progress"
 	"github.com/balsamgauge/balsamgauge/internal/core/upkeep"
 	"github.com/balsamgauge/balsamgauge/internal/core/vmclock"
 	"github.com/balsamgauge/balsamgauge/internal/core/worker"
@@ -47,6 +49,9 @@
 	// MachineOrdersPerSecond is the platform's rate limit for machine orders,
 	// which are moves and upkeep.
 	MachineOrdersPerSecond float64
+	// MaxValueBytes is the size up to which the store holds a value; 0 for
+	// kv.MaxValueBytes.
+	MaxValueBytes int
 	// LinkBytesPerSecond is the bandwidth of the dispatcher's network link; 0 if
 	// it is unlimited.
 	LinkBytesPerSecond float64
@@ -160,12 +165,15 @@
 	// final is the state in which the job ended; empty before.
 	final job.State
 	// dirtySince is the time of the first change that is not stored; zero if
-	// everything is.
+	// everything is. It is in the future if the store rejected the record.
 	dirtySince time.Time
 	// saving reports whether a write of the record is in flight. There is one at a
 	// time, as its condition is the revision of the last.
-	saving      bool
-	progressRev kv.Revision
+	saving bool
+	record progress.Record
+	// alone reports whether the store rejected a transaction with the record, which
+	// is written without others until it is stored.
+	alone bool
 	// acks lists the ends to acknowledge once the job's next record is stored.
 	acks []ack
 	// restored reports whether the job was stored before the tenure began, so
@@ -442,13 +450,15 @@
 
 // jobWrite is the part of a write that concerns a job.
 type jobWrite struct {
-	liveJob *liveJob
-	acks    []ack
-	final   bool
+	liveJob  *liveJob
+	acks     []ack
+	final    bool
+	progress progress.Write
 }
 
 // New returns the state of a dispatcher whose tenure has just begun.
 func New(opt Options) *State {
+	opt.MaxValueBytes = cmp.Or(opt.MaxValueBytes, kv.MaxValueBytes)
 	return &State{
 		opt: opt, starts: newStartWindow(opt.LinkBytesPerSecond), jobsSyncedAt: opt.Since, zonesOut: map[string]bool{}, outages: map[string]time.Time{}, jobs: map[job.ID]*liveJob{}, hosts: map[string]*host{},
 		pools: map[string][]*host{}, usage: map[string]job.Size{}, allowances: map[string]allowance.Bucket{}, waves: map[int64]*wave{}, upkeeps: upkeep.NewOrders(), lateStarts: latestart.NewStarts(vmclock.LongestLease(opt.LongestLease)), leases: vmclock.NewLeases(opt.Lease, opt.LongestLease, latestart.MaxDelay+pollWait),
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -16,6 +16,9 @@
 	// ErrNotDone means that the store refused the call, or that it was never
 	// sent: it had no effect.
 	ErrNotDone = errors.New("store refused the call")
+	// ErrRejected means that the store refuses the call as it is: it would refuse
+	// it again. It comes with ErrNotDone.
+	ErrRejected = errors.New("store rejects the call as it is")
 	// ErrUnknown means that no answer arrived: a write may have taken effect,
 	// or may still do so while its conditions hold.
 	ErrUnknown = errors.New("no answer from the store")
@@ -79,6 +82,10 @@
 // MaxTxnEntries is the store's limit of Txn.Len.
 const MaxTxnEntries = 32
 
+// MaxValueBytes is the size up to which a store holds a value, unless its operators
+// set another.
+const MaxValueBytes = 1 << 20
+
 // ConflictError reports that a condition of a transaction didn't hold.
 type ConflictError struct {
 	// Current holds the current items of the keys in the conditions. An item
--- a/internal/manager/dispatcher.go
+++ b/internal/manager/dispatcher.go
@@ -10,6 +10,7 @@
 	"github.com/balsamgauge/balsamgauge/internal/clock"
 	"github.com/balsamgauge/balsamgauge/internal/core/duty"
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
+	"github.com/balsamgauge/balsamgauge/internal/core/progress"
 	"github.com/balsamgauge/balsamgauge/internal/core/scheduler"
 	"github.com/balsamgauge/balsamgauge/internal/decisionlog"
 	"github.com/balsamgauge/balsamgauge/internal/election"
@@ -79,6 +80,7 @@
 		ShareWindow:            bnd.ShareWindow,
 		MachineOrdersPerSecond: set.MachineOrderRate,
 		LinkBytesPerSecond:     set.LinkBytesPerSecond,
+		MaxValueBytes:          set.MaxValueBytes,
 	})
 	go dis.readState(ctx)
 	go dis.followTicketSources(ctx)
@@ -172,13 +174,13 @@
 		return
 	}
 	dis.sendOperatorState(ctx, sna)
-	progress, ok := dis.readProgress(ctx)
+	stored, ok := dis.readProgress(ctx)
 	if !ok {
 		return
 	}
 	reg := newRegistrations(dis)
 	go dis.follow(ctx, platform.VMPrefix, func(items []kv.Item) { reg.reset(ctx, items) }, func(cha kv.Change) { reg.change(ctx, cha) }, nil)
-	go dis.follow(ctx, job.LivePrefix, dis.jobsReset(ctx, progress), func(cha kv.Change) { dis.jobChanged(ctx, cha, nil) },
+	go dis.follow(ctx, job.LivePrefix, dis.jobsReset(ctx, stored), func(cha kv.Change) { dis.jobChanged(ctx, cha, nil) },
 		func(sent time.Time) { dis.send(ctx, scheduler.JobWatchProgressed{At: sent}) })
 	go dis.readEndedJobs(ctx)
 	dis.followOperator(ctx, sna)
@@ -221,28 +223,13 @@
 // went silent delays new jobs by little more than that.
 const dispatchWait = 300 * time.Millisecond
 
-// storedProgress is a job's progress as an earlier dispatcher stored it.
-type storedProgress struct {
-	progress job.Progress
-	revision kv.Revision
-}
-
 // readProgress reads the stored progress of all live jobs.
-func (dis *dispatcher) readProgress(ctx context.Context) (all map[job.ID]storedProgress, ok bool) {
+func (dis *dispatcher) readProgress(ctx context.Context) (all map[job.ID]progress.Stored, ok bool) {
 	items, ok := dis.readAll(ctx, job.ProgressPrefix)
 	if !ok {
 		return nil, false
 	}
-	all = make(map[job.ID]storedProgress, len(items))
-	for _, itm := range items {
-		pro, err := job.Unmarshal[job.Progress](itm.Value)
-		if err != nil {
-			dis.logIgnored(itm, err)
-			continue
-		}
-		all[job.ID(itm.Key[len(job.ProgressPrefix):])] = storedProgress{pro, itm.Revision}
-	}
-	return all, true
+	return progress.Join(items, dis.logIgnored), true
 }
 
 // readAll reads all items under a prefix, with retries until the store answers
@@ -265,13 +252,13 @@
 
 // jobsReset returns a function that sends all live and cancelled jobs, the
 // first time with their stored progress.
-func (dis *dispatcher) jobsReset(ctx context.Context, progress map[job.ID]storedProgress) func([]kv.Item) {
+func (dis *dispatcher) jobsReset(ctx context.Context, stored map[job.ID]progress.Stored) func([]kv.Item) {
 	first := true
 	return func(items []kv.Item) {
 		for _, itm := range items {
-			dis.jobChanged(ctx, kv.Change{Item: itm}, progress)
+			dis.jobChanged(ctx, kv.Change{Item: itm}, stored)
 		}
-		progress = nil
+		stored = nil
 		if first {
 			first = false
 			dis.send(ctx, scheduler.JobsLoaded{})
@@ -279,7 +266,7 @@
 	}
 }
 
-func (dis *dispatcher) jobChanged(ctx context.Context, cha kv.Change, progress map[job.ID]storedProgress) {
+func (dis *dispatcher) jobChanged(ctx context.Context, cha kv.Change, stored map[job.ID]progress.Stored) {
 	if cha.Deleted {
 		return
 	}
@@ -293,8 +280,8 @@
 		dis.logIgnored(cha.Item, err)
 		return
 	}
-	old := progress[id]
-	dis.send(ctx, scheduler.JobAccepted{Spec: spe, Revision: cha.Item.Revision, Progress: old.progress, ProgressRevision: old.revision})
+	old := stored[id]
+	dis.send(ctx, scheduler.JobAccepted{Spec: spe, Revision: cha.Item.Revision, Progress: old.Progress, ProgressRevision: old.Revision})
 }
 
 // registrations sends the changes of the registered VMs.
--- a/internal/outernames/names_test.go
+++ b/internal/outernames/names_test.go
@@ -13,6 +13,7 @@
 	"github.com/balsamgauge/balsamgauge/internal/core/event"
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
 	"github.com/balsamgauge/balsamgauge/internal/core/message"
+	"github.com/balsamgauge/balsamgauge/internal/core/progress"
 	"github.com/balsamgauge/balsamgauge/internal/core/scheduler"
 	"github.com/balsamgauge/balsamgauge/internal/core/task"
 	"github.com/balsamgauge/balsamgauge/internal/core/vm"
@@ -37,6 +38,7 @@
 	{"store edit", "json", table.Edit{}},
 	{"store job", "msgpack", job.Spec{}},
 	{"store progress", "msgpack", job.Progress{}},
+	{"store progress part", "msgpack", progress.Part{}},
 	{"store ended", "msgpack", job.Outcome{}},
 	{"store duty/holder", "msgpack", duty.Holder{}},
 	{"store duty/load", "msgpack", scheduler.Load{}},
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -292,12 +292,24 @@
 	}
 }
 
+// Limits of an item.
+const (
+	maxKeyBytes   = 200
+	maxValueBytes = 1 << 20
+)
+
 func (sto *Store) serveTxn(wri http.ResponseWriter, req *http.Request) {
 	var request txn
 	if json.NewDecoder(req.Body).Decode(&request) != nil || len(request.Expected)+len(request.Puts)+len(request.Deletes) > 32 {
 		wri.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	for _, put := range request.Puts {
+		if len(put.Key) > maxKeyBytes || len(put.Value) > maxValueBytes {
+			wri.WriteHeader(http.StatusBadRequest)
+			return
+		}
+	}
 	var written []txnPut
 	// written may call the store.
 	defer func() { sto.reportWritten(written) }()
