--- a/internal/core/progress/progress.go
+++ b/internal/core/progress/progress.go
@@ -69,8 +69,8 @@
 }
 
 // New returns the record of a job whose head has a revision, 0 if it has none.
-func New(spe job.Spec, rev kv.Revision) Record {
-	rec := Record{id: spe.ID, revision: rev}
+func New(spe job.Spec, rev kv.Revision) *Record {
+	rec := &Record{id: spe.ID, revision: rev}
 	tasks := countTasks(spe)
 	if tasks <= TasksPerPart {
 		return rec
@@ -92,7 +92,7 @@
 }
 
 // Keys returns all keys that the job's progress may have.
-func (rec Record) Keys() (keys []string) {
+func (rec *Record) Keys() (keys []string) {
 	keys = []string{job.ProgressKey(rec.id)}
 	for num := range rec.numParts {
 		keys = append(keys, partKey(rec.id, num))
@@ -102,21 +102,24 @@
 
 // MaxEntries returns the largest number of transaction entries of a write, including
 // its condition.
-func (rec Record) MaxEntries() int { return 2 + rec.numParts }
+func (rec *Record) MaxEntries() int { return 2 + rec.numParts }
 
 // WithStored returns the record after a write that succeeded at a revision.
-func (rec Record) WithStored(wri Write, rev kv.Revision) Record {
-	rec.revision, rec.parts = rev, wri.parts
-	return rec
+func (rec *Record) WithStored(wri Write, rev kv.Revision) *Record {
+	next := *rec
+	next.revision, next.parts = rev, wri.parts
+	return &next
 }
 
 // WithRevision returns the record after the head was found at a revision. If it isn't
 // the one that was expected, an earlier write was carried out and it isn't known which.
-func (rec Record) WithRevision(rev kv.Revision) Record {
-	if rev != rec.revision {
-		rec.revision, rec.parts = rev, nil
+func (rec *Record) WithRevision(rev kv.Revision) *Record {
+	if rev == rec.revision {
+		return rec
 	}
-	return rec
+	next := *rec
+	next.revision, next.parts = rev, nil
+	return &next
 }
 
 // Write is a write of a job's progress.
@@ -142,7 +145,7 @@
 // Write returns the write of the given progress, in which tasks are in the order of
 // their occurrences, steps and indexes. It fails with a TooLargeError if a record
 // exceeds the limit in bytes.
-func (rec Record) Write(tasks []job.TaskRecord, limit int) (wri Write, err error) {
+func (rec *Record) Write(tasks []job.TaskRecord, limit int) (wri Write, err error) {
 	wri.condition = kv.Condition{Key: job.ProgressKey(rec.id), Revision: rec.revision}
 	var head job.Progress
 	if rec.numParts == 0 {
@@ -186,7 +189,7 @@
 }
 
 // partOf returns the number of the part of a task, or -1 if the job has no such task.
-func (rec Record) partOf(tas job.TaskRecord) int {
+func (rec *Record) partOf(tas job.TaskRecord) int {
 	if tas.Step >= len(rec.starts) {
 		return -1
 	}
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -170,15 +170,15 @@
 	// saving reports whether a write of the record is in flight. There is one at a
 	// time, as its condition is the revision of the last.
 	saving bool
-	record progress.Record
-	// alone reports whether the store rejected a transaction with the record, which
-	// is written without others until it is stored.
-	alone bool
+	record *progress.Record
 	// acks lists the ends to acknowledge once the job's next record is stored.
 	acks []ack
 	// restored reports whether the job was stored before the tenure began, so
 	// that a former dispatcher may have started tasks of it.
 	restored bool
+	// alone reports whether the store rejected a transaction with the record, which
+	// is written without others until it is stored.
+	alone bool
 }
 
 // ack identifies an end that a VM reported.
