intake, platform: a job that can't be recorded is refused at once with its reason

Callers saw: a job whose record exceeds what the store holds was answered with 503 and a time to try again, each time it was tried. Its text need not look long: bytes that aren't valid UTF-8 are stored as three each.

Cause: nothing compared a job with the store's limit before the write, and the store's rejection (400) was taken for a store that can't serve at present. Class: a permanent failure reported as a passing one.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -12,6 +12,7 @@
 
 	"github.com/balsamgauge/balsamgauge/internal/core/catalog"
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
+	"github.com/balsamgauge/balsamgauge/internal/core/progress"
 	"github.com/balsamgauge/balsamgauge/internal/kv"
 )
 
@@ -112,6 +113,9 @@
 	// reason if so, and otherwise the retry delay and the reason. Nil admits
 	// all.
 	Admit func(now time.Time, que *catalog.Queue, spe job.Spec) (retryAfter time.Duration, reason string)
+	// MaxValueBytes returns the size up to which the store holds a value. Nil stands
+	// for kv.MaxValueBytes.
+	MaxValueBytes func() int
 	// Pending returns the number of a queue's jobs that have not begun.
 	Pending func(ctx context.Context, queue string) (count int, err error)
 }
@@ -192,7 +196,7 @@
 			return svc.refuseUnlessAccepted(ctx, spe, after, reason), false
 		}
 	}
-	raw, err := job.Marshal(spe)
+	raw, err := svc.encode(spe)
 	if err != nil {
 		return Answer{Verdict: VerdictInvalid, Reason: err.Error()}, false
 	}
@@ -218,11 +222,30 @@
 		return Answer{}, true
 	case errors.Is(err, kv.ErrUnknown):
 		return Answer{Verdict: VerdictUnknown, Reason: err.Error()}, false
+	case errors.Is(err, kv.ErrRejected):
+		return Answer{Verdict: VerdictInvalid, Reason: err.Error()}, false
 	default:
 		return unavailable(err.Error()), false
 	}
 }
 
+// encode encodes a job. It fails if the job's own record, or that of its progress at its
+// largest, would exceed what the store holds.
+func (svc *JobService) encode(spe job.Spec) (raw []byte, err error) {
+	limit := kv.MaxValueBytes
+	if svc.MaxValueBytes != nil {
+		limit = svc.MaxValueBytes()
+	}
+	raw, err = job.Marshal(spe)
+	if err == nil && len(raw) > limit {
+		err = fmt.Errorf("job %s could not be recorded: it has %d bytes, the store holds %d", spe.ID, len(raw), limit)
+	}
+	if err == nil {
+		err = progress.Check(spe, limit)
+	}
+	return raw, err
+}
+
 // commit applies an idempotent transaction, with retries.
 func (svc *JobService) commit(ctx context.Context, txn kv.Txn) error {
 	return retryUnanswered(ctx, func(ctx context.Context) error {
--- a/internal/manager/node.go
+++ b/internal/manager/node.go
@@ -187,6 +187,7 @@
 		Store: nod.store.WithAnswerTimeout(intake.AnswerTimeout), ConfigKey: platform.ConfigKey,
 		Freshness: nod.freshness, Learn: nod.operator.learnConfig,
 		View: nod.operator.current, Admit: nod.load.admit, Pending: nod.load.pending,
+		MaxValueBytes: func() int { return nod.settings().MaxValueBytes },
 	}
 	return &platform.Ingress{JobService: svc, Now: nod.now, AfterCall: nod.recordCall}
 }
