--- a/internal/record/latest.go
+++ b/internal/record/latest.go
@@ -3,15 +3,12 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/balsamgauge/balsamgauge/internal/clock"
+	"github.com/balsamgauge/balsamgauge/internal/follow"
 	"github.com/balsamgauge/balsamgauge/internal/kv"
 )
 
-// retryDelay is the pause after a write that failed.
-const retryDelay = 100 * time.Millisecond
-
 // Latest stores the last of the values that it is given, in the background. Values that
 // have been replaced before they were written are not written.
 type Latest struct {
@@ -53,7 +50,7 @@
 		}
 		if ctx.Err() == nil {
 			lat.failed(err)
-			clock.Pause(ctx, retryDelay)
+			clock.Pause(ctx, follow.RetryDelay)
 		}
 		if ctx.Err() != nil {
 			puts = nil
