cli: SIGHUP is received before anything else is done

Cause: the signal had a receiver only once the arguments were read and the command of the platform was known. Class: a signal before its handler.

Evidence: TestHangupDuringStart, in which the process waits for its arguments in a named pipe while it gets the signal, failed before: "signal: hangup != exit status 2".

Fix: the receiver is set first, and removed once another command is selected, which SIGHUP ends as before (TestHangupEndsOtherCommands). What is left is the time in which the runtime starts, before any code of the program runs.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"os/signal"
 	"syscall"
 
@@ -61,6 +62,10 @@
 
 // Main runs the program and returns its exit code.
 func Main(args []string, out, errOut io.Writer) int {
+	// Without a receiver SIGHUP would end a process of manageCommand, also while it
+	// starts or shuts down, when the settings are not followed.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	cmd := &command{out: out, err: errOut}
 	app := kingpin.New("balsamgauge", "Fleet capacity and maintenance manager. Exit codes: 0 done, 1 failed, 2 invalid arguments or files (nothing changed), 3 entry unreachable.")
 	app.UsageWriter(out)
@@ -83,6 +88,9 @@
 		_, _ = fmt.Fprintf(errOut, "balsamgauge: %v\n", err)
 		return ExitUsage
 	}
+	if selected != manageCommand {
+		signal.Stop(hup)
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	return cmd.exitCode(actions[selected](ctx))
