scheduler: the hosts that no list covers are looked for only after they can have changed

Each plan of waves and each plan of moves passed over all hosts, though only another list of machines, or a host that comes or goes, changes which are not covered. They are now looked for when they are needed first after such an event. The result is the same; TestUnlistedHostsFollowEvents compares it after each kind of event, and failed when either invalidation was left out.

--- a/internal/core/scheduler/rebalance.go
+++ b/internal/core/scheduler/rebalance.go
@@ -89,7 +89,6 @@
 		return
 	}
 	sta.movesPlannedAt = sta.now
-	sta.noteUnlisted()
 	pools := sta.rebalancePools()
 	sta.logPools(pools)
 	most := int(math.Ceil(sta.opt.MachineOrdersPerSecond * moveOrderShare * movePlanInterval.Seconds()))
--- a/internal/core/scheduler/reduce.go
+++ b/internal/core/scheduler/reduce.go
@@ -130,6 +130,7 @@
 
 // indexHost adds a host to the sorted lists of hosts.
 func (sta *State) indexHost(hos *host) {
+	sta.unlistedKnown = false
 	sta.hostList = insertHost(sta.hostList, hos)
 	sta.pools[hos.vm.Pool] = insertHost(sta.pools[hos.vm.Pool], hos)
 }
@@ -137,6 +138,7 @@
 // unindexHost removes a host from the sorted lists of hosts. Its pool must not
 // have changed since it was added.
 func (sta *State) unindexHost(hos *host) {
+	sta.unlistedKnown = false
 	sta.hostList = deleteHost(sta.hostList, hos)
 	sta.pools[hos.vm.Pool] = deleteHost(sta.pools[hos.vm.Pool], hos)
 }
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -380,9 +380,9 @@
 	lateStarts *latestart.Starts
 	// leases holds what extends the leases of VMs.
 	leases *vmclock.Leases
-	// unlisted holds the hosts that the last list of machines doesn't cover and
-	// doesn't show, as of the last plan of waves or moves.
-	unlisted []*host
+	// unlisted is the result of unlistedHosts while unlistedKnown is set.
+	unlisted      []*host
+	unlistedKnown bool
 	// runtimeRatios holds, by queue, the ratio of actual to estimated run times.
 	runtimeRatios estimate.Ratios
 	steppedDown   bool
--- a/internal/core/scheduler/waves.go
+++ b/internal/core/scheduler/waves.go
@@ -51,7 +51,6 @@
 		return
 	}
 	sta.wavesPlannedAt = sta.now
-	sta.noteUnlisted()
 	for _, hos := range sta.hostList {
 		hos.cordoned = false
 	}
@@ -336,6 +335,7 @@
 	}
 	sta.machines.nextRequest = sta.now.Add(min(maxListPause, listPauseFactor*sta.now.Sub(evt.RequestedAt)))
 	sta.machines.asOf = evt.RequestedAt
+	sta.unlistedKnown = false
 	machineOf := sta.machines.byVM
 	sta.machines.byName = make(map[string]worker.Machine, len(evt.Machines))
 	sta.machines.byVM = make(map[string]string, len(evt.Machines))
@@ -377,15 +377,19 @@
 // then shows the machine as it was before.
 func (hos *host) coveredBy(requestedAt time.Time) bool { return !requestedAt.Before(hos.firstSeen) }
 
-// noteUnlisted updates the hosts that the last list of machines doesn't cover and
-// doesn't show.
-func (sta *State) noteUnlisted() {
-	sta.unlisted = sta.unlisted[:0]
+// unlistedHosts returns the hosts that the last list of machines doesn't cover and
+// doesn't show. Only another list or another host changes them.
+func (sta *State) unlistedHosts() []*host {
+	if sta.unlistedKnown {
+		return sta.unlisted
+	}
+	sta.unlisted, sta.unlistedKnown = sta.unlisted[:0], true
 	for _, hos := range sta.hostList {
 		if _, listed := sta.machines.byVM[hos.vm.ID]; !listed && !hos.coveredBy(sta.machines.asOf) {
 			sta.unlisted = append(sta.unlisted, hos)
 		}
 	}
+	return sta.unlisted
 }
 
 // confirmListedVM reports whether a machine is known to run no other VM than the last
@@ -398,7 +402,7 @@
 		return false
 	}
 	hos := sta.hosts[mac.VM]
-	for _, oth := range sta.unlisted {
+	for _, oth := range sta.unlistedHosts() {
 		if oth.vm.AZ != mac.AZ || !slices.Equal(oth.vm.Labels, mac.Labels) {
 			continue
 		}
