--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -409,23 +409,6 @@
 	forbiddenMoves map[string]bool
 }
 
-// machines is the last list of machines.
-type machines struct {
-	byName map[string]worker.Machine
-	byVM   map[string]string
-	// requestedAt is when a list was last requested. asOf is when the last list
-	// received was requested; zero if none was received.
-	requestedAt, asOf time.Time
-	inFlight          bool
-	// checkedAt is when VMs were last looked for that only a list explains.
-	checkedAt time.Time
-	// nextRequest is the earliest time of the next request.
-	nextRequest time.Time
-	// refreshDue reports whether a new list is needed to see the effect of an
-	// order.
-	refreshDue bool
-}
-
 // lostVM is a VM that has ended, with the time at which that became known.
 type lostVM struct {
 	vm worker.VM
