blame: crashes are weighed by a likelihood ratio, not counted

Callers saw jobs shown as failed though no run of them had ended failed, and the other tasks of a job that lasts stopped at once, beyond what may be away.

Cause: countCrash took each crash of a VM as the doing of all that ran there, and gave a job up at the third (the fourth if its tasks last). Crashes of other causes add up in the same way. Class of fault: a count of coincidences taken as a cause.

internal/core/blame weighs each crash by how much likelier it is if the task is the cause: by the age of the run when the VM was lost, and by the rate at which VMs without young runs crash (docs/design/crashes.md). A job is given up only by a crash of a run that was tried apart from others and is strong evidence by itself. A suspect is apart from others for 1.5 s instead of as long as it runs, so suspects don't fill a pool. The detection of outages moves there too; the scheduler becomes smaller.

--- a/internal/core/job/progress.go
+++ b/internal/core/job/progress.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/balsamgauge/balsamgauge/internal/core/blame"
 	"github.com/balsamgauge/balsamgauge/internal/core/packed"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -33,6 +34,9 @@
 	FailedRuns []int `msgpack:"fr,omitempty"`
 	// Crashes is the number of VM crashes that the task may have caused.
 	Crashes int `msgpack:"x,omitempty"`
+	// Evidence is what they weigh against the task. Records of earlier versions have
+	// none.
+	Evidence blame.Evidence `msgpack:"e,omitempty"`
 	// Run is the highest run number known when the record was written.
 	Run        int    `msgpack:"r,omitempty"`
 	Checkpoint string `msgpack:"c,omitempty"`
--- a/internal/core/scheduler/assign.go
+++ b/internal/core/scheduler/assign.go
@@ -236,7 +236,7 @@
 		if sta.starts.full() || !sta.withinCap(stg, 1) || !room.mayFit(stg.step.Reservation()) {
 			return
 		}
-		if tas.isSuspect() && room.leftForSuspects() <= 0 {
+		if tas.blamed.IsSuspect() && room.leftForSuspects() <= 0 {
 			continue
 		}
 		if hos == nil || !stg.packs() || !sta.accepts(hos, stg, i, 0) {
@@ -246,7 +246,7 @@
 			room.reject(stg.step.Reservation())
 			return
 		}
-		if hos == nil && tas.isSuspect() {
+		if hos == nil && tas.blamed.IsSuspect() {
 			continue
 		}
 		if hos == nil {
@@ -325,7 +325,7 @@
 func (sta *State) accepts(hos *host, stg *stage, index, planned int) bool {
 	// A former run of the task that is being stopped there would be mistaken for
 	// the new one.
-	return sta.canRun(stg, hos, planned) && !hos.isolates(stg.tasks[index].isSuspect()) && hos.runs[stg.task(index)] == nil
+	return sta.canRun(stg, hos, planned) && !hos.isolates(stg.tasks[index].blamed.IsSuspect()) && hos.runs[stg.task(index)] == nil
 }
 
 // chooseHost returns the best host for a task of a stage, or nil if there is none.
--- a/internal/core/scheduler/crashes.go
+++ b/internal/core/scheduler/crashes.go
@@ -3,80 +3,97 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
+	"github.com/balsamgauge/balsamgauge/internal/core/blame"
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
 )
 
-// Limits for tasks that crash the VMs that run them.
-const (
-	// suspectCrashes is the number of crashes after which a task runs apart from
-	// others, so that the next one shows whether it is the cause.
-	suspectCrashes = 2
-	// maxCrashes is the number of crashes after which a task is given up.
-	// maxServingCrashes replaces it for long-running steps: others depend on
-	// their tasks, and crashes of other causes add up over their lifetime.
-	maxCrashes        = 3
-	maxServingCrashes = 4
-	// startupTime is the age up to which a run of a long-running step counts as
-	// a possible cause of a crash, and beyond which it is cleared of suspicion.
-	startupTime = 5 * time.Second
-	// maxKeptFree is the part of a pool's VMs that may be kept free for suspects.
-	maxKeptFree = 0.25
-)
+// maxKeptFree is the part of a pool's VMs that may be kept free for suspects.
+const maxKeptFree = 0.25
 
-// isSuspect reports whether the task may be what crashes its VMs.
-func (tas *task) isSuspect() bool { return tas.crashes >= suspectCrashes }
+// mayCauseCrash reports whether a run may be why its VM crashed. One that a former
+// dispatcher started has outlived its start. A start that the VM has not confirmed may
+// have been ordered after the crash. It is a possible cause only if the VM is gone
+// alone.
+func (pla *placement) mayCauseCrash(alone bool) bool {
+	return pla.stage != nil && pla.stage.liveJob.final == "" && !pla.ending() && !pla.adopted && (pla.state == runRunning || alone)
+}
 
-// crashLimit returns the number of crashes after which a task of a step is given
-// up.
-func crashLimit(ste *job.Step) int {
-	if ste.LongRunning {
-		return maxServingCrashes
+// countCrash weighs a crash against the tasks that may be its cause, and gives up
+// those that are shown to crash their VMs. If a suspect ran on the VM, it counts
+// against no other.
+func (sta *State) countCrash(hos *host) {
+	if sta.outages.Covers(hos.places(), sta.now) {
+		return
+	}
+	alone := sta.isGoneAlone(hos)
+	var all, weighed []blame.Run
+	var blamed []*placement
+	for _, pla := range hos.runList {
+		run := sta.runOnLost(hos, pla)
+		all = append(all, run)
+		if pla.mayCauseCrash(alone) && (hos.suspects == 0 || pla.suspect) {
+			weighed, blamed = append(weighed, run), append(blamed, pla)
+		}
+	}
+	rate := sta.crashes.Rate(hos.vm.Pool, sta.settledVMs(hos.vm.Pool), sta.now)
+	if hos.termAccepted && blame.IsUnexplained(all) {
+		sta.crashes.Add(hos.vm.Pool, sta.now)
+	}
+	for i, rec := range blame.Weigh(weighed, rate) {
+		sta.blame(hos, blamed[i], weighed[i], rec, rate)
 	}
-	return maxCrashes
 }
 
-// mayCauseCrash reports whether a run may be why its VM crashed. A start that
-// the VM has not confirmed may have been ordered after the crash. It is a
-// possible cause only if the VM is gone alone.
-func (pla *placement) mayCauseCrash(now time.Time, alone bool) bool {
-	switch {
-	case pla.stage == nil || pla.ending() || pla.state != runRunning && !alone:
-		return false
-	case pla.stage.step.LongRunning:
-		return !pla.adopted && now.Sub(pla.since) <= startupTime
-	default:
-		return true
+// settledVMs returns the number of VMs of a pool without young runs.
+func (sta *State) settledVMs(pool string) (count int) {
+	for _, hos := range sta.pools[pool] {
+		if !slices.ContainsFunc(hos.runList, func(pla *placement) bool { return sta.now.Sub(pla.since) <= blame.YoungAge }) {
+			count++
+		}
 	}
+	return count
 }
 
-// countCrash counts a crash against the tasks that may be its cause, and gives up
-// those with too many. If a suspect ran on the VM, it counts against no other.
-func (sta *State) countCrash(hos *host) {
-	if sta.inOutage(hos) {
-		return
-	}
-	alone := sta.isGoneAlone(hos)
-	for _, pla := range slices.Clone(hos.runList) {
-		if !pla.mayCauseCrash(sta.now, alone) || hos.suspects > 0 && !pla.suspect || pla.stage.liveJob.final != "" {
-			continue
+// runOnLost returns what is known of a run on a lost VM.
+func (sta *State) runOnLost(hos *host, pla *placement) blame.Run {
+	seen, silent := hos.clock.ReceivedAt(), sta.now
+	for _, oth := range hos.runList {
+		if oth.state == runRunning && oth.since.After(seen) {
+			seen = oth.since
 		}
-		stg := pla.stage
-		tas := &stg.tasks[pla.task.Index]
-		tas.crashes++
-		stg.crashed = true
+	}
+	if hos.failedPolls > 0 {
+		silent = hos.silentSince
+	}
+	run := blame.Run{Lived: seen.Sub(pla.since), Lost: silent.Sub(pla.since)}
+	if pla.state != runRunning {
+		// The VM may have been lost before the start was sent.
+		run.Lived, run.Lost, run.Unconfirmed = 0, silent.Sub(seen), true
+	}
+	if pla.stage != nil {
+		run.Record = pla.stage.tasks[pla.task.Index].blamed
+	}
+	return run
+}
+
+// blame applies the evidence of a crash to a task that ran on the VM.
+func (sta *State) blame(hos *host, pla *placement, run blame.Run, rec blame.Record, rate float64) {
+	stg := pla.stage
+	if rec != run.Record {
 		sta.markDirty(stg.liveJob)
-		if !tas.isSuspect() {
-			continue
-		}
-		givenUp := tas.crashes >= crashLimit(stg.step)
+	}
+	stg.tasks[pla.task.Index].blamed = rec
+	stg.crashed = stg.crashed || rec.Crashes > 0
+	givenUp := rec.IsGuilty(stg.step.LongRunning)
+	if rec.IsSuspect() {
 		sta.logDecision("task_suspected", pla.task.Job, map[string]any{
-			"task": pla.task.String(), "run": pla.run, "vm": hos.vm.ID, "run_state": pla.state.String(), "crashes": tas.crashes, "runs_beside": len(hos.runList) - 1, "given_up": givenUp,
+			"task": pla.task.String(), "run": pla.run, "vm": hos.vm.ID, "run_state": pla.state.String(), "crashes": rec.Crashes, "runs_beside": len(hos.runList) - 1, "given_up": givenUp,
+			"evidence": rec.Evidence, "evidence_before": run.Record.Evidence, "lived_ms": run.Lived.Milliseconds(), "lost_ms": run.Lost.Milliseconds(), "crash_rate": rate,
 		})
-		if givenUp {
-			sta.finish(stg.liveJob, job.StateFailed, reasonCrashes)
-		}
+	}
+	if givenUp {
+		sta.finish(stg.liveJob, job.StateFailed, reasonCrashes)
 	}
 }
 
@@ -88,16 +105,21 @@
 	})
 }
 
-// clearSuspects clears the long-running tasks that have outlasted their startup
-// on the VM.
+// clearSuspects clears the tasks whose runs on the VM have outlived what they are
+// suspected of.
 func (sta *State) clearSuspects(hos *host) {
 	for _, pla := range hos.runList {
-		if pla.stage == nil || !pla.stage.step.LongRunning || pla.state != runRunning || sta.now.Sub(pla.since) <= startupTime {
+		if pla.stage == nil || pla.state != runRunning {
+			continue
+		}
+		tas := &pla.stage.tasks[pla.task.Index]
+		if tas.blamed == (blame.Record{}) {
 			continue
 		}
-		if tas := &pla.stage.tasks[pla.task.Index]; tas.crashes > 0 {
-			tas.crashes = 0
-			hos.setSuspect(pla, false)
+		age := sta.now.Sub(pla.since)
+		hos.setSuspect(pla, tas.blamed.IsolatedAt(age))
+		if tas.blamed.Outlived(age) == (blame.Record{}) {
+			tas.blamed = blame.Record{}
 			sta.markDirty(pla.stage.liveJob)
 		}
 	}
@@ -150,7 +172,7 @@
 	suspects := map[*poolRoom][]*stage{}
 	for _, wai := range waiting {
 		for i := range wai.stage.tasks {
-			if tas := &wai.stage.tasks[i]; tas.phase == phaseWaiting && tas.isSuspect() {
+			if tas := &wai.stage.tasks[i]; tas.phase == phaseWaiting && tas.blamed.IsSuspect() {
 				suspects[wai.pool] = append(suspects[wai.pool], wai.stage)
 			}
 		}
--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -20,6 +20,9 @@
 	// mixedPollWait replaces pollWait on VMs where serving and best-effort tasks
 	// share CPUs: the platform measures tail latencies over half a second.
 	mixedPollWait = 400 * time.Millisecond
+	// suspectPollWait replaces pollWait on VMs with suspects: whether the VM outlives
+	// their start is what they are tried for.
+	suspectPollWait = 100 * time.Millisecond
 	// pollSlack is how much longer than its wait a poll may take, and
 	// maxPollSlack the limit to which it doubles with each failed poll: the VM
 	// may be slow to reach rather than silent.
@@ -146,7 +149,7 @@
 		pla.reserved, pla.size, pla.account = stg.step.Reservation(), stg.step.Size, stg.liveJob.spec.Account
 		tas := &stg.tasks[name.Index]
 		tas.run = max(tas.run, run)
-		hos.setSuspect(pla, tas.isSuspect())
+		hos.setSuspect(pla, tas.blamed.IsSuspect())
 		hos.addFinite(pla, 1)
 		if tas.phase == phaseWaiting {
 			tas.phase, tas.host = phasePlaced, hos
@@ -217,6 +220,9 @@
 			if _, mixed := hos.tailRatio(); mixed {
 				pol.Wait = mixedPollWait
 			}
+			if hos.suspects > 0 {
+				pol.Wait = suspectPollWait
+			}
 		}
 	}
 	hos.ackDue, hos.reportDue = false, false
@@ -254,6 +260,9 @@
 			sta.removeHost(hos, reasonMachineGone)
 			return
 		}
+		if hos.failedPolls == 0 {
+			hos.silentSince = sta.now
+		}
 		hos.failedPolls++
 		hos.nextPoll = sta.now.Add(pollRetryInterval)
 		if hos.failedPolls == silentAfterPolls {
--- a/internal/core/scheduler/jobs.go
+++ b/internal/core/scheduler/jobs.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/balsamgauge/balsamgauge/internal/core/blame"
 	"github.com/balsamgauge/balsamgauge/internal/core/catalog"
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
 	"github.com/balsamgauge/balsamgauge/internal/core/worker"
@@ -100,8 +101,8 @@
 	liv.begun = true
 	stg := &liv.occs[rec.Occurrence].stages[rec.Step]
 	tas := &stg.tasks[rec.Index]
-	tas.failedRuns, tas.crashes = rec.FailedRuns, rec.Crashes
-	stg.crashed = stg.crashed || rec.Crashes > 0
+	tas.failedRuns, tas.blamed = rec.FailedRuns, blame.Restored(rec.Crashes, rec.Evidence)
+	stg.crashed = stg.crashed || tas.blamed.Crashes > 0
 	tas.checkpoint, tas.run = rec.Checkpoint, max(tas.run, rec.Run)
 	if rec.Done && tas.phase != phaseDone {
 		sta.markDone(stg, rec.Index)
--- a/internal/core/scheduler/outage.go
+++ b/internal/core/scheduler/outage.go
@@ -1,50 +1,18 @@
 package scheduler
 
-import (
-	"maps"
-	"slices"
-	"time"
-)
-
-// Parameters of the detection of outages of availability zones and racks.
-const (
-	// minOutage is the part of a zone's or rack's VMs that a list of machines shows
-	// as gone in an outage, and minOutageVMs their least number.
-	minOutage    = 0.75
-	minOutageVMs = 3
-	// outageTime is how long an outage lasts after the list that shows it: its VMs
-	// are found not to answer one after the other.
-	outageTime = 5 * time.Second
-)
+import "github.com/balsamgauge/balsamgauge/internal/core/blame"
 
 // detectOutages records the availability zones and racks of which a new list of
-// machines shows most VMs as gone. At least one of them must have been blameless:
-// tasks that crash their VMs may take down most of a small zone as well.
+// machines shows most VMs as gone.
 func (sta *State) detectOutages() {
-	known, gone, blameless := map[string]int{}, map[string]int{}, map[string]int{}
+	var vms []blame.VM
 	for _, hos := range sta.hostList {
-		if hos.goingDown {
-			continue
-		}
-		for _, place := range hos.places() {
-			known[place]++
-			if hos.listedGone {
-				gone[place]++
-				if hos.isBlameless() {
-					blameless[place]++
-				}
-			}
+		if !hos.goingDown {
+			vms = append(vms, blame.VM{Places: hos.places(), Gone: hos.listedGone, Blameless: hos.listedGone && hos.isBlameless()})
 		}
 	}
-	for _, place := range slices.Sorted(maps.Keys(gone)) {
-		count := gone[place]
-		if blameless[place] == 0 || count < minOutageVMs || float64(count) < minOutage*float64(known[place]) {
-			continue
-		}
-		if !sta.now.Before(sta.outages[place]) {
-			sta.logDecision("outage", "", map[string]any{"place": place, "gone": count, "known": known[place]})
-		}
-		sta.outages[place] = sta.now.Add(outageTime)
+	for _, out := range sta.outages.Detect(vms, sta.now) {
+		sta.logDecision("outage", "", map[string]any{"place": out.Place, "gone": out.Gone, "known": out.Known})
 	}
 }
 
@@ -64,19 +32,9 @@
 		return hos.termAccepted && hos.failedPolls == 0
 	}
 	for _, pla := range hos.runList {
-		if pla.stage == nil || !pla.stage.step.LongRunning || pla.state != runRunning || hos.clock.ReceivedAt().Sub(pla.since) <= startupTime {
+		if pla.stage == nil || !pla.stage.step.LongRunning || pla.state != runRunning || hos.clock.ReceivedAt().Sub(pla.since) <= blame.StartupTime {
 			return false
 		}
 	}
 	return true
 }
-
-// inOutage reports whether a VM's availability zone or rack has an outage.
-func (sta *State) inOutage(hos *host) bool {
-	for _, place := range hos.places() {
-		if sta.now.Before(sta.outages[place]) {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/core/scheduler/save.go
+++ b/internal/core/scheduler/save.go
@@ -122,10 +122,10 @@
 			stg := &occ.stages[i]
 			for j := range stg.tasks {
 				tas := &stg.tasks[j]
-				if tas.phase != phaseDone && len(tas.failedRuns) == 0 && tas.crashes == 0 && tas.checkpoint == "" {
+				if tas.phase != phaseDone && len(tas.failedRuns) == 0 && tas.blamed.Crashes == 0 && tas.checkpoint == "" {
 					continue
 				}
-				rec := job.TaskRecord{Occurrence: num, Step: i, Index: j, Done: tas.phase == phaseDone, FailedRuns: tas.failedRuns, Crashes: tas.crashes, Run: tas.run}
+				rec := job.TaskRecord{Occurrence: num, Step: i, Index: j, Done: tas.phase == phaseDone, FailedRuns: tas.failedRuns, Crashes: tas.blamed.Crashes, Evidence: tas.blamed.Evidence, Run: tas.run}
 				if !rec.Done {
 					rec.Checkpoint = tas.checkpoint
 				}
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/balsamgauge/balsamgauge/internal/core/allowance"
+	"github.com/balsamgauge/balsamgauge/internal/core/blame"
 	"github.com/balsamgauge/balsamgauge/internal/core/catalog"
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
 	"github.com/balsamgauge/balsamgauge/internal/core/latestart"
@@ -71,8 +72,8 @@
 	// failedRuns lists the runs that failed. VMs report in any order, so a lower
 	// run may be reported after a higher one.
 	failedRuns []int
-	// crashes is the number of VM crashes that the task may have caused.
-	crashes    int
+	// blamed is the evidence that the task crashes its VMs.
+	blamed     blame.Record
 	checkpoint string
 	// host is the host of the task's run; nil unless the phase is phasePlaced.
 	host *host
@@ -209,7 +210,7 @@
 	reserved job.Size
 	size     job.Size
 	account  string
-	// suspect reports whether the task is a suspect (task.isSuspect), adopted
+	// suspect reports whether the task is a suspect (blame.Record.IsSuspect), adopted
 	// whether a former dispatcher started the run.
 	suspect, adopted bool
 	state            runState
@@ -257,6 +258,8 @@
 	nextPoll     time.Time
 	// failedPolls counts the consecutive polls without an answer.
 	failedPolls int
+	// silentSince is when the first of them was found to have no answer.
+	silentSince time.Time
 	// lastEnd is the highest end number that was processed. ackableUpTo is the
 	// number up to which all ends may be acknowledged. ackable holds the higher
 	// ends that may be acknowledged once those between may be.
@@ -319,9 +322,9 @@
 	// catalogs counts the configurations received.
 	catalogs int
 	zonesOut map[string]bool
-	// outages holds when the last outages of availability zones and racks end, by
-	// host.places.
-	outages map[string]time.Time
+	outages  *blame.Outages
+	// crashes holds the recent crashes that no task explains.
+	crashes *blame.Crashes
 	jobs    map[job.ID]*liveJob
 	// jobList holds the jobs in the order in which they were accepted.
 	jobList []*liveJob
@@ -441,7 +444,7 @@
 // New returns the state of a dispatcher whose tenure has just begun.
 func New(opt Options) *State {
 	return &State{
-		opt: opt, starts: newStartWindow(opt.LinkBytesPerSecond), jobsSyncedAt: opt.Since, zonesOut: map[string]bool{}, outages: map[string]time.Time{}, jobs: map[job.ID]*liveJob{}, hosts: map[string]*host{},
+		opt: opt, starts: newStartWindow(opt.LinkBytesPerSecond), jobsSyncedAt: opt.Since, zonesOut: map[string]bool{}, outages: blame.NewOutages(), crashes: blame.NewCrashes(), jobs: map[job.ID]*liveJob{}, hosts: map[string]*host{},
 		pools: map[string][]*host{}, usage: map[string]job.Size{}, allowances: map[string]allowance.Bucket{}, waves: map[int64]*wave{}, upkeeps: upkeep.NewOrders(), lateStarts: latestart.NewStarts(vmclock.LongestLease(opt.LongestLease)), leases: vmclock.NewLeases(opt.Lease, opt.LongestLease, latestart.MaxDelay+pollWait),
 		machines: machines{byName: map[string]worker.Machine{}, byVM: map[string]string{}},
 		ended:    newRecentMap[job.ID, bool](), lostVMs: newRecentMap[string, lostVM](), runtimeRatios: map[string]*runtimeRatio{},
