blame: starts that were not confirmed weigh a little beside other losses

Of its six crashes three were counted. Two fell into a takeover; at the fourth the VM crashed before its answer to the start arrived, and as other VMs of the zone were listed as gone, the crash counted for nothing.

The VM was seen less than 100 ms before, so chance explains its loss badly. The crash now weighs 5 decibans at most, which can't give a job up for such starts alone, but makes a suspect sooner (TestUnconfirmedCrashesCount, which failed to compile before; the rule was all or nothing).

--- a/internal/core/blame/blame.go
+++ b/internal/core/blame/blame.go
@@ -22,6 +22,9 @@
 	// strongGain is the weight from which a crash alone points to the task. A task is
 	// only given up by such a crash.
 	strongGain Evidence = 10
+	// weakGain limits what a crash weighs if the run may not have started and other VMs
+	// are gone as well.
+	weakGain Evidence = 5
 	// suspectLimit is the evidence from which a task runs apart from others, so that
 	// the next crash shows whether it is the cause.
 	suspectLimit Evidence = 16
@@ -55,8 +58,9 @@
 	// Lost that at which it was first known not to answer.
 	Lived, Lost time.Duration
 	// Unconfirmed reports whether the VM didn't confirm the start. Lost is then the time
-	// since the VM was last seen, as it may have been lost before.
-	Unconfirmed bool
+	// since the VM was last seen, as it may have been lost before. Alone reports whether
+	// it is the only one of its availability zone that is gone.
+	Unconfirmed, Alone bool
 	// Record is that of the run's task before the crash.
 	Record Record
 }
@@ -149,8 +153,11 @@
 		}
 		own := other + (1-other)*run.hazard()
 		weight := min(maxGain, decibans(survival(run.Lived))+decibans(own/other))
-		if run.Unconfirmed {
+		switch {
+		case run.Unconfirmed && run.Alone:
 			weight = min(strongGain, weight)
+		case run.Unconfirmed:
+			weight = min(weakGain, weight)
 		}
 		records[i] = run.Record.withCrash(weight)
 	}
--- a/internal/core/blame/blame_test.go
+++ b/internal/core/blame/blame_test.go
@@ -166,3 +166,24 @@
 	assert.Assert(t, !out.Covers([]string{"az0"}, now.Add(outageTime)))
 	assert.Assert(t, !out.Covers([]string{"az1"}, now))
 }
+
+// TestUnconfirmedCrashesCount guards against a deadly task that is started three times
+// more after three crashes (BUDGET), as its VM doesn't live to confirm a start while
+// others are gone as well; and against giving up a task for such starts alone.
+func TestUnconfirmedCrashesCount(t *testing.T) {
+	unconfirmed := Run{Lost: 100 * time.Millisecond, Unconfirmed: true}
+	rec := crash(crash(Record{}, atStart, floorRate), unconfirmed, floorRate)
+	assert.Assert(t, rec.IsSuspect())
+	assert.Assert(t, crash(rec, atStart, floorRate).IsGuilty(false))
+	rec = Record{}
+	for range 20 {
+		rec = crash(rec, unconfirmed, floorRate)
+		assert.Assert(t, !rec.IsGuilty(false), "%+v", rec)
+	}
+	unconfirmed.Alone = true
+	rec = Record{}
+	for range 4 {
+		rec = crash(rec, unconfirmed, floorRate)
+	}
+	assert.Assert(t, rec.IsGuilty(false), "%+v", rec)
+}
--- a/internal/core/scheduler/crashes.go
+++ b/internal/core/scheduler/crashes.go
@@ -13,10 +13,10 @@
 
 // mayCauseCrash reports whether a run may be why its VM crashed. One that a former
 // dispatcher started has outlived its start. A start that the VM has not confirmed may
-// have been ordered after the crash. It is a possible cause only if the VM is gone
-// alone.
-func (pla *placement) mayCauseCrash(alone bool) bool {
-	return pla.stage != nil && pla.stage.liveJob.final == "" && !pla.ending() && !pla.adopted && (pla.state == runRunning || alone)
+// have been ordered after the crash. It is a possible cause only if the VM is listed as
+// gone.
+func (pla *placement) mayCauseCrash(gone bool) bool {
+	return pla.stage != nil && pla.stage.liveJob.final == "" && !pla.ending() && !pla.adopted && (pla.state == runRunning || gone)
 }
 
 // countCrash weighs a crash against the tasks that may be its cause, and gives up
@@ -30,9 +30,9 @@
 	var all, weighed []blame.Run
 	var blamed []*placement
 	for _, pla := range hos.runList {
-		run := sta.runOnLost(hos, pla)
+		run := sta.runOnLost(hos, pla, alone)
 		all = append(all, run)
-		if pla.mayCauseCrash(alone) && (hos.suspects == 0 || pla.suspect) {
+		if pla.mayCauseCrash(hos.listedGone) && (hos.suspects == 0 || pla.suspect) {
 			weighed, blamed = append(weighed, run), append(blamed, pla)
 		}
 	}
@@ -56,7 +56,7 @@
 }
 
 // runOnLost returns what is known of a run on a lost VM.
-func (sta *State) runOnLost(hos *host, pla *placement) blame.Run {
+func (sta *State) runOnLost(hos *host, pla *placement, alone bool) blame.Run {
 	seen, silent := hos.clock.ReceivedAt(), sta.now
 	for _, oth := range hos.runList {
 		if oth.state == runRunning && oth.since.After(seen) {
@@ -66,7 +66,7 @@
 	if hos.failedPolls > 0 {
 		silent = hos.silentSince
 	}
-	run := blame.Run{Lived: seen.Sub(pla.since), Lost: silent.Sub(pla.since)}
+	run := blame.Run{Lived: seen.Sub(pla.since), Lost: silent.Sub(pla.since), Alone: alone}
 	if pla.state != runRunning {
 		// The VM may have been lost before the start was sent.
 		run.Lived, run.Lost, run.Unconfirmed = 0, silent.Sub(seen), true
