--- a/internal/core/scheduler/suspect_test.go
+++ b/internal/core/scheduler/suspect_test.go
@@ -82,3 +82,25 @@
 	assert.Equal(t, emu.stateOf(t, spe.ID), job.StateCompleted)
 	assert.DeepEqual(t, emu.violations, []string(nil))
 }
+
+// TestTasksStartBesideSuspects guards against accepted jobs that are lost as their tasks
+// wait beside VMs with room (LOST): long tasks of a job that VMs have crashed under, each
+// alone on a VM, kept all others away for as long as they ran.
+func TestTasksStartBesideSuspects(t *testing.T) {
+	fix := newOutageFixture(8)
+	suspects := job.Spec{ID: jobName(1), Queue: "gate", Account: "large", Payload: "x", Accepted: fix.now, Steps: []job.Step{
+		{Count: 7, Size: job.Size{CPU: 2000, Memory: 2400}, Estimate: 20 * time.Second},
+	}}
+	var progress job.Progress
+	for i := range suspects.Steps[0].Count {
+		progress.Tasks = append(progress.Tasks, job.TaskRecord{Index: i, Crashes: suspectCrashes, Run: 2})
+	}
+	fix.reduce(JobAccepted{Spec: suspects, Revision: 11, Progress: progress})
+	fix.run(time.Second)
+	others := job.Spec{ID: jobName(2), Queue: "gate", Account: "large", Payload: "x", Accepted: fix.now, Steps: []job.Step{
+		{Count: 8, Size: job.Size{CPU: 8000, Memory: 2400}, Estimate: 20 * time.Second},
+	}}
+	fix.reduce(JobAccepted{Spec: others, Revision: 12})
+	fix.run(3 * time.Second)
+	assert.Equal(t, fix.sta.jobs[others.ID].occs[0].stages[0].waiting, 0)
+}
