blame: a task is given up at 33 decibans instead of 30

One deciban in three more halves what one coincidence of three can do; a task that crashes its VM as it starts has 35 or more after three crashes.

--- a/internal/core/blame/blame.go
+++ b/internal/core/blame/blame.go
@@ -30,7 +30,7 @@
 	suspectLimit Evidence = 16
 	// limit is the evidence from which a task is given up. A step that serves needs one
 	// strong crash more, as others depend on its tasks.
-	limit Evidence = 30
+	limit Evidence = 33
 )
 
 // minCrashes is the least number of crashes after which a task is given up.
