manager: a test of the log waits for the line of a call that has been answered

TestJobThatCannotBeRecorded failed once ("len(clu.out.lines(reason)) is <= 0"): a call is logged after its answer.

--- a/internal/manager/size_test.go
+++ b/internal/manager/size_test.go
@@ -19,7 +19,8 @@
 	assert.Equal(t, status, http.StatusBadRequest, text)
 	const reason = "could not be recorded"
 	assert.Assert(t, strings.Contains(text, reason), text)
-	assert.Assert(t, len(clu.out.lines(reason)) > 0)
+	// A call is logged after its answer.
+	clu.await("the reason in the log", func() bool { return len(clu.out.lines(reason)) > 0 })
 	status, text = clu.call(http.MethodPost, clu.jobURL(0, "/gate/", 2), "k1", strings.Replace(body, strings.Repeat("\xff", 399_000), "", 1))
 	assert.Equal(t, status, http.StatusOK, text)
 }
