progress: the test of the largest record counts each field

A field that is added to the record of a task, as the evidence of crashes was, is now part of the size that a submitted job is checked against: the test compares a record with all numbers at their largest with maxTaskBytes.

--- a/internal/core/progress/progress_test.go
+++ b/internal/core/progress/progress_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
 	"github.com/balsamgauge/balsamgauge/internal/kv"
+	"github.com/vmihailenco/msgpack/v5"
 	"gotest.tools/v3/assert"
 )
 
@@ -310,6 +311,25 @@
 	}
 }
 
+// largestRecord returns a record all of whose numbers have the longest encoding.
+func largestRecord(t *testing.T) (rec job.TaskRecord) {
+	val := reflect.ValueOf(&rec).Elem()
+	for i := range val.NumField() {
+		switch fld := val.Field(i); fld.Kind() {
+		case reflect.Int, reflect.Int64:
+			fld.SetInt(1 << 53)
+		case reflect.Bool:
+			fld.SetBool(true)
+		case reflect.String, reflect.Slice:
+			// Checkpoints don't count, and failed runs are added by the caller.
+		default:
+			t.Fatalf("field %s: no largest value", val.Type().Field(i).Name)
+		}
+	}
+	rec.Occurrence, rec.Step, rec.Index = job.MaxOccurrences-1, job.MaxSteps-1, job.MaxTasks-1
+	return rec
+}
+
 // TestCheck checks which jobs could not be recorded.
 func TestCheck(t *testing.T) {
 	for _, tst := range []struct {
@@ -325,10 +345,13 @@
 		if tst.attempts > 1000 || err != nil {
 			continue
 		}
-		rec := job.TaskRecord{Run: 1 << 53, Crashes: 1 << 53}
+		rec := largestRecord(t)
 		for run := range max(0, tst.attempts-1) {
 			rec.FailedRuns = append(rec.FailedRuns, 1<<53-run)
 		}
+		size, err := msgpack.Marshal(&rec)
+		assert.NilError(t, err)
+		assert.Assert(t, len(size) <= maxTaskBytes+maxRunBytes*max(0, tst.attempts-1), "a record of %d bytes with %d attempts", len(size), tst.attempts)
 		_, err = New(spe, 0).Write(recordsOf(spe, func(int) job.TaskRecord { return rec }), tst.limit)
 		assert.NilError(t, err, "%+v", tst)
 	}
