hedge: the metrics of a kind of call are looked up once

Each call looked up two metrics by a name that it put together, under the registry's lock. The quantile is computed every 64 answers.

--- a/internal/core/retry/latency.go
+++ b/internal/core/retry/latency.go
@@ -17,7 +17,7 @@
 	answersPerWindow = 256
 	// answersPerQuantile is the number of answers after which the quantile is computed
 	// anew.
-	answersPerQuantile = 32
+	answersPerQuantile = 64
 )
 
 // Parameters of the deadline of a try.
@@ -31,7 +31,7 @@
 	// minAnswers answers are known.
 	MinTryDeadline = 30 * time.Millisecond
 	MaxTryDeadline = 450 * time.Millisecond
-	minAnswers     = 32
+	minAnswers     = answersPerQuantile
 )
 
 // Latencies holds how long calls took to be answered, by kind and by callee. Its
--- a/internal/hedge/call.go
+++ b/internal/hedge/call.go
@@ -69,6 +69,7 @@
 type exchange[T any] struct {
 	call    Call[T]
 	car     *Caller
+	metrics *kindMetrics
 	answers chan answer[T]
 	// sent holds when each try was sent.
 	sent []time.Time
@@ -85,7 +86,8 @@
 func Do[T any](ctx context.Context, car *Caller, call Call[T]) (out Outcome[T]) {
 	ctx, giveUp := context.WithCancelCause(ctx)
 	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
-	exc := &exchange[T]{call: call, car: car, answers: make(chan answer[T], maxTries), deadline: car.begin(call.Kind, call.Callee)}
+	exc := &exchange[T]{call: call, car: car, answers: make(chan answer[T], maxTries)}
+	exc.metrics, exc.deadline = car.begin(call.Kind, call.Callee)
 	exc.send(ctx)
 	due := time.NewTimer(call.Wait + exc.deadline)
 	defer due.Stop()
@@ -176,7 +178,7 @@
 		return
 	}
 	if err := exc.car.answered(exc.call.Kind, exc.call.Callee, took); err != nil {
-		exc.car.count(exc.call.Kind, "odd_latencies")
+		exc.metrics.oddLatencies.Inc(1)
 	}
 }
 
@@ -212,7 +214,7 @@
 		rep.Ages = append(rep.Ages, exc.car.now().Sub(sent))
 	}
 	if won > 0 && disagreeing < 0 {
-		exc.car.count(exc.call.Kind, "repeats_won")
+		exc.metrics.repeatsWon.Inc(1)
 	}
 	exc.car.log(rep)
 }
--- a/internal/hedge/caller.go
+++ b/internal/hedge/caller.go
@@ -15,33 +15,58 @@
 	metrics metrics.Registry
 	log     func(Report)
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// kinds holds the metrics of each kind of call.
+	kinds     map[string]*kindMetrics
 	latencies *retry.Latencies
 	// budget limits the repeats of all calls, and budgets those to each callee.
 	budget  retry.Budget
 	budgets map[string]retry.Budget
 }
 
+// kindMetrics are the metrics of a kind of call.
+type kindMetrics struct {
+	tries, repeats, repeatsWon, budgetRefusals, oddLatencies metrics.Counter
+	deadlineMS                                               metrics.Gauge
+}
+
+// kind returns the metrics of a kind of call. The lock must be held.
+func (car *Caller) kind(kind string) *kindMetrics {
+	kim := car.kinds[kind]
+	if kim == nil {
+		counter := func(name string) metrics.Counter {
+			return metrics.GetOrRegisterCounter("calls."+kind+"."+name, car.metrics)
+		}
+		kim = &kindMetrics{
+			tries: counter("tries"), repeats: counter("repeats"), repeatsWon: counter("repeats_won"),
+			budgetRefusals: counter("budget_refusals"), oddLatencies: counter("odd_latencies"),
+			deadlineMS: metrics.GetOrRegisterGauge("calls."+kind+".deadline_ms", car.metrics),
+		}
+		car.kinds[kind] = kim
+	}
+	return kim
+}
+
 // NewCaller returns a caller that counts in a registry. It calls log with each call that
 // was repeated, and with each late answer that disagrees.
 func NewCaller(now func() time.Time, registry metrics.Registry, log func(Report)) *Caller {
 	return &Caller{
-		now: now, metrics: registry, log: log,
+		now: now, metrics: registry, log: log, kinds: map[string]*kindMetrics{},
 		latencies: retry.NewLatencies(), budget: retry.NewBudget(), budgets: map[string]retry.Budget{},
 	}
 }
 
-// begin records the first try of a call, and returns the time after which it may be
-// repeated.
-func (car *Caller) begin(kind, callee string) time.Duration {
+// begin records the first try of a call. It returns the metrics of its kind and the time
+// after which it may be repeated.
+func (car *Caller) begin(kind, callee string) (kim *kindMetrics, deadline time.Duration) {
 	car.mu.Lock()
 	defer car.mu.Unlock()
 	car.budget = car.budget.WithStart()
 	car.budgets[callee] = car.calleeBudget(callee).WithStart()
-	span := car.latencies.TryDeadline(kind, callee)
-	car.count(kind, "tries")
-	metrics.GetOrRegisterGauge("calls."+kind+".deadline_ms", car.metrics).Update(span.Milliseconds())
-	return span
+	kim, deadline = car.kind(kind), car.latencies.TryDeadline(kind, callee)
+	kim.tries.Inc(1)
+	kim.deadlineMS.Update(deadline.Milliseconds())
+	return kim, deadline
 }
 
 func (car *Caller) calleeBudget(callee string) retry.Budget {
@@ -59,11 +84,11 @@
 	budget, ok := car.budget.WithRetry()
 	calleeBudget, calleeOK := car.calleeBudget(callee).WithRetry()
 	if !ok || !calleeOK {
-		car.count(kind, "budget_refusals")
+		car.kind(kind).budgetRefusals.Inc(1)
 		return false
 	}
 	car.budget, car.budgets[callee] = budget, calleeBudget
-	car.count(kind, "repeats")
+	car.kind(kind).repeats.Inc(1)
 	return true
 }
 
@@ -89,7 +114,3 @@
 	car.latencies.Forget(callee)
 	delete(car.budgets, callee)
 }
-
-func (car *Caller) count(kind, what string) {
-	metrics.GetOrRegisterCounter("calls."+kind+"."+what, car.metrics).Inc(1)
-}
