--- a/internal/core/scheduler/reduce.go
+++ b/internal/core/scheduler/reduce.go
@@ -24,8 +24,7 @@
 		return sta.effects
 	}
 	sta.expireLeases()
-	sta.lateStarts.Expire(now)
-	sta.leases.Expire(now)
+	sta.expireCalls()
 	sta.openDueOccurrences()
 	if sta.jobsLoaded {
 		sta.planWaves()
@@ -92,6 +91,20 @@
 	}
 }
 
+// expireInterval is the time between two passes over the calls that may be carried out
+// late.
+const expireInterval = time.Second
+
+// expireCalls drops the calls that are no longer carried out.
+func (sta *State) expireCalls() {
+	if sta.now.Sub(sta.expiredAt) < expireInterval {
+		return
+	}
+	sta.expiredAt = sta.now
+	sta.lateStarts.Expire(sta.now)
+	sta.leases.Expire(sta.now)
+}
+
 // handleAnswer applies answers of VMs. Answers of earlier incarnations are
 // ignored.
 func (sta *State) handleAnswer(evt Event) {
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -383,6 +383,8 @@
 	lateStarts *latestart.Starts
 	// leases holds what extends the leases of VMs.
 	leases *vmclock.Leases
+	// expiredAt is when lateStarts and leases were last cleared of what is too old.
+	expiredAt time.Time
 	// unlisted is the result of unlistedHosts while unlistedKnown is set.
 	unlisted      []*host
 	unlistedKnown bool
