scheduler: a run that a full report leaves out isn't taken for over

What callers see: a task that is done starts again (TWICE, "a start after a run has ended done, if that end is taken note of then or later").

Cause: a VM lists its ends 500 at a time, the lowest numbers first. While those are not acknowledged (the store is slow, or rejects one record, which holds back all later acknowledgements of its VM), a run that has ended is neither among the runs nor among the ends of a report. applyMissing took it for lost and released it. The same goes for the next dispatcher: after the first report of a VM it started the tasks whose ends that report left out. Class: what a report leaves out is taken for knowledge that a run isn't there.

Before: TestEndBeyondFullReportRunsNoTaskTwice: 2 (int) != 1 (int): the task starts again before the end of its run is listed TestFullReportAfterTakeoverRunsNoTaskTwice: 1 (int) != 0 (int): the task starts, and its end may not be listed yet

Change: missing runs are judged only by reports that list all ends, and tasks of restored jobs wait while the first reports of a VM leave ends out. If the VM's lease ends, they don't wait for it any longer.

Result: both tests pass.

--- a/internal/core/scheduler/former.go
+++ b/internal/core/scheduler/former.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
 	"github.com/balsamgauge/balsamgauge/internal/core/worker"
@@ -31,7 +32,7 @@
 // and that count against no account.
 func (sta *State) boundFormerRuns() (frm formerRuns) {
 	if !sta.formerLeasesMayHold() {
-		return formerRuns{}
+		return formerRuns{mayExist: slices.ContainsFunc(sta.hostList, func(hos *host) bool { return hos.endsLeftOut })}
 	}
 	if sta.machines.asOf.Before(sta.opt.Since) {
 		return formerRuns{mayExist: true, size: unknownSize}
@@ -44,7 +45,7 @@
 		switch {
 		case hos == nil:
 			frm.add(mac.Capacity)
-		case !hos.termAccepted:
+		case !hos.termAccepted || hos.endsLeftOut:
 			frm.add(mac.Capacity.Max(hos.vm.Capacity))
 		}
 	}
--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -283,6 +283,7 @@
 	if !hos.termAccepted && sta.opt.Term > 1 {
 		hos.leaseExpiry = vmclock.Latest(hos.leaseExpiry, sta.leases.Accepted(sta.opt.Since, sta.now, evt.Report.Clock))
 	}
+	hos.endsLeftOut = !evt.Report.ListsAllEnds() && (hos.endsLeftOut || !hos.termAccepted && sta.opt.Term > 1)
 	hos.termAccepted, hos.listedGone = true, false
 	hos.clock = vmclock.NewReading(evt.Report.Clock, sta.now)
 	if len(evt.Report.Ends) > 0 {
@@ -300,7 +301,8 @@
 		sta.applyRunning(hos, row)
 	}
 	for _, pla := range slices.Clone(hos.runList) {
-		if !listed[pla.task] {
+		// A run that is missing may have ended if ends are left out.
+		if !listed[pla.task] && evt.Report.ListsAllEnds() {
 			sta.applyMissing(hos, pla, evt.Sent)
 		}
 	}
@@ -413,6 +415,7 @@
 // A run whose start got no answer may begin later, on an incarnation of the VM that knows
 // nothing of the lease. A VM that is still registered has not restarted unseen.
 func (sta *State) releaseExpired(hos *host) {
+	hos.endsLeftOut = false
 	registered := !hos.unregistered && !sta.now.Before(hos.leaseExpiry.Add(sta.opt.RegistrationExpiry))
 	expired := slices.DeleteFunc(slices.Clone(hos.runList), func(pla *placement) bool {
 		return !registered && sta.now.Before(sta.lateStarts.End(hos.vm.ID, latestart.Run{Task: pla.task, Number: pla.run}))
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -260,6 +260,9 @@
 	// termAccepted reports whether the VM has answered a poll of this term, and so
 	// refuses the orders of former dispatchers.
 	termAccepted bool
+	// endsLeftOut reports whether the VM may hold ends of runs of a former dispatcher that
+	// no report has listed yet.
+	endsLeftOut bool
 	// clock is the VM's clock as of its last report.
 	clock vmclock.Reading
 	runs  map[job.Task]*placement
--- a/internal/core/worker/worker.go
+++ b/internal/core/worker/worker.go
@@ -116,6 +116,13 @@
 	Ends []End
 }
 
+// MaxEnds is the number of ends that a report lists at most. Those with higher numbers
+// follow when these have been acknowledged.
+const MaxEnds = 500
+
+// ListsAllEnds reports whether no run has ended whose end the report leaves out.
+func (rep Report) ListsAllEnds() bool { return len(rep.Ends) < MaxEnds }
+
 // Result is the result of an order or a poll that was sent to a VM.
 type Result int
 
