--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -43,6 +43,9 @@
 	// silentAfterPolls is the number of failed polls after which the list of
 	// machines is requested, to learn whether the VM still exists.
 	silentAfterPolls = 2
+	// maxVMWatchGap is the longest time between two answers to the watch of
+	// registrations during which the store counts as up.
+	maxVMWatchGap = time.Second
 )
 
 // reasonMachineGone is the reason for the removal of a VM that the list of
@@ -283,6 +286,7 @@
 	if !hos.termAccepted && sta.opt.Term > 1 {
 		hos.leaseExpiry = vmclock.Latest(hos.leaseExpiry, sta.leases.Accepted(sta.opt.Since, sta.now, evt.Report.Clock))
 	}
+	hos.endsLeftOut = !evt.Report.ListsAllEnds() && (hos.endsLeftOut || !hos.termAccepted && sta.opt.Term > 1)
 	hos.termAccepted, hos.listedGone = true, false
 	hos.clock = vmclock.NewReading(evt.Report.Clock, sta.now)
 	if len(evt.Report.Ends) > 0 {
@@ -300,7 +304,8 @@
 		sta.applyRunning(hos, row)
 	}
 	for _, pla := range slices.Clone(hos.runList) {
-		if !listed[pla.task] {
+		// A run that is missing may have ended if ends are left out.
+		if !listed[pla.task] && evt.Report.ListsAllEnds() {
 			sta.applyMissing(hos, pla, evt.Sent)
 		}
 	}
@@ -338,6 +343,7 @@
 	if pla.state == runStopping && pla.rejectsStart() && sta.isWanted(hos, pla) {
 		sta.withdrawStop(hos, pla, runRunning)
 	}
+	sta.lateStarts.List(hos.vm.ID, latestart.Run{Task: pla.task, Number: pla.run})
 	pla.percent, pla.load, pla.checkpoint = row.Percent, row.Load, row.Checkpoint
 	if stg != nil && row.Checkpoint != "" {
 		stg.tasks[row.Task.Index].checkpoint = row.Checkpoint
@@ -413,7 +419,9 @@
 // A run whose start got no answer may begin later, on an incarnation of the VM that knows
 // nothing of the lease. A VM that is still registered has not restarted unseen.
 func (sta *State) releaseExpired(hos *host) {
-	registered := !hos.unregistered && !sta.now.Before(hos.leaseExpiry.Add(sta.opt.RegistrationExpiry))
+	hos.endsLeftOut = false
+	// Registrations may outlast their expiry while the store is down.
+	registered := !hos.unregistered && !sta.vmsSyncedAt.Before(vmclock.Latest(hos.leaseExpiry, sta.vmsSyncedSince).Add(sta.opt.RegistrationExpiry))
 	expired := slices.DeleteFunc(slices.Clone(hos.runList), func(pla *placement) bool {
 		return !registered && sta.now.Before(sta.lateStarts.End(hos.vm.ID, latestart.Run{Task: pla.task, Number: pla.run}))
 	})
--- a/internal/core/scheduler/reduce.go
+++ b/internal/core/scheduler/reduce.go
@@ -84,6 +84,11 @@
 		sta.advisorSlots = evt.Count
 	case EndedJobsListed:
 		sta.endedJobsListed(evt)
+	case VMWatchProgressed:
+		if evt.At.Sub(sta.vmsSyncedAt) > maxVMWatchGap {
+			sta.vmsSyncedSince = evt.At
+		}
+		sta.vmsSyncedAt = evt.At
 	case JobWatchProgressed:
 		sta.jobsSyncedAt = evt.At
 	default:
@@ -114,9 +119,12 @@
 			sta.pollAnswered(hos, evt)
 		}
 	case StartAnswered:
-		if run := (latestart.Run{Task: evt.Task, Number: evt.Run}); evt.Result == worker.ResultUnknown || evt.Unanswered {
+		switch run := (latestart.Run{Task: evt.Task, Number: evt.Run}); {
+		case evt.Result == worker.ResultUnknown || evt.Unanswered:
 			sta.lateStarts.Lose(evt.VM.ID, run)
-		} else {
+		case evt.Result == worker.ResultOK:
+			sta.lateStarts.Accept(evt.VM.ID, run)
+		default:
 			sta.lateStarts.Settle(evt.VM.ID, run)
 		}
 		if hos := sta.hosts[evt.VM.ID]; hos != nil && hos.vm.SameIncarnation(evt.VM) {
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -260,6 +260,12 @@
 	// termAccepted reports whether the VM has answered a poll of this term, and so
 	// refuses the orders of former dispatchers.
 	termAccepted bool
+	// endsLeftOut reports whether the VM may hold ends of runs of a former dispatcher that
+	// no report has listed yet.
+	endsLeftOut bool
+	// acceptedAt is when the VM last answered that it carries out a start. A list of
+	// machines requested before doesn't show that the run is over.
+	acceptedAt time.Time
 	// clock is the VM's clock as of its last report.
 	clock vmclock.Reading
 	runs  map[job.Task]*placement
@@ -371,6 +377,9 @@
 	// jobsSyncedAt is the time up to which all changes of jobs have been
 	// received.
 	jobsSyncedAt time.Time
+	// vmsSyncedAt is the time up to which all changes of registrations have been
+	// received, and vmsSyncedSince when the last gap in their receipt ended.
+	vmsSyncedAt, vmsSyncedSince time.Time
 	// ended holds the jobs that were recently stored as ended, so that a delayed
 	// event does not bring them back.
 	ended *recent.Map[job.ID, bool]
