--- a/internal/core/latestart/latestart.go
+++ b/internal/core/latestart/latestart.go
@@ -90,7 +90,8 @@
 	}
 }
 
-// Settle records that a VM has refused a start, and won't carry it out later. An earlier one of the same run without an answer may still arrive.
+// Settle records that a VM has refused a start, and won't carry it out later. An earlier
+// one of the same run without an answer may still arrive.
 func (sts *Starts) Settle(vm string, run Run) {
 	if !sts.sent[vm][run].unanswered {
 		sts.remove(vm, run)
