--- a/internal/core/scheduler/outage_test.go
+++ b/internal/core/scheduler/outage_test.go
@@ -262,19 +262,24 @@
 	assert.Equal(t, liv.occs[0].stages[0].tasks[0].blamed.Crashes, 0)
 }
 
-// TestServingTaskStartsBesideSuspects guards against a serving task that waits
-// for as long as suspects run, as each of them has a VM of its own.
-func TestServingTaskStartsBesideSuspects(t *testing.T) {
-	fix := newOutageFixture(6)
-	suspects := job.Spec{ID: jobName(1), Queue: "gate", Account: "large", Payload: "x", Accepted: fix.now, Steps: []job.Step{
-		{Count: 8, Size: job.Size{CPU: 2000, Memory: 2400}, Estimate: 20 * time.Second},
+// submitSuspects restores a job of long tasks, each of which is a suspect.
+func (fix *outageFixture) submitSuspects(count int) {
+	spe := job.Spec{ID: jobName(1), Queue: "gate", Account: "large", Payload: "x", Accepted: fix.now, Steps: []job.Step{
+		{Count: count, Size: job.Size{CPU: 2000, Memory: 2400}, Estimate: 20 * time.Second},
 	}}
 	var progress job.Progress
-	for i := range suspects.Steps[0].Count {
+	for i := range count {
 		progress.Tasks = append(progress.Tasks, job.TaskRecord{Index: i, Crashes: suspectCrashes, Run: 2})
 	}
-	fix.reduce(JobAccepted{Spec: suspects, Revision: 11, Progress: progress})
+	fix.reduce(JobAccepted{Spec: spe, Revision: 11, Progress: progress})
 	fix.run(time.Second)
+}
+
+// TestServingTaskStartsBesideSuspects guards against a serving task that waits
+// for as long as suspects run, as each of them has a VM of its own.
+func TestServingTaskStartsBesideSuspects(t *testing.T) {
+	fix := newOutageFixture(6)
+	fix.submitSuspects(8)
 	serving := job.Spec{ID: jobName(2), Queue: "settle", Account: "large", Payload: "x", Accepted: fix.now, Steps: []job.Step{
 		{Count: 1, Size: job.Size{CPU: 500, Memory: 512}, LongRunning: true},
 	}}
--- a/internal/core/scheduler/suspect_test.go
+++ b/internal/core/scheduler/suspect_test.go
@@ -88,15 +88,7 @@
 // alone on a VM, kept all others away for as long as they ran.
 func TestTasksStartBesideSuspects(t *testing.T) {
 	fix := newOutageFixture(8)
-	suspects := job.Spec{ID: jobName(1), Queue: "gate", Account: "large", Payload: "x", Accepted: fix.now, Steps: []job.Step{
-		{Count: 7, Size: job.Size{CPU: 2000, Memory: 2400}, Estimate: 20 * time.Second},
-	}}
-	var progress job.Progress
-	for i := range suspects.Steps[0].Count {
-		progress.Tasks = append(progress.Tasks, job.TaskRecord{Index: i, Crashes: suspectCrashes, Run: 2})
-	}
-	fix.reduce(JobAccepted{Spec: suspects, Revision: 11, Progress: progress})
-	fix.run(time.Second)
+	fix.submitSuspects(7)
 	others := job.Spec{ID: jobName(2), Queue: "gate", Account: "large", Payload: "x", Accepted: fix.now, Steps: []job.Step{
 		{Count: 8, Size: job.Size{CPU: 8000, Memory: 2400}, Estimate: 20 * time.Second},
 	}}
--- a/internal/manager/size_test.go
+++ b/internal/manager/size_test.go
@@ -14,7 +14,7 @@
 // three. The reason is in the answer and in the log, and other jobs are accepted.
 func TestJobThatCannotBeRecorded(t *testing.T) {
 	clu := newCluster(t, 1, 1, 10*time.Millisecond)
-	body := `{"spec":"` + strings.Repeat("\xff", 400_000) + `","steps":[{"count":1,"cpu":500,"mem-mb":64}]}`
+	body := `{"spec":"` + strings.Repeat("\xff", 400_000) + `","steps":[{"count":1,"cpu":500}]}`
 	status, text := clu.call(http.MethodPost, clu.jobURL(0, "/gate/", 1), "k1", body)
 	assert.Equal(t, status, http.StatusBadRequest, text)
 	const reason = "could not be recorded"
