hedge: one timer and one context a call

Each call had a timer and a context more than it needs, a goroutine to end them, and read the time by a system call three times. Latencies are now measured by the clock of the runtime; while a VM is suspended they don't matter.

The tests of hedge, manager and platform pass.

--- a/internal/hedge/call.go
+++ b/internal/hedge/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -85,11 +86,10 @@
 // Do makes a call.
 func Do[T any](ctx context.Context, car *Caller, call Call[T]) (out Outcome[T]) {
 	ctx, giveUp := context.WithCancelCause(ctx)
-	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
 	exc := &exchange[T]{call: call, car: car, answers: make(chan answer[T], maxTries)}
 	exc.metrics, exc.deadline = car.begin(call.Kind, call.Callee)
 	exc.send(ctx)
-	due := time.NewTimer(call.Wait + exc.deadline)
+	due := time.NewTimer(min(call.Wait+exc.deadline, call.Timeout))
 	defer due.Stop()
 	for exc.open > 0 {
 		select {
@@ -99,22 +99,31 @@
 					exc.car.lost(call.Callee, len(exc.sent)-1)
 				}
 				exc.report(ans.try, -1)
-				go func() {
-					defer cancel()
-					exc.drain(ans, giveUp)
-				}()
-				return Outcome[T]{Answer: ans.ans, Err: ans.err, Unanswered: exc.open > 0 || exc.failed > 0}
+				unanswered := exc.open > 0 || exc.failed > 0
+				if exc.open > 0 {
+					go exc.drain(ans, giveUp)
+				} else {
+					giveUp(nil)
+				}
+				return Outcome[T]{Answer: ans.ans, Err: ans.err, Unanswered: unanswered}
 			}
 			if exc.open == 0 && !isNotSent(ans.err) {
 				exc.repeat(ctx)
 			}
 		case <-due.C:
+			left := call.Timeout - car.now().Sub(exc.sent[0])
+			if left <= 0 {
+				giveUp(context.DeadlineExceeded)
+				continue
+			}
 			// A call without a budget tries again: repeats that are answered refill it.
 			exc.repeat(ctx)
-			due.Reset(exc.deadline << (len(exc.sent) - 1))
+			due.Reset(min(exc.deadline<<(len(exc.sent)-1), left))
 		}
 	}
-	cancel()
+	if errors.Is(exc.lastErr, context.Canceled) && context.Cause(ctx) == context.DeadlineExceeded {
+		exc.lastErr = fmt.Errorf("%w: %w", context.DeadlineExceeded, exc.lastErr)
+	}
 	giveUp(nil)
 	exc.report(-1, -1)
 	return Outcome[T]{Answer: exc.last, Err: exc.lastErr, Unanswered: exc.failed > 0}
--- a/internal/manager/node.go
+++ b/internal/manager/node.go
@@ -87,7 +87,7 @@
 		machines: platform.NewMachines(set.Machines, scheduler.MaxOrderTransit), relay: advisory.NewRelay(platform.NewAdvisor(set.Advisor), log),
 		operator: newOperatorView(log, clo.Now), load: &loadView{log: log, now: clo.Now}, metrics: metrics.NewRegistry(),
 	}
-	nod.calls = hedge.NewCaller(clo.Now, nod.metrics, nod.logRepeats)
+	nod.calls = hedge.NewCaller(time.Now, nod.metrics, nod.logRepeats)
 	nod.set.Store(&set)
 	nod.election = election.New(election.Options{Store: nod.store, Name: set.Name, CPUShare: set.CPUShare, Log: log, Now: clo.Now, Dispatch: nod.dispatch})
 	return nod, nil
