--- a/review/lab/executor.go
+++ b/review/lab/executor.go
@@ -33,6 +33,11 @@
 	// nextBeat is when the executor writes its entry next.
 	nextBeat time.Time
 
+	// upkeepUntil is when the upkeep of the machine is over; zero while it has none. begun
+	// holds the waves in which it has begun.
+	upkeepUntil time.Time
+	begun       map[int64]bool
+
 	token    int64
 	deadline time.Duration
 	runs     map[string]*activeRun
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -149,7 +149,7 @@
 // addExecutor starts an executor on a machine of its own.
 func (lab *lab) addExecutor(pool string, labels []string) (exe *executor, err error) {
 	num := len(lab.executors)
-	exe = &executor{lab: lab, machine: fmt.Sprintf("m-%d", num), zone: zones[num%len(zones)], pool: pool, labels: labels}
+	exe = &executor{lab: lab, machine: fmt.Sprintf("m-%d", num), zone: zones[num%len(zones)], pool: pool, labels: labels, begun: map[int64]bool{}}
 	if exe.address, err = listen(exe); err != nil {
 		return nil, err
 	}
@@ -171,6 +171,10 @@
 		lab.mu.Lock()
 		now := time.Now()
 		for _, exe := range lab.executors {
+			if !exe.upkeepUntil.IsZero() && now.After(exe.upkeepUntil) {
+				exe.upkeepUntil = time.Time{}
+				exe.boot(exe.id+"-kept", now)
+			}
 			if exe.up {
 				exe.step(now)
 				exe.beat(now)
@@ -180,28 +184,6 @@
 	}
 }
 
-// serveMachines serves the list of machines. The cases request no moves and no upkeep.
-func (lab *lab) serveMachines(wri http.ResponseWriter, req *http.Request) {
-	if req.URL.Path != "/machines" {
-		writeJSON(wri, http.StatusConflict, map[string]string{"reason": "busy"})
-		return
-	}
-	lab.mu.Lock()
-	defer lab.mu.Unlock()
-	list := []map[string]any{}
-	for _, exe := range lab.executors {
-		row := map[string]any{
-			"machine": exe.machine, "pool": exe.pool, "state": "up", "zone": exe.zone, "labels": exe.labels,
-			"capacity": size{CPU: capacityCPU, Mem: capacityMem}, "id": exe.id,
-		}
-		if !exe.up {
-			row["state"], row["id"] = "down", ""
-		}
-		list = append(list, row)
-	}
-	writeJSON(wri, http.StatusOK, map[string]any{"machines": list, "next-token": ""})
-}
-
 // settingsText is the settings file of a process, in the platform's format.
 const settingsText = `node-name = "%s"
 role = "manager"
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -74,6 +74,8 @@
 		return lab.cancelUnanswered()
 	case "foreign":
 		return lab.foreignEntry()
+	case "operators":
+		return lab.racingOperators()
 	case "crash":
 		return lab.crashLoop()
 	}
--- a/review/lab/store.go
+++ b/review/lab/store.go
@@ -91,6 +91,21 @@
 	sto.put(key, raw, 0)
 }
 
+// erase removes a key as an executor does that has left.
+func (sto *store) erase(key string) {
+	sto.mu.Lock()
+	defer sto.mu.Unlock()
+	sto.revision++
+	sto.remove(key)
+}
+
+// value returns a key's value, or nil.
+func (sto *store) value(key string) []byte {
+	sto.mu.Lock()
+	defer sto.mu.Unlock()
+	return sto.items[key].Value
+}
+
 func (sto *store) expire(now time.Time) {
 	for id, lea := range sto.leases {
 		if now.After(lea.expires) {
