--- a/review/lab/client.go
+++ b/review/lab/client.go
@@ -38,7 +38,7 @@
 	apiKey     = "key-of-tenant-1"
 	deadline   = 3 * time.Second
 	deadlineMS = "3000"
-	attempts   = 3
+	attempts   = 4
 )
 
 // configure writes the first configuration.
