--- a/review/lab/standin/cases.go
+++ b/review/lab/standin/cases.go
@@ -95,7 +95,7 @@
 			if path != "/run-start" || jobOf(ord.Task) != victim.ID || isSent {
 				return 0
 			}
-			isSent = true
+			isSent, lab.lateAt = true, time.Now()
 			sent <- exe
 			return lateBy
 		}
@@ -112,6 +112,33 @@
 	time.Sleep(14 * time.Second)
 	_, _ = lab.state(lab.nodes[0], victim.ID)
 	lab.checkOverlaps()
+	if lab.trouble {
+		return lab.checkLateShare()
+	}
+	return nil
+}
+
+// Limits of orders that are carried out late.
+const (
+	maxLateShare = 0.06
+	lateWindow   = 5500 * time.Millisecond
+)
+
+// checkLateShare fails if the late order is a larger share of the starts in the time before
+// it than the pages allow.
+func (lab *lab) checkLateShare() error {
+	lab.mu.Lock()
+	defer lab.mu.Unlock()
+	count := 1
+	for _, see := range lab.runs {
+		if see.from.After(lab.lateAt.Add(-lateWindow)) && see.from.Before(lab.lateAt) {
+			count++
+		}
+	}
+	lab.note("1 of %d starts of %v is late", count, lateWindow)
+	if 1 > maxLateShare*float64(count) {
+		return fmt.Errorf("1 late start of %d is more than the pages allow", count)
+	}
 	return nil
 }
 
@@ -160,9 +187,10 @@
 const (
 	startDelay    = 25 * time.Second
 	lossFor       = 4500 * time.Millisecond
-	lossShare     = 0.35
+	lossShare     = 0.33
+	maxLossShare  = 0.35
 	cancelBound   = 3 * time.Second
-	jobsInTrouble = 120
+	jobsInTrouble = 200
 )
 
 // cancelUnanswered has a store that loses the answers of some writes and carries them out
@@ -192,22 +220,33 @@
 	}
 	clients.Wait()
 	lab.store.mu.Lock()
-	lab.note("%d of %d writes got no answer", lab.store.lost, lab.store.writes)
+	lost, writes := lab.store.lost, lab.store.writes
 	lab.store.mu.Unlock()
+	lab.note("%d of %d writes of the time of the loss got no answer", lost, writes)
+	if float64(lost) > maxLossShare*float64(writes) {
+		return fmt.Errorf("%d of %d lost writes are more than the pages allow", lost, writes)
+	}
 	time.Sleep(time.Until(due.Add(6 * time.Second)))
 	lab.note("%d cancels were acknowledged", len(cancels))
 	lab.checkCancelled(cancels)
 	return nil
 }
 
-// loseWrites begins the loss of answers.
+// loseWrites begins the loss of answers. At no time have more of the writes since then been
+// lost than the pages allow.
 func (lab *lab) loseWrites() {
 	dic := newDice(11)
 	end := time.Now().Add(lossFor)
 	lab.store.mu.Lock()
 	defer lab.store.mu.Unlock()
+	lab.store.writes, lab.store.lost = 0, 0
 	lab.store.decide = func(txn) fate {
-		if time.Now().After(end) || dic.float() >= lossShare {
+		if time.Now().After(end) {
+			// The writes from now on don't count.
+			lab.store.writes--
+			return fate{}
+		}
+		if dic.float() >= lossShare || float64(lab.store.lost+1) > maxLossShare*float64(lab.store.writes) {
 			return fate{}
 		}
 		return fate{unanswered: true, delay: time.Duration((1 + 5*dic.float()) * float64(time.Second))}
--- a/review/lab/standin/lab.go
+++ b/review/lab/standin/lab.go
@@ -40,8 +40,9 @@
 	jobs      map[string]*job
 	// late returns the delay of an order that is left unanswered; 0 answers it. It may
 	// be nil.
-	late   func(exe *executor, path string, ord order) time.Duration
-	orders int
+	late func(exe *executor, path string, ord order) time.Duration
+	// lateAt is when the late order of a case arrived.
+	lateAt time.Time
 	// onStart is called with the lock held when a run starts. It may be nil.
 	onStart func(exe *executor, ord order)
 	// runs lists all runs in the order of their starts.
@@ -80,7 +81,6 @@
 }
 
 func (lab *lab) delayOf(exe *executor, path string, ord order) time.Duration {
-	lab.orders++
 	if lab.late == nil {
 		return 0
 	}
--- a/review/lab/standin/machines.go
+++ b/review/lab/standin/machines.go
@@ -125,8 +125,8 @@
 		return err
 	}
 	const number = 1
-	first := wave{Wave: number, Machines: []string{"m-0", "m-1"}, Duration: 20, Cap: 1}
-	second := wave{Wave: number, Machines: []string{"m-1", "m-2", "m-3"}, Duration: 20, Cap: 1}
+	first := wave{Wave: number, Machines: []string{"m-0", "m-1"}, Duration: 28, Cap: 1}
+	second := wave{Wave: number, Machines: []string{"m-1", "m-2", "m-3"}, Duration: 28, Cap: 1}
 	if lab.trouble {
 		lab.note("one operator writes wave %d: %+v", number, first)
 		lab.store.write(waveKey(number), first)
