scheduler: logs tell how a takeover bounds the leases of silent VMs

vm_found and vm_silent now carry the age of the incarnation, whether calls for a former one may have extended its lease, whether the VM is registered and has accepted the term. former_leases_ended, once a tenure, names the VMs that had not answered.

--- a/internal/core/scheduler/former.go
+++ b/internal/core/scheduler/former.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"time"
 
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
 	"github.com/balsamgauge/balsamgauge/internal/core/worker"
@@ -63,6 +64,47 @@
 	return frm
 }
 
+// startedAgo returns how long ago a VM started, by the time of day, which may differ
+// between VMs; 0 if it is unknown.
+func (sta *State) startedAgo(one worker.VM) time.Duration {
+	if one.StartedAtMS == 0 {
+		return 0
+	}
+	return sta.now.Sub(time.UnixMilli(one.StartedAtMS))
+}
+
+// maxNamedVMs bounds the VMs that a log entry names.
+const maxNamedVMs = 20
+
+// logFormerLeases logs once which VMs have not answered when leases granted by the former
+// dispatcher count as ended, so that their tasks may start elsewhere.
+func (sta *State) logFormerLeases() {
+	if sta.opt.Term <= 1 || sta.formerLeasesLogged || sta.formerLeasesMayHold() {
+		return
+	}
+	sta.formerLeasesLogged = true
+	unanswered, waiting := []string{}, 0
+	for _, hos := range sta.hostList {
+		if !hos.termAccepted {
+			unanswered = append(unanswered, hos.vm.ID)
+		}
+	}
+	for _, liv := range sta.jobList {
+		if !liv.restored {
+			continue
+		}
+		for _, occ := range liv.occs {
+			for i := range occ.stages {
+				waiting += occ.stages[i].waiting
+			}
+		}
+	}
+	sta.logDecision("former_leases_ended", "", map[string]any{
+		"term": sta.opt.Term, "since_ms": sta.now.Sub(sta.opt.Since).Milliseconds(), "unanswered": len(unanswered),
+		"vms": unanswered[:min(maxNamedVMs, len(unanswered))], "restored_waiting": waiting,
+	})
+}
+
 // add adds a VM that has not answered.
 func (frm *formerRuns) add(capacity job.Size) {
 	frm.mayExist = true
--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -77,7 +77,10 @@
 	}
 	sta.hosts[one.ID] = hos
 	sta.indexHost(hos)
-	sta.logDecision("vm_found", "", map[string]any{"vm": one.ID, "pool": one.Pool, "az": one.AZ})
+	sta.logDecision("vm_found", "", map[string]any{
+		"vm": one.ID, "pool": one.Pool, "az": one.AZ, "started_ms_ago": sta.startedAgo(one).Milliseconds(),
+		"lapse_ms": leaseExpiry.Sub(sta.now).Milliseconds(), "inherits": !sta.leases.Inherited(one.ID).IsZero(),
+	})
 	sta.rejectLateStarts(hos)
 }
 
@@ -269,7 +272,10 @@
 		hos.failedPolls++
 		hos.nextPoll = sta.now.Add(pollRetryInterval)
 		if hos.failedPolls == silentAfterPolls {
-			sta.logDecision("vm_silent", "", map[string]any{"vm": hos.vm.ID, "runs": len(hos.runs), "lapse_ms": hos.leaseExpiry.Sub(sta.now).Milliseconds()})
+			sta.logDecision("vm_silent", "", map[string]any{
+				"vm": hos.vm.ID, "runs": len(hos.runs), "lapse_ms": hos.leaseExpiry.Sub(sta.now).Milliseconds(), "term_accepted": hos.termAccepted,
+				"registered": !hos.unregistered, "started_ms_ago": sta.startedAgo(hos.vm).Milliseconds(), "inherits": !sta.leases.Inherited(hos.vm.ID).IsZero(),
+			})
 		}
 	}
 }
--- a/internal/core/scheduler/reduce.go
+++ b/internal/core/scheduler/reduce.go
@@ -24,6 +24,7 @@
 		return sta.effects
 	}
 	sta.expireLeases()
+	sta.logFormerLeases()
 	sta.expireCalls()
 	sta.openDueOccurrences()
 	if sta.jobsLoaded {
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -361,9 +361,12 @@
 	usage      map[string]job.Size
 	allowances map[string]allowance.Bucket
 	// former bounds the unreported runs of a former dispatcher, in a call of Reduce.
-	former   formerRuns
-	machines machines
-	waves    map[int64]*wave
+	former formerRuns
+	// formerLeasesLogged reports whether the end of the former dispatcher's leases was
+	// logged.
+	formerLeasesLogged bool
+	machines           machines
+	waves              map[int64]*wave
 	// upkeeps holds the orders of all waves.
 	upkeeps *upkeep.Orders
 	// wavesPlannedAt is when the upkeep of waves was last planned.
