--- a/internal/core/scheduler/emulator_test.go
+++ b/internal/core/scheduler/emulator_test.go
@@ -57,6 +57,9 @@
 	// registrationsSilent holds back changes of registrations in heldRegistrations.
 	registrationsSilent bool
 	heldRegistrations   []Event
+	// registrations holds, by the ID of a VM, the registrations that the store holds; nil
+	// if new dispatchers receive those of all VMs that are up.
+	registrations map[string]*worker.VM
 	// storeDown makes all writes fail.
 	storeDown bool
 	// loseMachineAnswer is the probability that the answer to a machine order is
@@ -281,6 +284,10 @@
 // register delivers a VM's registration, unless the VM is cut off from the store.
 func (emu *emulator) register(vm *emulatedVM) {
 	if vm.up && !(vm.partitioned && vm.keepsID) {
+		if emu.registrations != nil {
+			stored := vm.vm
+			emu.registrations[stored.ID] = &stored
+		}
 		emu.deliver(VMRegistered{VM: vm.vm})
 	}
 }
@@ -304,8 +311,9 @@
 	}
 	vm.runs = map[job.Task]*emulatedRun{}
 	one := vm.vm
+	emu.silence(vm)
 	emu.after(emulatedRegistrationExpiry, func() {
-		if vm.vm.ID != one.ID || !vm.up || vm.partitioned {
+		if emu.registrations == nil && (vm.vm.ID != one.ID || !vm.up || vm.partitioned) {
 			emu.deliver(VMUnregistered{ID: one.ID})
 		}
 	})
@@ -419,12 +427,44 @@
 // deliverVMs delivers the registrations of all VMs.
 func (emu *emulator) deliverVMs() {
 	for _, name := range emu.names {
-		if vm := emu.vms[name]; vm.up {
+		vm := emu.vms[name]
+		if emu.registrations == nil && vm.up {
 			emu.deliver(VMRegistered{VM: vm.vm})
+		} else if stored := emu.registrations[vm.vm.ID]; stored != nil {
+			emu.deliver(VMRegistered{VM: *stored})
 		}
 	}
 }
 
+// storeRegistrations has the store hold the registrations of the VMs. Those of VMs that
+// are silent expire.
+func (emu *emulator) storeRegistrations() {
+	emu.registrations = map[string]*worker.VM{}
+	for _, vm := range emu.vms {
+		emu.register(vm)
+	}
+}
+
+// cut begins the partition of a VM.
+func (emu *emulator) cut(vm *emulatedVM) {
+	vm.partitioned = true
+	emu.silence(vm)
+}
+
+// silence has the stored registration of a VM expire unless the VM registers again.
+func (emu *emulator) silence(vm *emulatedVM) {
+	id, stored := vm.vm.ID, emu.registrations[vm.vm.ID]
+	if stored == nil {
+		return
+	}
+	emu.after(emulatedRegistrationExpiry, func() {
+		if emu.registrations[id] == stored {
+			delete(emu.registrations, id)
+			emu.deliver(VMUnregistered{ID: id})
+		}
+	})
+}
+
 // deliverJobs delivers the stored state to a new dispatcher.
 func (emu *emulator) deliverJobs() {
 	stored := progress.Join(emu.store.sorted(job.ProgressPrefix), func(itm kv.Item, err error) { emu.fail("record %s: %v", itm.Key, err) })
@@ -567,6 +607,7 @@
 	}
 	vm.runs = map[job.Task]*emulatedRun{}
 	id := vm.vm.ID
+	emu.silence(vm)
 	emu.after(emulatedRegistrationExpiry, func() { emu.deliver(VMUnregistered{ID: id}) })
 	emu.after(downtime, func() {
 		vm.offline = false
@@ -767,6 +808,8 @@
 		return worker.ResultFenced
 	}
 	vm.fence = term
+	// Starts that are refused extend the lease as well.
+	emu.extend(vm, ord.Deadline)
 	if run := vm.runs[ord.Task]; run != nil && run.run == ord.Run {
 		return worker.ResultOK
 	}
@@ -776,7 +819,6 @@
 	if ord.Deadline <= emu.clock(vm) {
 		return worker.ResultLate
 	}
-	emu.extend(vm, ord.Deadline)
 	spe := emu.specs[ord.Task.Job]
 	ste := spe.Steps[ord.Task.Step]
 	used := job.Size{}
