--- a/internal/core/scheduler/emulator_test.go
+++ b/internal/core/scheduler/emulator_test.go
@@ -101,6 +101,8 @@
 	// late returns the delay with which a poll or a start is carried out that gets no
 	// answer; 0 for all others. It is nil if there are none.
 	late func(eff Effect) time.Duration
+	// lateKeepsEnds has polls that are carried out late acknowledge nothing.
+	lateKeepsEnds bool
 }
 
 // taskTruth is the actual state of a task on the VMs.
@@ -1111,6 +1113,9 @@
 	transit := emu.link.send(emu.now, emulatedAnswerBytes)
 	if delay := emu.delayOf(eff); delay > 0 {
 		// The poll has passed the partition, if there is one.
+		if emu.lateKeepsEnds {
+			eff.Acked = 0
+		}
 		transit, responded, find = delay, true, func() *emulatedVM { return emu.vms[eff.VM.Address] }
 	}
 	emu.after(transit, func() {
