--- a/internal/core/scheduler/emulator_test.go
+++ b/internal/core/scheduler/emulator_test.go
@@ -442,8 +442,8 @@
 // are silent expire.
 func (emu *emulator) storeRegistrations() {
 	emu.registrations = map[string]*worker.VM{}
-	for _, vm := range emu.vms {
-		emu.register(vm)
+	for _, name := range emu.names {
+		emu.register(emu.vms[name])
 	}
 }
 
