--- a/internal/core/scheduler/restarttakeoverfaults_test.go
+++ b/internal/core/scheduler/restarttakeoverfaults_test.go
@@ -116,8 +116,8 @@
 }
 
 // TestFaultInjectionWithCutsAfterRestarts guards against two runs of one task under many
-// orders of restarts, cuts and ends of the dispatcher. What late polls acknowledge is left
-// out, as it loses ends.
+// orders of restarts, cuts and ends of the dispatcher. What late polls acknowledge is left out, see
+// TestLatePollForFormerIncarnationLosesNoEnd.
 func TestFaultInjectionWithCutsAfterRestarts(t *testing.T) {
 	for seed := uint64(9000); seed < 9060; seed++ {
 		scn := newCutScenario(seed)
