scheduler, manager: starts are recorded before they are sent

Seen: TWICE, two runs of one task after a takeover. A VM restarts under its ID, its lease is extended to the longest one by calls for its former incarnation, it gets a run, is cut off, and the dispatcher is killed. The next one starts the task elsewhere 4.2 s after it took over, while the run goes on for up to 10 s.

Cause: what a dispatcher knew of starts that VMs may carry out late, and of leases that are longer than it asks for, was in its memory only. Its successor bounded all leases by what dispatchers ask for (vmclock.Leases.OfFormer), and knew of no late start.

Change: package startlog records the starts of a round in the store before they are sent, until they can no longer matter. The run of any other task is bounded as before, so nothing else waits longer.

--- a/internal/core/latestart/latestart.go
+++ b/internal/core/latestart/latestart.go
@@ -14,8 +14,9 @@
 )
 
 // MaxDelay is the time after which an order without an answer is no longer carried
-// out: the longest delay of an order is 12 s.
-const MaxDelay = 13 * time.Second
+// out. The longest delay of an order is 12 s; before, it is recorded and sent again for up
+// to 1.5 s.
+const MaxDelay = 13500 * time.Millisecond
 
 // Run is a run of a task.
 type Run struct {
@@ -59,6 +60,21 @@
 	runs[run] = start{at: now, unanswered: runs[run].unanswered}
 }
 
+// Restore records that a former dispatcher may have sent a start until now.
+func (sts *Starts) Restore(vm string, run Run, now time.Time) {
+	sts.Add(vm, run, now)
+	sts.Lose(vm, run)
+}
+
+// Withdraw records that a start was not sent after all.
+func (sts *Starts) Withdraw(vm string, run Run) { sts.remove(vm, run) }
+
+// IsOpen reports whether a start is not settled.
+func (sts *Starts) IsOpen(vm string, run Run) bool {
+	_, ok := sts.sent[vm][run]
+	return ok
+}
+
 // Lose records that a start got no answer.
 func (sts *Starts) Lose(vm string, run Run) {
 	if sta, ok := sts.sent[vm][run]; ok {
--- a/internal/core/scheduler/assign.go
+++ b/internal/core/scheduler/assign.go
@@ -283,8 +283,12 @@
 	stg := pla.stage
 	sta.starts.add(pla)
 	sta.lateStarts.Add(hos.vm.ID, latestart.Run{Task: pla.task, Number: pla.run}, sta.now)
+	recorded := pla.repeats > 0
+	if !recorded {
+		sta.recordStart(hos, pla)
+	}
 	sta.emit(Start{
-		VM: hos.vm, Task: pla.task, Run: pla.run, Payload: stg.liveJob.spec.Payload, Deadline: sta.extendLease(hos),
+		VM: hos.vm, Recorded: recorded, Task: pla.task, Run: pla.run, Payload: stg.liveJob.spec.Payload, Deadline: sta.extendLease(hos),
 		Checkpoint: stg.tasks[pla.task.Index].checkpoint, Ticket: stg.advice.ticketFor(hos.vm.ID, sta.now),
 	})
 }
--- a/internal/core/scheduler/crashes.go
+++ b/internal/core/scheduler/crashes.go
@@ -23,7 +23,7 @@
 // those that are shown to crash their VMs. If a suspect ran on the VM, it counts
 // against no other.
 func (sta *State) countCrash(hos *host) {
-	if sta.outages.Covers(hos.places(), sta.now) {
+	if hos.unseen || sta.outages.Covers(hos.places(), sta.now) {
 		return
 	}
 	alone := sta.isGoneAlone(hos)
@@ -48,7 +48,7 @@
 // settledVMs returns the number of VMs of a pool without young runs.
 func (sta *State) settledVMs(pool string) (count int) {
 	for _, hos := range sta.pools[pool] {
-		if !slices.ContainsFunc(hos.runList, func(pla *placement) bool { return sta.now.Sub(pla.since) <= blame.YoungAge }) {
+		if !hos.unseen && !slices.ContainsFunc(hos.runList, func(pla *placement) bool { return sta.now.Sub(pla.since) <= blame.YoungAge }) {
 			count++
 		}
 	}
@@ -101,7 +101,7 @@
 // availability zone.
 func (sta *State) isGoneAlone(hos *host) bool {
 	return hos.listedGone && !slices.ContainsFunc(sta.hostList, func(oth *host) bool {
-		return oth != hos && oth.listedGone && oth.vm.AZ == hos.vm.AZ
+		return oth != hos && oth.listedGone && !oth.unseen && oth.vm.AZ == hos.vm.AZ
 	})
 }
 
--- a/internal/core/scheduler/effect.go
+++ b/internal/core/scheduler/effect.go
@@ -25,7 +25,8 @@
 	Slack time.Duration
 }
 
-// Start orders a VM to start a run.
+// Start orders a VM to start a run. If it isn't recorded, it is sent once the RecordStarts
+// of the same call of Reduce has succeeded.
 type Start struct {
 	VM      worker.VM
 	Task    job.Task
@@ -35,8 +36,14 @@
 	Deadline   time.Duration
 	Checkpoint string
 	Ticket     string
+	// Recorded reports whether the store holds a record of the start.
+	Recorded bool
 }
 
+// RecordStarts writes a record of the starts before it to the store. The caller adds the
+// condition that this process still holds the duty.
+type RecordStarts struct{ Txn kv.Txn }
+
 // Stop orders a VM to stop a run, and to reject the run if its start arrives
 // later.
 type Stop struct {
@@ -109,6 +116,7 @@
 
 func (Poll) effect()         {}
 func (Start) effect()        {}
+func (RecordStarts) effect() {}
 func (Stop) effect()         {}
 func (Pace) effect()         {}
 func (Commit) effect()       {}
--- a/internal/core/scheduler/emulator_test.go
+++ b/internal/core/scheduler/emulator_test.go
@@ -13,6 +13,7 @@
 	"github.com/balsamgauge/balsamgauge/internal/core/catalog"
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
 	"github.com/balsamgauge/balsamgauge/internal/core/progress"
+	"github.com/balsamgauge/balsamgauge/internal/core/startlog"
 	"github.com/balsamgauge/balsamgauge/internal/core/upkeep"
 	"github.com/balsamgauge/balsamgauge/internal/core/worker"
 	"github.com/balsamgauge/balsamgauge/internal/kv"
@@ -34,6 +35,9 @@
 	names []string
 	store *emulatedStore
 
+	// unrecorded holds the starts that wait for their record.
+	unrecorded []Start
+
 	sched          *State
 	opt            Options
 	inbox          []Event
@@ -484,6 +488,15 @@
 	if emu.wave != nil {
 		emu.deliver(WaveRequested{Wave: *emu.wave, Begun: emu.begun})
 	}
+	former := FormerStartsListed{Records: map[string]startlog.Record{}}
+	for _, itm := range emu.store.sorted(startlog.Prefix) {
+		rec, err := startlog.Decode(itm.Value)
+		if err != nil {
+			emu.fail("record %s: %v", itm.Key, err)
+		}
+		former.Records[itm.Key] = rec
+	}
+	emu.deliver(former)
 	emu.deliver(JobsLoaded{})
 	var ended EndedJobsListed
 	for _, itm := range emu.store.sorted(job.EndedPrefix) {
@@ -537,6 +550,10 @@
 		emu.connected[eff.VM.ID] = true
 		emu.performPoll(eff)
 	case Start:
+		if !eff.Recorded {
+			emu.unrecorded = append(emu.unrecorded, eff)
+			return
+		}
 		emu.call(eff, eff.VM, func(vm *emulatedVM, term int64) worker.Result { return emu.startOn(vm, eff, term) }, func(res worker.Result, unanswered bool) Event {
 			return StartAnswered{VM: eff.VM, Task: eff.Task, Run: eff.Run, Result: res, Unanswered: unanswered}
 		})
@@ -544,6 +561,8 @@
 		emu.call(eff, eff.VM, func(vm *emulatedVM, term int64) worker.Result { return emu.stopOn(vm, eff, term) }, func(res worker.Result, _ bool) Event {
 			return StopAnswered{VM: eff.VM, Task: eff.Task, Run: eff.Run, Result: res}
 		})
+	case RecordStarts:
+		emu.recordStarts(eff.Txn)
 	case Commit:
 		emu.performCommit(eff)
 	case QueryAdvisor:
@@ -1209,6 +1228,29 @@
 	return rep
 }
 
+// recordStarts writes a record of starts, and sends them when it is stored.
+func (emu *emulator) recordStarts(txn kv.Txn) {
+	term, starts := emu.term, emu.unrecorded
+	emu.unrecorded = nil
+	emu.after(emulatedLatency, func() {
+		if term != emu.term || emu.dispatcherDown {
+			return
+		}
+		err := kv.ErrNotDone
+		if !emu.storeDown {
+			_, err = emu.commit(txn)
+		}
+		if err != nil {
+			emu.deliver(StartsNotRecorded{Txn: txn, Starts: starts, Err: err})
+			return
+		}
+		for _, eff := range starts {
+			eff.Recorded = true
+			emu.perform(eff)
+		}
+	})
+}
+
 // performCommit writes to the store. The answer may be lost, and the write may
 // be applied late.
 func (emu *emulator) performCommit(eff Commit) {
--- a/internal/core/scheduler/event.go
+++ b/internal/core/scheduler/event.go
@@ -5,6 +5,7 @@
 
 	"github.com/balsamgauge/balsamgauge/internal/core/catalog"
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
+	"github.com/balsamgauge/balsamgauge/internal/core/startlog"
 	"github.com/balsamgauge/balsamgauge/internal/core/upkeep"
 	"github.com/balsamgauge/balsamgauge/internal/core/worker"
 	"github.com/balsamgauge/balsamgauge/internal/kv"
@@ -65,6 +66,8 @@
 	Task   job.Task
 	Run    int
 	Result worker.Result
+	// RecordTime is how long the start waited for its record.
+	RecordTime time.Duration
 	// Unanswered reports whether the start was sent more than once, and a try that
 	// wasn't answered may still be carried out.
 	Unanswered bool
@@ -143,6 +146,17 @@
 // received.
 type JobWatchProgressed struct{ At time.Time }
 
+// FormerStartsListed carries the records of starts that former dispatchers left, by key. It
+// comes before JobsLoaded.
+type FormerStartsListed struct{ Records map[string]startlog.Record }
+
+// StartsNotRecorded answers a RecordStarts that failed. None of its starts was sent.
+type StartsNotRecorded struct {
+	Txn    kv.Txn
+	Starts []Start
+	Err    error
+}
+
 // JobsLoaded reports that all jobs that were stored at the start of the tenure
 // have been received.
 type JobsLoaded struct{}
@@ -168,4 +182,6 @@
 func (EndedJobsListed) event()     {}
 func (JobWatchProgressed) event()  {}
 func (VMWatchProgressed) event()   {}
+func (FormerStartsListed) event()  {}
+func (StartsNotRecorded) event()   {}
 func (JobsLoaded) event()          {}
--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -64,22 +64,24 @@
 		}
 		sta.unindexHost(hos)
 		hos.vm, hos.unregistered = one, false
+		sta.seeFirst(hos)
 		sta.indexHost(hos)
 		return
 	}
+	inherited := sta.inheritedLease(hos, one)
 	if hos != nil {
 		sta.removeHost(hos, "restarted under the same ID")
 	}
-	leaseExpiry := vmclock.Latest(sta.now, sta.leases.OfFormer(sta.opt.Since), sta.leases.Inherited(one.ID))
+	leaseExpiry := vmclock.Latest(sta.now, sta.leases.OfFormer(sta.opt.Since), inherited)
 	hos = &host{
 		vm: one, runs: map[job.Task]*placement{}, ackable: map[int64]bool{}, leaseExpiry: leaseExpiry, nextPoll: sta.now, idleSince: sta.now, firstSeen: sta.now,
-		pace: pace.NewControl(),
+		pace: pace.NewControl(), longLeaseUntil: inherited,
 	}
 	sta.hosts[one.ID] = hos
 	sta.indexHost(hos)
 	sta.logDecision("vm_found", "", map[string]any{
 		"vm": one.ID, "pool": one.Pool, "az": one.AZ, "started_ms_ago": sta.startedAgo(one).Milliseconds(),
-		"lapse_ms": leaseExpiry.Sub(sta.now).Milliseconds(), "inherits": !sta.leases.Inherited(one.ID).IsZero(),
+		"lapse_ms": leaseExpiry.Sub(sta.now).Milliseconds(), "inherits": !inherited.IsZero(),
 	})
 	sta.rejectLateStarts(hos)
 }
@@ -274,7 +276,7 @@
 		if hos.failedPolls == silentAfterPolls {
 			sta.logDecision("vm_silent", "", map[string]any{
 				"vm": hos.vm.ID, "runs": len(hos.runs), "lapse_ms": hos.leaseExpiry.Sub(sta.now).Milliseconds(), "term_accepted": hos.termAccepted,
-				"registered": !hos.unregistered, "started_ms_ago": sta.startedAgo(hos.vm).Milliseconds(), "inherits": !sta.leases.Inherited(hos.vm.ID).IsZero(),
+				"registered": !hos.unregistered, "started_ms_ago": sta.startedAgo(hos.vm).Milliseconds(), "inherits": sta.now.Before(hos.longLeaseUntil),
 			})
 		}
 	}
@@ -290,7 +292,11 @@
 	}
 	hos.failedPolls = 0
 	if !hos.termAccepted && sta.opt.Term > 1 {
-		hos.leaseExpiry = vmclock.Latest(hos.leaseExpiry, sta.leases.Accepted(sta.opt.Since, sta.now, evt.Report.Clock))
+		accepted := sta.leases.Accepted(sta.opt.Since, sta.now, evt.Report.Clock)
+		hos.leaseExpiry = vmclock.Latest(hos.leaseExpiry, accepted)
+		if accepted.After(sta.leases.OfFormer(sta.opt.Since)) {
+			hos.longLeaseUntil = vmclock.Latest(hos.longLeaseUntil, accepted)
+		}
 	}
 	hos.endsLeftOut = !evt.Report.ListsAllEnds() && (hos.endsLeftOut || !hos.termAccepted && sta.opt.Term > 1)
 	hos.termAccepted, hos.listedGone = true, false
@@ -337,6 +343,8 @@
 	switch {
 	case pla == nil:
 		pla = sta.adopt(hos, stg, row)
+	case pla.former:
+		sta.resumeFormer(hos, pla, row)
 	case row.Run > pla.run:
 		// An order of a former dispatcher was carried out late.
 		pla.run = row.Run
@@ -359,6 +367,7 @@
 // adopt records a run that this dispatcher did not order. The run is stopped
 // unless its task is waiting for one.
 func (sta *State) adopt(hos *host, stg *stage, row worker.Running) *placement {
+	sta.supersedeFormer(stg, row.Task, row.Run)
 	wanted := stg != nil && stg.liveJob.final == "" && stg.tasks[row.Task.Index].phase == phaseWaiting
 	fields := map[string]any{"task": row.Task.String(), "run": row.Run, "vm": hos.vm.ID, "wanted": wanted}
 	if stg != nil && stg.tasks[row.Task.Index].host != nil {
@@ -382,6 +391,10 @@
 	}
 	switch pla.state {
 	case runUnknown:
+		if pla.former {
+			sta.release(hos, pla)
+			return
+		}
 		sta.settleStart(hos, pla)
 	case runRunning, runStopAccepted:
 		sta.release(hos, pla)
--- a/internal/core/scheduler/jobs.go
+++ b/internal/core/scheduler/jobs.go
@@ -258,6 +258,7 @@
 		return
 	}
 	stg.liveJob.begun = true
+	sta.supersedeFormer(stg, end.Task, end.Run)
 	tas := &stg.tasks[end.Task.Index]
 	tas.run = max(tas.run, end.Run)
 	if end.Checkpoint != "" {
--- a/internal/core/scheduler/orders.go
+++ b/internal/core/scheduler/orders.go
@@ -110,7 +110,7 @@
 		return
 	}
 	if evt.Result != worker.ResultUnknown && !evt.Unanswered {
-		sta.starts.answered(sta.now.Sub(pla.since))
+		sta.starts.answered(sta.now.Sub(pla.since) - evt.RecordTime)
 	}
 	switch evt.Result {
 	case worker.ResultOK:
--- a/internal/core/scheduler/outage.go
+++ b/internal/core/scheduler/outage.go
@@ -7,7 +7,7 @@
 func (sta *State) detectOutages() {
 	var vms []blame.VM
 	for _, hos := range sta.hostList {
-		if !hos.goingDown {
+		if !hos.goingDown && !hos.unseen {
 			vms = append(vms, blame.VM{Places: hos.places(), Gone: hos.listedGone, Blameless: hos.listedGone && hos.isBlameless()})
 		}
 	}
--- a/internal/core/scheduler/reduce.go
+++ b/internal/core/scheduler/reduce.go
@@ -32,6 +32,7 @@
 		sta.planMoves()
 		sta.assign()
 	}
+	sta.writeStarts()
 	sta.sendStops()
 	sta.pollHosts()
 	sta.saveRecords()
@@ -45,6 +46,7 @@
 	case Tick:
 	case JobsLoaded:
 		sta.jobsLoaded = true
+		sta.restoreStarts()
 	case CatalogChanged:
 		sta.catalog = evt.Catalog
 		sta.catalogs++
@@ -83,6 +85,10 @@
 		sta.advisorAnswered(evt)
 	case AdvisorSlotsChanged:
 		sta.advisorSlots = evt.Count
+	case FormerStartsListed:
+		sta.formerStarts = evt.Records
+	case StartsNotRecorded:
+		sta.startsNotRecorded(evt)
 	case EndedJobsListed:
 		sta.endedJobsListed(evt)
 	case VMWatchProgressed:
--- /dev/null
+++ b/internal/core/scheduler/startrecords.go
@@ -0,0 +1,196 @@
+package scheduler
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/balsamgauge/balsamgauge/internal/core/job"
+	"github.com/balsamgauge/balsamgauge/internal/core/latestart"
+	"github.com/balsamgauge/balsamgauge/internal/core/pace"
+	"github.com/balsamgauge/balsamgauge/internal/core/startlog"
+	"github.com/balsamgauge/balsamgauge/internal/core/vmclock"
+	"github.com/balsamgauge/balsamgauge/internal/core/worker"
+	"github.com/balsamgauge/balsamgauge/internal/kv"
+)
+
+const (
+	// startPruneInterval is the time between two passes over the recorded starts.
+	startPruneInterval = 100 * time.Millisecond
+	// startCleanInterval is the longest time for which obsolete records of starts wait for
+	// a write that deletes them as well.
+	startCleanInterval = 250 * time.Millisecond
+)
+
+// recordStart has a start recorded with the others of this call of Reduce.
+func (sta *State) recordStart(hos *host, pla *placement) {
+	sta.newStarts = append(sta.newStarts, startlog.Start{
+		VM: hos.vm, LongLease: sta.now.Before(hos.longLeaseUntil), Run: latestart.Run{Task: pla.task, Number: pla.run},
+	})
+}
+
+// writeStarts records the new starts, and deletes the records that are obsolete.
+func (sta *State) writeStarts() {
+	if sta.now.Sub(sta.startsPrunedAt) >= startPruneInterval {
+		sta.startsPrunedAt = sta.now
+		sta.startLog.Prune(sta.startMatters)
+	}
+	cleanDue := sta.startLog.HasObsolete() && sta.now.Sub(sta.startsWrittenAt) >= startCleanInterval
+	if len(sta.newStarts) == 0 && !cleanDue {
+		return
+	}
+	txn, err := sta.startLog.Write(sta.now, sta.newStarts, kv.MaxTxnEntries-reservedEntries)
+	if err != nil {
+		sta.stepDown(err.Error())
+		return
+	}
+	sta.newStarts, sta.startsWrittenAt = nil, sta.now
+	sta.emit(RecordStarts{Txn: txn})
+}
+
+// startMatters reports whether the next dispatcher needs to know of a start: the VM may
+// carry it out late, or hold a longer lease for its run than dispatchers ask for.
+func (sta *State) startMatters(vm string, run latestart.Run) bool {
+	if sta.lateStarts.IsOpen(vm, run) {
+		return true
+	}
+	hos := sta.hosts[vm]
+	if hos == nil || !sta.now.Before(hos.longLeaseUntil) {
+		return false
+	}
+	pla := hos.runs[run.Task]
+	return pla != nil && pla.run == run.Number
+}
+
+// startsNotRecorded handles starts that were not sent, as their record may not be stored.
+func (sta *State) startsNotRecorded(evt StartsNotRecorded) {
+	sta.logDecision("starts_not_recorded", "", map[string]any{"starts": len(evt.Starts), "error": evt.Err.Error()})
+	sta.startLog.Failed(evt.Txn)
+	for _, ord := range evt.Starts {
+		sta.lateStarts.Withdraw(ord.VM.ID, latestart.Run{Task: ord.Task, Number: ord.Run})
+		hos := sta.hosts[ord.VM.ID]
+		if hos == nil || !hos.vm.SameIncarnation(ord.VM) {
+			continue
+		}
+		pla := hos.runs[ord.Task]
+		if pla == nil || pla.run != ord.Run || pla.state != runOrdered {
+			continue
+		}
+		sta.release(hos, pla)
+		if stg := pla.stage; stg != nil {
+			stg.tasks[ord.Task.Index].notBefore = sta.now.Add(startRetryDelay)
+		}
+	}
+}
+
+// formerStart is the last recorded start of a task.
+type formerStart struct {
+	run latestart.Run
+	vm  startlog.VMRuns
+	// sentAt is the latest time at which it may have been sent.
+	sentAt time.Time
+}
+
+// restoreStarts takes over the records of former dispatchers. The last recorded run of a
+// task counts as active until its VM has answered, or can't run it any more: it was started
+// when those before it were over.
+func (sta *State) restoreStarts() {
+	last := map[job.Task]formerStart{}
+	for key, rec := range sta.formerStarts {
+		sta.startLog.Restore(key, rec)
+		sentAt := rec.LatestSend(sta.now)
+		for _, vmr := range rec.VMs {
+			for _, row := range vmr.Runs {
+				run := row.LateStart()
+				if stg := sta.stageOfRun(run.Task); stg == nil || stg.liveJob.final != "" || stg.tasks[run.Task.Index].phase == phaseDone {
+					continue
+				}
+				sta.lateStarts.Restore(vmr.ID, run, sentAt)
+				if run.Number > last[run.Task].run.Number {
+					last[run.Task] = formerStart{run, vmr, sentAt}
+				}
+			}
+		}
+	}
+	sta.formerStarts = nil
+	for _, tas := range slices.SortedFunc(maps.Keys(last), func(one, oth job.Task) int { return strings.Compare(one.String(), oth.String()) }) {
+		sta.restoreStart(last[tas])
+	}
+}
+
+// restoreStart reserves the run of a recorded start.
+func (sta *State) restoreStart(fmr formerStart) {
+	one, inherited := fmr.vm.VM(), fmr.sentAt.Add(sta.leases.LongestInheritance())
+	if los, ok := sta.lostVMs.Get(one.ID); ok && los.vm.SameIncarnation(one) || !sta.now.Before(inherited) {
+		return
+	}
+	hos := sta.hosts[one.ID]
+	if hos == nil && !sta.machines.asOf.Before(sta.opt.Since) && sta.machines.byName[sta.machines.byVM[one.ID]].State != worker.MachineUp {
+		return
+	}
+	if hos == nil {
+		// The VM may have restarted unseen.
+		hos = &host{
+			vm: one, runs: map[job.Task]*placement{}, ackable: map[int64]bool{}, leaseExpiry: inherited, nextPoll: sta.now, idleSince: sta.now, firstSeen: sta.opt.Since,
+			pace: pace.NewControl(), unregistered: true, unseen: true,
+		}
+		sta.hosts[one.ID] = hos
+		sta.indexHost(hos)
+	}
+	if fmr.vm.LongLease || !hos.vm.SameIncarnation(one) {
+		hos.longLeaseUntil = vmclock.Latest(hos.longLeaseUntil, inherited)
+	}
+	hos.leaseExpiry = vmclock.Latest(hos.leaseExpiry, hos.longLeaseUntil)
+	if hos.runs[fmr.run.Task] != nil {
+		return
+	}
+	pla := sta.reserve(hos, sta.stageOf(fmr.run.Task), fmr.run.Task, fmr.run.Number, runUnknown)
+	pla.former, pla.adopted = true, true
+	sta.logDecision("start_restored", fmr.run.Task.Job, map[string]any{
+		"task": fmr.run.Task.String(), "run": fmr.run.Number, "vm": one.ID, "registered": !hos.unregistered, "long_lease": fmr.vm.LongLease,
+		"sent_ms_ago": sta.now.Sub(fmr.sentAt).Milliseconds(), "lapse_ms": hos.leaseExpiry.Sub(sta.now).Milliseconds(),
+	})
+}
+
+// seeFirst handles the registration of a VM that was known only from records. The same
+// incarnation holds no longer lease than the former dispatcher knew of.
+func (sta *State) seeFirst(hos *host) {
+	if hos.unseen {
+		hos.unseen = false
+		hos.leaseExpiry = vmclock.Latest(sta.leases.OfFormer(sta.opt.Since), hos.longLeaseUntil)
+	}
+}
+
+// resumeFormer handles that a VM lists a run that a former dispatcher recorded. It is
+// stopped if its task doesn't need it.
+func (sta *State) resumeFormer(hos *host, pla *placement, row worker.Running) {
+	pla.former, pla.run = false, row.Run
+	if wanted := pla.stage.liveJob.final == "" && pla.stage.tasks[pla.task.Index].host == hos; !wanted {
+		sta.stop(hos, pla, stopUnwanted)
+	}
+}
+
+// supersedeFormer releases the recorded run of a task of which a VM reports a higher one:
+// it was over when that was started.
+func (sta *State) supersedeFormer(stg *stage, name job.Task, run int) {
+	if stg == nil || stg.tasks[name.Index].host == nil {
+		return
+	}
+	hos := stg.tasks[name.Index].host
+	if pla := hos.runs[name]; pla.former && pla.run < run {
+		sta.release(hos, pla)
+	}
+}
+
+// inheritedLease returns when the lease of a new incarnation of a VM is guaranteed to have
+// ended that calls for former ones extend; zero if there were none. old is the host of
+// the one before, nil if there is none.
+func (sta *State) inheritedLease(old *host, one worker.VM) (end time.Time) {
+	end = sta.leases.Inherited(one.ID)
+	unanswered := old != nil && !old.termAccepted || old == nil && len(sta.lateStarts.Pending(one.ID, sta.now)) > 0
+	if sta.opt.Term > 1 && unanswered {
+		end = vmclock.Latest(end, sta.leases.InheritedFromFormer(sta.opt.Since))
+	}
+	return end
+}
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -15,6 +15,7 @@
 	"github.com/balsamgauge/balsamgauge/internal/core/progress"
 	"github.com/balsamgauge/balsamgauge/internal/core/rebalance"
 	"github.com/balsamgauge/balsamgauge/internal/core/recent"
+	"github.com/balsamgauge/balsamgauge/internal/core/startlog"
 	"github.com/balsamgauge/balsamgauge/internal/core/upkeep"
 	"github.com/balsamgauge/balsamgauge/internal/core/vmclock"
 	"github.com/balsamgauge/balsamgauge/internal/core/worker"
@@ -229,6 +230,9 @@
 	state            runState
 	// stage is nil for a run of an unknown job.
 	stage *stage
+	// former reports whether a former dispatcher recorded the start and the VM has not
+	// answered since.
+	former bool
 	// repeats counts how often the start was sent again. rejected reports whether the
 	// VM has rejected the run, and waits whether only the VM's report can settle it.
 	repeats         int
@@ -275,6 +279,11 @@
 	// leaseExpiry is when all runs on the VM are guaranteed to have ended,
 	// unless a poll extends the lease.
 	leaseExpiry time.Time
+	// longLeaseUntil is until when the VM may hold a longer lease than this dispatcher asks
+	// for.
+	longLeaseUntil time.Time
+	// unseen reports whether the VM is known only from the records of starts.
+	unseen bool
 	// pollInFlight reports whether the answer to a poll is outstanding.
 	pollInFlight bool
 	lastPoll     time.Time
@@ -393,6 +402,13 @@
 	lostVMs *recent.Map[string, lostVM]
 	// lateStarts holds the starts that VMs may carry out late.
 	lateStarts *latestart.Starts
+	// startLog holds the records of starts, newStarts the starts of this call of Reduce that
+	// have none. formerStarts holds those of former dispatchers until the jobs are loaded.
+	startLog        *startlog.Log
+	newStarts       []startlog.Start
+	formerStarts    map[string]startlog.Record
+	startsPrunedAt  time.Time
+	startsWrittenAt time.Time
 	// leases holds what extends the leases of VMs.
 	leases *vmclock.Leases
 	// expiredAt is when lateStarts and leases were last cleared of what is too old.
@@ -461,7 +477,7 @@
 	opt.MaxValueBytes = cmp.Or(opt.MaxValueBytes, kv.MaxValueBytes)
 	return &State{
 		opt: opt, starts: newStartWindow(opt.LinkBytesPerSecond), jobsSyncedAt: opt.Since, zonesOut: map[string]bool{}, outages: blame.NewOutages(), crashes: blame.NewCrashes(), jobs: map[job.ID]*liveJob{}, hosts: map[string]*host{},
-		pools: map[string][]*host{}, usage: map[string]job.Size{}, allowances: map[string]allowance.Bucket{}, waves: map[int64]*wave{}, upkeeps: upkeep.NewOrders(), lateStarts: latestart.NewStarts(vmclock.LongestLease(opt.LongestLease)), leases: vmclock.NewLeases(opt.Lease, opt.LongestLease, latestart.MaxDelay+pollWait),
+		pools: map[string][]*host{}, usage: map[string]job.Size{}, allowances: map[string]allowance.Bucket{}, waves: map[int64]*wave{}, upkeeps: upkeep.NewOrders(), lateStarts: latestart.NewStarts(vmclock.LongestLease(opt.LongestLease)), startLog: startlog.New(opt.Term), leases: vmclock.NewLeases(opt.Lease, opt.LongestLease, latestart.MaxDelay+pollWait),
 		machines: machines{byName: map[string]worker.Machine{}, byVM: map[string]string{}},
 		ended:    recent.NewMap[job.ID, bool](), lostVMs: recent.NewMap[string, lostVM](), runtimeRatios: estimate.Ratios{},
 		demands: map[string]*rebalance.Demand{}, moves: map[string]pendingMove{}, forbiddenMoves: map[string]bool{},
--- a/internal/core/vmclock/leases.go
+++ b/internal/core/vmclock/leases.go
@@ -49,6 +49,13 @@
 	return at.Add(lea.LongestInheritance())
 }
 
+// InheritedFromFormer returns when the lease of a new incarnation of a VM is guaranteed to
+// have ended, if calls of a former dispatcher for former incarnations extend it. The tenure of
+// the next one began at since.
+func (lea *Leases) InheritedFromFormer(since time.Time) (end time.Time) {
+	return since.Add(lea.LongestInheritance())
+}
+
 // LongestInheritance returns the longest real time from a call for a former incarnation of
 // a VM to the end of all that it starts or extends.
 func (lea *Leases) LongestInheritance() time.Duration {
--- a/internal/manager/dispatcher.go
+++ b/internal/manager/dispatcher.go
@@ -57,6 +57,8 @@
 	// of available sources that was last reported to the reducer.
 	ticketSources   *advisory.Pool
 	reportedSources int
+	// unrecorded holds the starts of this round that wait for their record.
+	unrecorded []scheduler.Start
 	// adviceNeeded is State.NeedsAdvice as of the last round.
 	adviceNeeded atomic.Bool
 }
@@ -178,6 +180,9 @@
 	if !ok {
 		return
 	}
+	if !dis.readStarts(ctx) {
+		return
+	}
 	reg := newRegistrations(dis)
 	go dis.follow(ctx, platform.VMPrefix, func(items []kv.Item) { reg.reset(ctx, items) }, func(cha kv.Change) { reg.change(ctx, cha) },
 		func(sent time.Time) { dis.send(ctx, scheduler.VMWatchProgressed{At: sent}) })
--- a/internal/manager/effects.go
+++ b/internal/manager/effects.go
@@ -40,7 +40,14 @@
 	case scheduler.Poll:
 		go dis.poll(ctx, now, eff)
 	case scheduler.Start:
-		go dis.start(ctx, eff)
+		if eff.Recorded {
+			go dis.start(ctx, eff, 0)
+		} else {
+			dis.unrecorded = append(dis.unrecorded, eff)
+		}
+	case scheduler.RecordStarts:
+		go dis.recordStarts(ctx, now, eff.Txn, dis.unrecorded)
+		dis.unrecorded = nil
 	case scheduler.Stop:
 		go dis.stop(ctx, eff)
 	case scheduler.Pace:
@@ -175,7 +182,8 @@
 	return one == oth || one == worker.ResultOK && oth == worker.ResultOldRun
 }
 
-func (dis *dispatcher) start(ctx context.Context, eff scheduler.Start) {
+// start orders a VM to start a run, whose record took a time to be written.
+func (dis *dispatcher) start(ctx context.Context, eff scheduler.Start, recordTime time.Duration) {
 	ord := platform.StartOrder{
 		Task: eff.Task, Run: eff.Run, Payload: eff.Payload, Deadline: eff.Deadline, Term: dis.term(),
 		Checkpoint: eff.Checkpoint, Ticket: eff.Ticket,
@@ -183,7 +191,7 @@
 	out := dis.order(ctx, "start", eff.VM, eff.Task, eff.Run, func(ctx context.Context, exe *platform.Executors) (worker.Result, error) {
 		return exe.Start(ctx, eff.VM, ord)
 	})
-	dis.send(ctx, scheduler.StartAnswered{VM: eff.VM, Task: eff.Task, Run: eff.Run, Result: out.Answer, Unanswered: out.Unanswered})
+	dis.send(ctx, scheduler.StartAnswered{VM: eff.VM, Task: eff.Task, Run: eff.Run, Result: out.Answer, RecordTime: recordTime, Unanswered: out.Unanswered})
 }
 
 func (dis *dispatcher) stop(ctx context.Context, eff scheduler.Stop) {
--- a/internal/outernames/names_test.go
+++ b/internal/outernames/names_test.go
@@ -15,6 +15,7 @@
 	"github.com/balsamgauge/balsamgauge/internal/core/message"
 	"github.com/balsamgauge/balsamgauge/internal/core/progress"
 	"github.com/balsamgauge/balsamgauge/internal/core/scheduler"
+	"github.com/balsamgauge/balsamgauge/internal/core/startlog"
 	"github.com/balsamgauge/balsamgauge/internal/core/task"
 	"github.com/balsamgauge/balsamgauge/internal/core/vm"
 	"github.com/balsamgauge/balsamgauge/internal/core/worker"
@@ -40,6 +41,7 @@
 	{"store progress", "msgpack", job.Progress{}},
 	{"store progress part", "msgpack", progress.Part{}},
 	{"store ended", "msgpack", job.Outcome{}},
+	{"store starts", "msgpack", startlog.Record{}},
 	{"store duty/holder", "msgpack", duty.Holder{}},
 	{"store duty/load", "msgpack", scheduler.Load{}},
 	{"store tasks", "json", task.Record{}},
