scheduler: a record of an older start doesn't take a task from its present run

Cause: a VM whose registration arrives after the jobs, and which has restarted under its ID, was told to reject the recorded starts of its former incarnation. Each took the task that still waited, and the report of its present run on another VM came too late.

Change: a start of a former dispatcher isn't stopped, as a VM refuses it once it has accepted the new term. It has its task wait until the VM has answered, and gives way to a higher run.

--- a/internal/core/latestart/latestart.go
+++ b/internal/core/latestart/latestart.go
@@ -42,6 +42,9 @@
 	// listed whether its reports list the run. The answer alone may be that of an
 	// incarnation that isn't known yet.
 	accepted, listed bool
+	// former reports whether a former dispatcher sent it. A VM that has accepted the
+	// term of the present one refuses it.
+	former bool
 }
 
 // NewStarts returns an empty set of starts. Runs that late starts begin last at most for
@@ -63,9 +66,12 @@
 // Restore records that a former dispatcher may have sent a start until now.
 func (sts *Starts) Restore(vm string, run Run, now time.Time) {
 	sts.Add(vm, run, now)
-	sts.Lose(vm, run)
+	sts.sent[vm][run] = start{at: now, unanswered: true, former: true}
 }
 
+// IsFormer reports whether a former dispatcher sent a start.
+func (sts *Starts) IsFormer(vm string, run Run) bool { return sts.sent[vm][run].former }
+
 // Withdraw records that a start was not sent after all.
 func (sts *Starts) Withdraw(vm string, run Run) { sts.remove(vm, run) }
 
--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -91,6 +91,10 @@
 // tasks don't start elsewhere.
 func (sta *State) rejectLateStarts(hos *host) {
 	for _, run := range sta.lateStarts.Pending(hos.vm.ID, sta.now) {
+		if sta.lateStarts.IsFormer(hos.vm.ID, run) {
+			sta.reserveFormer(hos, run)
+			continue
+		}
 		sta.logDecision("late_start_rejected", run.Task.Job, map[string]any{"task": run.Task.String(), "run": run.Number, "vm": hos.vm.ID})
 		sta.stop(hos, sta.reserve(hos, sta.stageOfRun(run.Task), run.Task, run.Number, runUnknown), stopLateStart)
 	}
--- a/internal/core/scheduler/startrecords.go
+++ b/internal/core/scheduler/startrecords.go
@@ -142,14 +142,21 @@
 		hos.longLeaseUntil = vmclock.Latest(hos.longLeaseUntil, inherited)
 	}
 	hos.leaseExpiry = vmclock.Latest(hos.leaseExpiry, hos.longLeaseUntil)
-	if hos.runs[fmr.run.Task] != nil {
+	sta.reserveFormer(hos, fmr.run)
+}
+
+// reserveFormer has a task wait that a VM may run by a start of a former dispatcher, until
+// the VM has answered.
+func (sta *State) reserveFormer(hos *host, run latestart.Run) {
+	stg := sta.stageOfRun(run.Task)
+	if stg == nil || stg.liveJob.final != "" || stg.tasks[run.Task.Index].phase != phaseWaiting || hos.runs[run.Task] != nil {
 		return
 	}
-	pla := sta.reserve(hos, sta.stageOf(fmr.run.Task), fmr.run.Task, fmr.run.Number, runUnknown)
+	pla := sta.reserve(hos, stg, run.Task, run.Number, runUnknown)
 	pla.former, pla.adopted = true, true
-	sta.logDecision("start_restored", fmr.run.Task.Job, map[string]any{
-		"task": fmr.run.Task.String(), "run": fmr.run.Number, "vm": one.ID, "registered": !hos.unregistered, "long_lease": fmr.vm.LongLease,
-		"sent_ms_ago": sta.now.Sub(fmr.sentAt).Milliseconds(), "lapse_ms": hos.leaseExpiry.Sub(sta.now).Milliseconds(),
+	sta.logDecision("start_restored", run.Task.Job, map[string]any{
+		"task": run.Task.String(), "run": run.Number, "vm": hos.vm.ID, "registered": !hos.unregistered,
+		"long_lease": sta.now.Before(hos.longLeaseUntil), "lapse_ms": hos.leaseExpiry.Sub(sta.now).Milliseconds(),
 	})
 }
 
