manager: starts wait at most 50 ms for their record

Change: after 50 ms without an answer the starts are sent, as the transaction is carried out also if this process is killed. If it fails, it is repeated, and other starts wait for their records until it has succeeded.

--- a/internal/manager/dispatcher.go
+++ b/internal/manager/dispatcher.go
@@ -59,6 +59,9 @@
 	reportedSources int
 	// unrecorded holds the starts of this round that wait for their record.
 	unrecorded []scheduler.Start
+	// lateRecords counts the records that are being written again after their starts were
+	// sent.
+	lateRecords atomic.Int64
 	// adviceNeeded is State.NeedsAdvice as of the last round.
 	adviceNeeded atomic.Bool
 }
--- a/internal/manager/startrecords.go
+++ b/internal/manager/startrecords.go
@@ -4,34 +4,88 @@
 	"context"
 	"time"
 
+	"github.com/balsamgauge/balsamgauge/internal/clock"
 	"github.com/balsamgauge/balsamgauge/internal/core/scheduler"
 	"github.com/balsamgauge/balsamgauge/internal/core/startlog"
+	"github.com/balsamgauge/balsamgauge/internal/decisionlog"
 	"github.com/balsamgauge/balsamgauge/internal/kv"
 )
 
-// recordTimeout bounds the write of a record of starts. latestart.MaxDelay includes it.
-const recordTimeout = 600 * time.Millisecond
+// Timing of records of starts.
+const (
+	// recordTimeout bounds the write of a record. latestart.MaxDelay includes it.
+	recordTimeout = 600 * time.Millisecond
+	// recordPatience is how long starts wait for their record. A write that is on its way to
+	// a slow store is carried out even if this process is killed.
+	recordPatience = 50 * time.Millisecond
+	// recordRetryDelay is the pause before a record is written again whose starts were
+	// sent.
+	recordRetryDelay = 60 * time.Millisecond
+)
 
-// recordStarts records starts that were decided at a time, and then sends them.
+// recordStarts records starts that were decided at a time, and sends them.
 func (dis *dispatcher) recordStarts(ctx context.Context, decided time.Time, txn kv.Txn, starts []scheduler.Start) {
+	written := make(chan error, 1)
+	go func() { written <- dis.writeRecord(ctx, txn) }()
+	var patience <-chan time.Time
+	if dis.lateRecords.Load() == 0 {
+		patience = time.After(recordPatience)
+	}
+	sent := false
+	for {
+		select {
+		case err := <-written:
+			switch {
+			case err == nil && !sent:
+				dis.sendStarts(ctx, decided, txn, starts)
+			case err != nil && !sent:
+				dis.send(ctx, scheduler.StartsNotRecorded{Txn: txn, Starts: starts, Err: err})
+			case err != nil:
+				dis.rewriteRecord(ctx, txn, err)
+			}
+			return
+		case <-patience:
+			patience, sent = nil, dis.sendStarts(ctx, decided, txn, starts)
+			if !sent {
+				return
+			}
+		}
+	}
+}
+
+// writeRecord writes a record of starts once.
+func (dis *dispatcher) writeRecord(ctx context.Context, txn kv.Txn) (err error) {
 	callCtx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
-	_, err := dis.commit(callCtx, txn)
-	if err == nil {
-		// The process may have stood still since.
-		err = dis.checkHeld()
-	}
-	took := dis.nod.now().Sub(decided)
-	if err == nil && took > recordTimeout {
-		err = context.DeadlineExceeded
+	_, err = dis.commit(callCtx, txn)
+	return err
+}
+
+// rewriteRecord writes a record again until it is stored. As long as there is one, the starts
+// of others wait until theirs are.
+func (dis *dispatcher) rewriteRecord(ctx context.Context, txn kv.Txn, err error) {
+	dis.lateRecords.Add(1)
+	defer dis.lateRecords.Add(-1)
+	for err != nil && ctx.Err() == nil {
+		dis.nod.log.Event("record_of_starts_late", decisionlog.Fields{"error": err.Error()})
+		clock.Pause(ctx, recordRetryDelay)
+		err = dis.writeRecord(ctx, txn)
 	}
-	if err != nil {
-		dis.send(ctx, scheduler.StartsNotRecorded{Txn: txn, Starts: starts, Err: err})
-		return
+}
+
+// sendStarts sends starts that were decided at a time, unless the process has stood still
+// since.
+func (dis *dispatcher) sendStarts(ctx context.Context, decided time.Time, txn kv.Txn, starts []scheduler.Start) (sent bool) {
+	now := dis.nod.now()
+	took := now.Sub(decided)
+	if !dis.ten.Holds(now) || took > recordTimeout {
+		dis.send(ctx, scheduler.StartsNotRecorded{Txn: txn, Starts: starts, Err: errNotHeld})
+		return false
 	}
 	for _, eff := range starts {
 		go dis.start(ctx, eff, took)
 	}
+	return true
 }
 
 // readStarts reads the records of starts that former dispatchers left.
