duty, scheduler: orders to a VM that restarted carry a higher token

Cause: X-Expected-Instance names an ID, which both incarnations have. The fencing token does tell them apart: a VM does nothing for a lower one than it has seen. It was the term, the same for both.

Change: duty.Token is the term, and below it when in the tenure the incarnation was found. From the first answer with its token on, a VM refuses what was meant for its former incarnations; its lease then ends within the longest one. A report by which a restart is found answers an older token, so the next one is awaited.

What arrives before the first order to the new incarnation is not prevented; it has no ends then.

--- a/internal/core/scheduler/assign.go
+++ b/internal/core/scheduler/assign.go
@@ -288,7 +288,7 @@
 		sta.recordStart(hos, pla)
 	}
 	sta.emit(Start{
-		VM: hos.vm, Recorded: recorded, Task: pla.task, Run: pla.run, Payload: stg.liveJob.spec.Payload, Deadline: sta.extendLease(hos),
+		VM: hos.vm, Token: hos.token, Recorded: recorded, Task: pla.task, Run: pla.run, Payload: stg.liveJob.spec.Payload, Deadline: sta.extendLease(hos),
 		Checkpoint: stg.tasks[pla.task.Index].checkpoint, Ticket: stg.advice.ticketFor(hos.vm.ID, sta.now),
 	})
 }
--- a/internal/core/scheduler/effect.go
+++ b/internal/core/scheduler/effect.go
@@ -11,10 +11,13 @@
 // Effect is an action that State.Reduce requests from its caller.
 type Effect interface{ effect() }
 
+// Orders to a VM and polls carry a fencing token, duty.Token.
+
 // Poll requests a report from a VM, acknowledges ends and extends the lease of
 // all runs there.
 type Poll struct {
-	VM worker.VM
+	VM    worker.VM
+	Token int64
 	// Acked is the number up to which all ends are acknowledged.
 	Acked int64
 	// Deadline is the new end of the lease on the VM's clock; 0 extends nothing.
@@ -29,6 +32,7 @@
 // of the same call of Reduce has succeeded.
 type Start struct {
 	VM      worker.VM
+	Token   int64
 	Task    job.Task
 	Run     int
 	Payload string
@@ -47,14 +51,16 @@
 // Stop orders a VM to stop a run, and to reject the run if its start arrives
 // later.
 type Stop struct {
-	VM   worker.VM
-	Task job.Task
-	Run  int
+	VM    worker.VM
+	Token int64
+	Task  job.Task
+	Run   int
 }
 
 // Pace orders a VM to run a task at a percentage of full speed.
 type Pace struct {
 	VM      worker.VM
+	Token   int64
 	Task    job.Task
 	Run     int
 	Percent int
--- a/internal/core/scheduler/emulator_test.go
+++ b/internal/core/scheduler/emulator_test.go
@@ -158,7 +158,7 @@
 	up          bool
 	partitioned bool
 	startedAt   time.Time
-	// fence is the highest term that the VM has accepted.
+	// fence is the highest token that the VM has accepted.
 	fence int64
 	runs  map[job.Task]*emulatedRun
 	ends  []worker.End
@@ -554,12 +554,12 @@
 			emu.unrecorded = append(emu.unrecorded, eff)
 			return
 		}
-		emu.call(eff, eff.VM, func(vm *emulatedVM, term int64) worker.Result { return emu.startOn(vm, eff, term) }, func(res worker.Result, unanswered bool) Event {
-			return StartAnswered{VM: eff.VM, Task: eff.Task, Run: eff.Run, Result: res, Unanswered: unanswered}
+		emu.call(eff, eff.VM, func(vm *emulatedVM) worker.Result { return emu.startOn(vm, eff) }, func(res worker.Result, unanswered bool) Event {
+			return StartAnswered{VM: eff.VM, Token: eff.Token, Task: eff.Task, Run: eff.Run, Result: res, Unanswered: unanswered}
 		})
 	case Stop:
-		emu.call(eff, eff.VM, func(vm *emulatedVM, term int64) worker.Result { return emu.stopOn(vm, eff, term) }, func(res worker.Result, _ bool) Event {
-			return StopAnswered{VM: eff.VM, Task: eff.Task, Run: eff.Run, Result: res}
+		emu.call(eff, eff.VM, func(vm *emulatedVM) worker.Result { return emu.stopOn(vm, eff) }, func(res worker.Result, _ bool) Event {
+			return StopAnswered{VM: eff.VM, Token: eff.Token, Task: eff.Task, Run: eff.Run, Result: res}
 		})
 	case RecordStarts:
 		emu.recordStarts(eff.Txn)
@@ -710,7 +710,7 @@
 
 // call sends an order to a VM, and again while there is no answer, and delivers the
 // first definite answer. The answer is unanswered if another try has none.
-func (emu *emulator) call(eff Effect, one worker.VM, execute func(*emulatedVM, int64) worker.Result, answer func(res worker.Result, unanswered bool) Event) {
+func (emu *emulator) call(eff Effect, one worker.VM, execute func(*emulatedVM) worker.Result, answer func(res worker.Result, unanswered bool) Event) {
 	term, decided, open, left := emu.term, false, 0, emu.repeats
 	var send func()
 	send = func() {
@@ -739,7 +739,7 @@
 
 // try sends an order to a VM and its answer back. Either may be lost, and the
 // order may be carried out late.
-func (emu *emulator) try(eff Effect, one worker.VM, term int64, execute func(*emulatedVM, int64) worker.Result, answer func(worker.Result)) {
+func (emu *emulator) try(eff Effect, one worker.VM, term int64, execute func(*emulatedVM) worker.Result, answer func(worker.Result)) {
 	answered := false
 	reply := func(span time.Duration, res worker.Result) {
 		emu.after(span, func() {
@@ -760,7 +760,7 @@
 		if vm.vm.ID != one.ID {
 			return worker.ResultOtherIncarnation, true
 		}
-		return execute(vm, term), true
+		return execute(vm), true
 	}
 	if delay := emu.delayOf(eff); delay > 0 {
 		reply(time.Second, worker.ResultUnknown)
@@ -824,11 +824,11 @@
 }
 
 // startOn starts a run on a VM, which checks the order as an executor does.
-func (emu *emulator) startOn(vm *emulatedVM, ord Start, term int64) worker.Result {
-	if term < vm.fence {
+func (emu *emulator) startOn(vm *emulatedVM, ord Start) worker.Result {
+	if ord.Token < vm.fence {
 		return worker.ResultFenced
 	}
-	vm.fence = term
+	vm.fence = ord.Token
 	// Starts that are refused extend the lease as well.
 	emu.extend(vm, ord.Deadline)
 	if run := vm.runs[ord.Task]; run != nil && run.run == ord.Run {
@@ -1051,11 +1051,11 @@
 }
 
 // stopOn stops a run on a VM, or makes the VM reject its start.
-func (emu *emulator) stopOn(vm *emulatedVM, ord Stop, term int64) worker.Result {
-	if term < vm.fence {
+func (emu *emulator) stopOn(vm *emulatedVM, ord Stop) worker.Result {
+	if ord.Token < vm.fence {
 		return worker.ResultFenced
 	}
-	vm.fence = term
+	vm.fence = ord.Token
 	vm.tombstones[ord.Task] = max(vm.tombstones[ord.Task], ord.Run)
 	run := vm.runs[ord.Task]
 	if run != nil && run.run <= ord.Run {
@@ -1115,7 +1115,7 @@
 		if term == emu.term && !answered {
 			answered = true
 			emu.recordReported(eff.VM, rep)
-			emu.deliver(PollAnswered{VM: eff.VM, Sent: sent, Report: rep, Result: res})
+			emu.deliver(PollAnswered{VM: eff.VM, Token: eff.Token, Sent: sent, Report: rep, Result: res})
 		}
 	}
 	responded := false
@@ -1146,11 +1146,11 @@
 			answer(worker.ResultOtherIncarnation, worker.Report{})
 			return
 		}
-		if term < vm.fence {
+		if eff.Token < vm.fence {
 			answer(worker.ResultFenced, worker.Report{})
 			return
 		}
-		vm.fence = term
+		vm.fence = eff.Token
 		emu.acknowledge(vm, eff.Acked)
 		if eff.Deadline > 0 {
 			emu.extend(vm, eff.Deadline)
--- a/internal/core/scheduler/event.go
+++ b/internal/core/scheduler/event.go
@@ -50,9 +50,12 @@
 	Machines    []worker.Machine
 }
 
+// Answers of VMs carry the token of what they answer; 0 if it doesn't matter.
+
 // PollAnswered answers a Poll.
 type PollAnswered struct {
-	VM worker.VM
+	VM    worker.VM
+	Token int64
 	// Sent is when the poll was sent.
 	Sent time.Time
 	// Report is valid if Result is ResultOK.
@@ -63,6 +66,7 @@
 // StartAnswered answers a Start.
 type StartAnswered struct {
 	VM     worker.VM
+	Token  int64
 	Task   job.Task
 	Run    int
 	Result worker.Result
@@ -76,6 +80,7 @@
 // StopAnswered answers a Stop.
 type StopAnswered struct {
 	VM     worker.VM
+	Token  int64
 	Task   job.Task
 	Run    int
 	Result worker.Result
@@ -84,6 +89,7 @@
 // PaceAnswered answers a Pace.
 type PaceAnswered struct {
 	VM      worker.VM
+	Token   int64
 	Task    job.Task
 	Percent int
 	Result  worker.Result
--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/balsamgauge/balsamgauge/internal/core/duty"
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
 	"github.com/balsamgauge/balsamgauge/internal/core/latestart"
 	"github.com/balsamgauge/balsamgauge/internal/core/pace"
@@ -75,7 +76,7 @@
 	leaseExpiry := vmclock.Latest(sta.now, sta.leases.OfFormer(sta.opt.Since), inherited)
 	hos = &host{
 		vm: one, runs: map[job.Task]*placement{}, ackable: map[int64]bool{}, leaseExpiry: leaseExpiry, nextPoll: sta.now, idleSince: sta.now, firstSeen: sta.now,
-		pace: pace.NewControl(), longLeaseUntil: inherited,
+		pace: pace.NewControl(), longLeaseUntil: inherited, token: duty.Token(sta.opt.Term, sta.now.Sub(sta.opt.Since)),
 	}
 	sta.hosts[one.ID] = hos
 	sta.indexHost(hos)
@@ -222,7 +223,7 @@
 
 // sendPoll polls a VM and acknowledges its ends.
 func (sta *State) sendPoll(hos *host) {
-	pol := Poll{VM: hos.vm, Acked: hos.ackableUpTo, Slack: min(maxPollSlack, pollSlack<<min(hos.failedPolls, 4))}
+	pol := Poll{VM: hos.vm, Token: hos.token, Acked: hos.ackableUpTo, Slack: min(maxPollSlack, pollSlack<<min(hos.failedPolls, 4))}
 	// A silent VM may still receive polls. If they extended its lease, its tasks
 	// would have to wait longer to start elsewhere.
 	if hos.termAccepted && hos.failedPolls == 0 {
@@ -290,17 +291,14 @@
 func (sta *State) applyReport(hos *host, evt PollAnswered) {
 	if startedAtMS := evt.Report.StartedAtMS; startedAtMS != 0 {
 		if hos.vm.StartedAtMS != 0 && startedAtMS != hos.vm.StartedAtMS {
-			hos = sta.replaceRestarted(hos, startedAtMS)
+			sta.replaceRestarted(hos, startedAtMS)
+			return
 		}
 		hos.vm.StartedAtMS = startedAtMS
 	}
 	hos.failedPolls = 0
-	if !hos.termAccepted && sta.opt.Term > 1 {
-		accepted := sta.leases.Accepted(sta.opt.Since, sta.now, evt.Report.Clock)
-		hos.leaseExpiry = vmclock.Latest(hos.leaseExpiry, accepted)
-		if accepted.After(sta.leases.OfFormer(sta.opt.Since)) {
-			hos.longLeaseUntil = vmclock.Latest(hos.longLeaseUntil, accepted)
-		}
+	if !hos.termAccepted {
+		sta.boundLease(hos, evt.Report.Clock)
 	}
 	hos.endsLeftOut = !evt.Report.ListsAllEnds() && (hos.endsLeftOut || !hos.termAccepted && sta.opt.Term > 1)
 	hos.termAccepted, hos.listedGone = true, false
@@ -331,13 +329,13 @@
 
 // replaceRestarted replaces the record of a VM whose report shows that it has
 // restarted under the same ID. The new incarnation may already run tasks, which
-// were ordered before the restart was known.
-func (sta *State) replaceRestarted(old *host, startedAtMS int64) *host {
+// were ordered before the restart was known, and gets more of these orders until it has
+// accepted its own token: the next report shows them.
+func (sta *State) replaceRestarted(old *host, startedAtMS int64) {
 	one := old.vm
 	one.StartedAtMS = startedAtMS
 	sta.removeHost(old, "the VM reported another start time")
 	sta.register(one)
-	return sta.hosts[one.ID]
 }
 
 // applyRunning updates the record of a run that a VM reports as active.
--- a/internal/core/scheduler/laterestart_test.go
+++ b/internal/core/scheduler/laterestart_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/balsamgauge/balsamgauge/internal/core/duty"
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
 	"gotest.tools/v3/assert"
 )
@@ -109,7 +110,7 @@
 		fix.at(crashAt, func() { fix.emu.crash(fix.first, delay-crashAt-time.Millisecond) })
 		fix.at(delay, func() {
 			// The late poll has arrived, and none of the next dispatcher.
-			assert.Equal(t, fix.first.fence, int64(1), "delay %v", delay)
+			assert.Equal(t, duty.TokenTerm(fix.first.fence), int64(1), "delay %v", delay)
 			fix.emu.submit(fanOut(2, "large", 1, 500, 20*time.Second))
 		})
 		fix.at(delay+300*time.Millisecond, func() {
--- a/internal/core/scheduler/orders.go
+++ b/internal/core/scheduler/orders.go
@@ -76,7 +76,7 @@
 				continue
 			}
 			pla.stopSent, pla.stopInFlight = sta.now, true
-			sta.emit(Stop{VM: hos.vm, Task: pla.task, Run: pla.run})
+			sta.emit(Stop{VM: hos.vm, Token: hos.token, Task: pla.task, Run: pla.run})
 		}
 	}
 }
--- a/internal/core/scheduler/pace.go
+++ b/internal/core/scheduler/pace.go
@@ -41,7 +41,7 @@
 			continue
 		}
 		pla.paceInFlight = true
-		sta.emit(Pace{VM: hos.vm, Task: pla.task, Run: pla.run, Percent: hos.pace.Percent})
+		sta.emit(Pace{VM: hos.vm, Token: hos.token, Task: pla.task, Run: pla.run, Percent: hos.pace.Percent})
 	}
 }
 
--- a/internal/core/scheduler/reduce.go
+++ b/internal/core/scheduler/reduce.go
@@ -117,12 +117,12 @@
 	sta.leases.Expire(sta.now)
 }
 
-// handleAnswer applies answers of VMs. Answers of earlier incarnations are
+// handleAnswer applies answers of VMs. Answers to calls for earlier incarnations are
 // ignored.
 func (sta *State) handleAnswer(evt Event) {
 	switch evt := evt.(type) {
 	case PollAnswered:
-		if hos := sta.hosts[evt.VM.ID]; hos != nil && hos.vm.SameIncarnation(evt.VM) {
+		if hos := sta.answeringHost(evt.VM, evt.Token); hos != nil {
 			sta.pollAnswered(hos, evt)
 		}
 	case StartAnswered:
@@ -134,15 +134,15 @@
 		default:
 			sta.lateStarts.Settle(evt.VM.ID, run)
 		}
-		if hos := sta.hosts[evt.VM.ID]; hos != nil && hos.vm.SameIncarnation(evt.VM) {
+		if hos := sta.answeringHost(evt.VM, evt.Token); hos != nil {
 			sta.startAnswered(hos, evt)
 		}
 	case StopAnswered:
-		if hos := sta.hosts[evt.VM.ID]; hos != nil && hos.vm.SameIncarnation(evt.VM) {
+		if hos := sta.answeringHost(evt.VM, evt.Token); hos != nil {
 			sta.stopAnswered(hos, evt)
 		}
 	case PaceAnswered:
-		if hos := sta.hosts[evt.VM.ID]; hos != nil && hos.vm.SameIncarnation(evt.VM) {
+		if hos := sta.answeringHost(evt.VM, evt.Token); hos != nil {
 			sta.paceAnswered(hos, evt)
 		}
 	default:
@@ -150,6 +150,16 @@
 	}
 }
 
+// answeringHost returns the host of a VM that has answered a call with a token, or nil if the
+// call was for another incarnation.
+func (sta *State) answeringHost(one worker.VM, token int64) *host {
+	hos := sta.hosts[one.ID]
+	if hos == nil || !hos.vm.SameIncarnation(one) || token != 0 && token != hos.token {
+		return nil
+	}
+	return hos
+}
+
 // stepDown ends the tenure. Later events are ignored.
 func (sta *State) stepDown(reason string) {
 	sta.steppedDown = true
--- a/internal/core/scheduler/restarttakeoverwait_test.go
+++ b/internal/core/scheduler/restarttakeoverwait_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/balsamgauge/balsamgauge/internal/core/duty"
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
 	"gotest.tools/v3/assert"
 )
@@ -39,7 +40,7 @@
 		term := fix.emu.term
 		var watch func()
 		watch = func() {
-			if fix.first.fence < term {
+			if duty.TokenTerm(fix.first.fence) < term {
 				fix.emu.after(5*time.Millisecond, watch)
 				return
 			}
--- a/internal/core/scheduler/startrecords.go
+++ b/internal/core/scheduler/startrecords.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/balsamgauge/balsamgauge/internal/core/duty"
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
 	"github.com/balsamgauge/balsamgauge/internal/core/latestart"
 	"github.com/balsamgauge/balsamgauge/internal/core/pace"
@@ -133,7 +134,7 @@
 		// The VM may have restarted unseen.
 		hos = &host{
 			vm: one, runs: map[job.Task]*placement{}, ackable: map[int64]bool{}, leaseExpiry: inherited, nextPoll: sta.now, idleSince: sta.now, firstSeen: sta.opt.Since,
-			pace: pace.NewControl(), unregistered: true, unseen: true,
+			pace: pace.NewControl(), unregistered: true, unseen: true, token: duty.Token(sta.opt.Term, sta.now.Sub(sta.opt.Since)),
 		}
 		sta.hosts[one.ID] = hos
 		sta.indexHost(hos)
@@ -178,6 +179,22 @@
 	}
 }
 
+// boundLease bounds the lease of a VM that has accepted its token, by its report. All calls
+// for former incarnations that extend it have arrived.
+func (sta *State) boundLease(hos *host, clock time.Duration) {
+	accepted := sta.now
+	if sta.opt.Term > 1 {
+		accepted = sta.leases.Accepted(sta.opt.Since, sta.now, clock)
+	}
+	if sta.now.Before(hos.longLeaseUntil) {
+		accepted = sta.now.Add(vmclock.LongestLease(sta.opt.LongestLease))
+	}
+	if hos.longLeaseUntil = accepted; sta.opt.Term > 1 && !accepted.After(sta.leases.OfFormer(sta.opt.Since)) {
+		hos.longLeaseUntil = time.Time{}
+	}
+	hos.leaseExpiry = accepted
+}
+
 // supersedeFormer releases the recorded run of a task of which a VM reports a higher one:
 // it was over when that was started.
 func (sta *State) supersedeFormer(stg *stage, name job.Task, run int) {
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -259,10 +259,13 @@
 // there.
 type host struct {
 	vm worker.VM
+	// token is the fencing token of orders to the VM.
+	token int64
 	// firstSeen is when the VM's registration was first received.
 	firstSeen time.Time
-	// termAccepted reports whether the VM has answered a poll of this term, and so
-	// refuses the orders of former dispatchers.
+	// termAccepted reports whether the VM has answered a poll with its token, and so
+	// refuses the orders of former dispatchers, and those that were meant for former
+	// incarnations.
 	termAccepted bool
 	// endsLeftOut reports whether the VM may hold ends of runs of a former dispatcher that
 	// no report has listed yet.
--- a/internal/core/startlog/record.go
+++ b/internal/core/startlog/record.go
@@ -10,6 +10,7 @@
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
 	"github.com/balsamgauge/balsamgauge/internal/core/latestart"
 	"github.com/balsamgauge/balsamgauge/internal/core/packed"
+	"github.com/balsamgauge/balsamgauge/internal/core/vmclock"
 	"github.com/balsamgauge/balsamgauge/internal/core/worker"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -26,13 +27,10 @@
 	VMs  []VMRuns `msgpack:"v"`
 }
 
-// maxClockSkew bounds the difference between the times of day of two dispatchers.
-const maxClockSkew = 5 * time.Second
-
 // LatestSend returns the latest time at which the starts may have been sent, for a
 // dispatcher that took over before now.
 func (rec Record) LatestSend(now time.Time) time.Time {
-	if at := time.UnixMilli(rec.AtMS).Add(maxClockSkew); at.Before(now) {
+	if at := time.UnixMilli(rec.AtMS).Add(vmclock.MaxSkew); at.Before(now) {
 		return at
 	}
 	return now
--- a/internal/core/startlog/startlog_test.go
+++ b/internal/core/startlog/startlog_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
 	"github.com/balsamgauge/balsamgauge/internal/core/latestart"
+	"github.com/balsamgauge/balsamgauge/internal/core/vmclock"
 	"github.com/balsamgauge/balsamgauge/internal/core/worker"
 	"gotest.tools/v3/assert"
 )
@@ -42,7 +43,7 @@
 func TestLatestSend(t *testing.T) {
 	rec := Record{AtMS: testTime.UnixMilli()}
 	for _, tst := range []struct{ after, want time.Duration }{
-		{-time.Second, -time.Second}, {0, 0}, {maxClockSkew, maxClockSkew}, {time.Minute, maxClockSkew},
+		{-time.Second, -time.Second}, {0, 0}, {vmclock.MaxSkew, vmclock.MaxSkew}, {time.Minute, vmclock.MaxSkew},
 	} {
 		got := rec.LatestSend(testTime.Add(tst.after))
 		assert.Equal(t, got.Sub(testTime), tst.want, "%v after the record", tst.after)
--- a/internal/core/vmclock/vmclock.go
+++ b/internal/core/vmclock/vmclock.go
@@ -18,6 +18,8 @@
 	// maxAge is the age from which a reading is old. Leases by an old reading are
 	// too short to outlast a takeover.
 	maxAge = 20 * time.Second
+	// MaxSkew bounds the difference between two times of day.
+	MaxSkew = 5 * time.Second
 )
 
 // Reading is a reading of a VM's clock. It is immutable.
--- a/internal/manager/effects.go
+++ b/internal/manager/effects.go
@@ -125,9 +125,6 @@
 	}
 }
 
-// term returns the dispatcher's term, the fencing token of its orders.
-func (dis *dispatcher) term() int64 { return dis.ten.Current().Holder.Term }
-
 // pollReport is the answer to a poll. The report is valid if the result is ResultOK.
 type pollReport struct {
 	report worker.Report
@@ -135,7 +132,7 @@
 }
 
 func (dis *dispatcher) poll(ctx context.Context, now time.Time, eff scheduler.Poll) {
-	pol := platform.Poll{Term: dis.term(), Acked: eff.Acked, Deadline: eff.Deadline, Wait: eff.Wait}
+	pol := platform.Poll{Token: eff.Token, Acked: eff.Acked, Deadline: eff.Deadline, Wait: eff.Wait}
 	out := hedge.Do(ctx, dis.nod.calls, hedge.Call[pollReport]{
 		Kind: "poll", Callee: eff.VM.ID, Wait: eff.Wait, Timeout: eff.Wait + eff.Slack,
 		Send: func(ctx context.Context, try int) (ans pollReport, err error) {
@@ -150,7 +147,7 @@
 	})
 	// The log's name of a poll is "look".
 	dis.logFailure("look", eff.VM.ID, out.Err)
-	dis.send(ctx, scheduler.PollAnswered{VM: eff.VM, Sent: now, Report: out.Answer.report, Result: out.Answer.result})
+	dis.send(ctx, scheduler.PollAnswered{VM: eff.VM, Token: eff.Token, Sent: now, Report: out.Answer.report, Result: out.Answer.result})
 }
 
 // executors returns the client for a try of a call to a VM.
@@ -185,29 +182,28 @@
 // start orders a VM to start a run, whose record took a time to be written.
 func (dis *dispatcher) start(ctx context.Context, eff scheduler.Start, recordTime time.Duration) {
 	ord := platform.StartOrder{
-		Task: eff.Task, Run: eff.Run, Payload: eff.Payload, Deadline: eff.Deadline, Term: dis.term(),
+		Task: eff.Task, Run: eff.Run, Payload: eff.Payload, Deadline: eff.Deadline, Token: eff.Token,
 		Checkpoint: eff.Checkpoint, Ticket: eff.Ticket,
 	}
 	out := dis.order(ctx, "start", eff.VM, eff.Task, eff.Run, func(ctx context.Context, exe *platform.Executors) (worker.Result, error) {
 		return exe.Start(ctx, eff.VM, ord)
 	})
-	dis.send(ctx, scheduler.StartAnswered{VM: eff.VM, Task: eff.Task, Run: eff.Run, Result: out.Answer, RecordTime: recordTime, Unanswered: out.Unanswered})
+	dis.send(ctx, scheduler.StartAnswered{VM: eff.VM, Token: eff.Token, Task: eff.Task, Run: eff.Run, Result: out.Answer, RecordTime: recordTime, Unanswered: out.Unanswered})
 }
 
 func (dis *dispatcher) stop(ctx context.Context, eff scheduler.Stop) {
-	term := dis.term()
 	out := dis.order(ctx, "stop", eff.VM, eff.Task, eff.Run, func(ctx context.Context, exe *platform.Executors) (worker.Result, error) {
-		return exe.Stop(ctx, eff.VM, eff.Task, eff.Run, term)
+		return exe.Stop(ctx, eff.VM, eff.Task, eff.Run, eff.Token)
 	})
-	dis.send(ctx, scheduler.StopAnswered{VM: eff.VM, Task: eff.Task, Run: eff.Run, Result: out.Answer})
+	dis.send(ctx, scheduler.StopAnswered{VM: eff.VM, Token: eff.Token, Task: eff.Task, Run: eff.Run, Result: out.Answer})
 }
 
 func (dis *dispatcher) pace(ctx context.Context, eff scheduler.Pace) {
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	res, err := dis.nod.executors.Pace(callCtx, eff.VM, eff.Task, eff.Run, eff.Percent, dis.term())
+	res, err := dis.nod.executors.Pace(callCtx, eff.VM, eff.Task, eff.Run, eff.Percent, eff.Token)
 	dis.logFailure("pace", eff.VM.ID, err)
-	dis.send(ctx, scheduler.PaceAnswered{VM: eff.VM, Task: eff.Task, Percent: eff.Percent, Result: res})
+	dis.send(ctx, scheduler.PaceAnswered{VM: eff.VM, Token: eff.Token, Task: eff.Task, Percent: eff.Percent, Result: res})
 }
 
 func (dis *dispatcher) queryAdvisor(ctx context.Context, eff scheduler.QueryAdvisor) {
