scheduler: the age of a VM is by its start time too

Cause: after a takeover the lease of a VM counts as the usual one if its clock shows more than 24 s, which was taken for its age. A VM that restarted under its ID may have a clock that starts anywhere, and a longer lease.

TestClockOfRestartedVMIsNotItsAge failed before: "the lease counts as ended after 4.02s".

--- a/internal/core/scheduler/startrecords.go
+++ b/internal/core/scheduler/startrecords.go
@@ -184,7 +184,7 @@
 func (sta *State) boundLease(hos *host, clock time.Duration) {
 	accepted := sta.now
 	if sta.opt.Term > 1 {
-		accepted = sta.leases.Accepted(sta.opt.Since, sta.now, clock)
+		accepted = sta.leases.Accepted(sta.opt.Since, sta.now, sta.ageOf(hos.vm, clock))
 	}
 	if sta.now.Before(hos.longLeaseUntil) {
 		accepted = sta.now.Add(vmclock.LongestLease(sta.opt.LongestLease))
@@ -195,6 +195,15 @@
 	hos.leaseExpiry = accepted
 }
 
+// ageOf returns the least time for which a VM may have been running. Its clock may start
+// anywhere, and its start time is by another time of day.
+func (sta *State) ageOf(one worker.VM, clock time.Duration) time.Duration {
+	if one.StartedAtMS == 0 {
+		return clock
+	}
+	return min(clock, sta.startedAgo(one)-vmclock.MaxSkew)
+}
+
 // supersedeFormer releases the recorded run of a task of which a VM reports a higher one:
 // it was over when that was started.
 func (sta *State) supersedeFormer(stg *stage, name job.Task, run int) {
