standin: a poll ends with its VM, and a cut VM's registration expires

A poll that waited when its VM crashed was answered by the next VM with the same ID, up to two seconds later, with the start time and the runs of that VM. On the platform a crash sends nothing, so the dispatcher learned of restarts in a way that it doesn't have there. TestPollEndsWithItsVM failed with an answer instead of an EOF.

For faults to come: VMs may be cut off from the store (the registration expires after three heartbeats of silence and is back with the next one), polls may be carried out late like starts and stops, and the longest lease is an option (6 s as before).

--- a/internal/standin/site/operator.go
+++ b/internal/standin/site/operator.go
@@ -150,13 +150,19 @@
 	Grace time.Duration
 	// Revoke is the time within which a withdrawn key must stop working.
 	Revoke time.Duration
+	// LongestLease is the longest lease that VMs grant, or 0 for 6 s.
+	LongestLease time.Duration
 }
 
 // Settings returns the text of the process's settings file.
 func (pro Process) Settings() string {
+	longestLease := maxLease
+	if pro.LongestLease > 0 {
+		longestLease = pro.LongestLease
+	}
 	return fmt.Sprintf("node-name = %q\nip = \"127.0.0.1\"\nzone = \"az0\"\ninternal-ports = [%d,%d]\nadvice = %q\n"+
 		"[listen-addrs]\nfront = %q\nready = %q\n[platform]\naddress = %q\n[cloud]\naddress = %q\nduty-per-s = 64.0\n"+
 		"[bounds]\ngrace-s = %g\nrevoke-ms = %d\nhold-max-ms = %d\nstop-ms = 400\nmaintenance-s = %g\n",
 		pro.Name, pro.Port, pro.Port, pro.Advisor, pro.Callers, pro.Ready, pro.Store, pro.Machines,
-		pro.Grace.Seconds(), pro.Revoke.Milliseconds(), maxLease.Milliseconds(), upkeepTime.Seconds())
+		pro.Grace.Seconds(), pro.Revoke.Milliseconds(), longestLease.Milliseconds(), upkeepTime.Seconds())
 }
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -71,6 +71,8 @@
 	// DecisionTime is the time the advisor takes to answer. With 0 there is no
 	// advisor; otherwise VMs start only tasks that carry one of its tickets.
 	DecisionTime time.Duration
+	// LongestLease is the longest lease that VMs grant, or 0 for 6 s.
+	LongestLease time.Duration
 	// Expose returns the address to register for a VM's listener, such as that of a
 	// proxy in front of it. If it is nil, the listener's own address is registered.
 	Expose func(name, address string) (exposed string, err error)
@@ -238,6 +240,14 @@
 	}
 }
 
+// LongestLease returns the longest lease that VMs grant.
+func (sit *Site) LongestLease() time.Duration {
+	if sit.opt.LongestLease > 0 {
+		return sit.opt.LongestLease
+	}
+	return maxLease
+}
+
 // Zones returns the names of the availability zones.
 func (sit *Site) Zones() []string { return []string{zoneName(0), zoneName(1), zoneName(2)} }
 
--- a/internal/standin/site/worker.go
+++ b/internal/standin/site/worker.go
@@ -46,9 +46,13 @@
 	// set if they get no answer.
 	orderDelay  time.Duration
 	answersLost bool
-	// late is the time after which starts and stops are carried out whose connections
-	// are closed at once.
-	late time.Duration
+	// late is the time after which orders are carried out whose connections are closed
+	// at once; polls are among them if pollsLate is set.
+	late      time.Duration
+	pollsLate bool
+	// cut is set while the VM doesn't reach the store, cuts counts the changes of it.
+	cut  bool
+	cuts int
 	// begun holds the waves in which the machine's upkeep has begun; lastWave is the
 	// last of them.
 	begun    map[int64]bool
@@ -120,7 +124,44 @@
 func (wor *Worker) SetOrdersLate(delay time.Duration) {
 	wor.mu.Lock()
 	defer wor.mu.Unlock()
-	wor.late = delay
+	wor.late, wor.pollsLate = delay, false
+}
+
+// SetCallsLate is like SetOrdersLate, but polls are late, too.
+func (wor *Worker) SetCallsLate(delay time.Duration) {
+	wor.mu.Lock()
+	defer wor.mu.Unlock()
+	wor.late, wor.pollsLate = delay, true
+}
+
+// SetCut starts or ends a fault in which the VM doesn't reach the store: its
+// registration expires, and is back with its next heartbeat after the fault. The VM
+// carries out the orders that reach it.
+func (wor *Worker) SetCut(cut bool) {
+	wor.mu.Lock()
+	defer wor.mu.Unlock()
+	if wor.cut == cut {
+		return
+	}
+	wor.cut = cut
+	wor.cuts++
+	num, id := wor.cuts, wor.id
+	sinceHeartbeat := wor.clock() % heartbeat
+	if cut {
+		time.AfterFunc(registrationExpiry-sinceHeartbeat, func() { wor.atCut(num, func() { wor.sit.Store.Delete(registrationPrefix + id) }) })
+		return
+	}
+	time.AfterFunc(heartbeat-sinceHeartbeat, func() { wor.atCut(num, wor.register) })
+}
+
+// atCut calls a function unless the VM was cut off or reached again since, by the
+// number of such changes.
+func (wor *Worker) atCut(num int, act func()) {
+	wor.mu.Lock()
+	defer wor.mu.Unlock()
+	if wor.cuts == num {
+		act()
+	}
 }
 
 // RunningVM returns the id of the VM that runs on the machine, the machine's pool,
@@ -157,13 +198,13 @@
 func (wor *Worker) Register() {
 	wor.mu.Lock()
 	defer wor.mu.Unlock()
-	if wor.state == machineUp {
-		wor.register()
-	}
+	wor.register()
 }
 
+// register writes the registration of the VM, if it runs and reaches the store. The
+// lock must be held.
 func (wor *Worker) register() {
-	if wor.sit.isStandby(wor.pool) {
+	if wor.sit.isStandby(wor.pool) || wor.cut || wor.state != machineUp {
 		return
 	}
 	wor.sit.Store.Put(registrationPrefix+wor.id, map[string]any{
@@ -193,6 +234,13 @@
 // rack returns the label of the machine's rack, which holds 4 machines.
 func (wor *Worker) rack() string { return fmt.Sprintf("r%d", wor.index/4+1) }
 
+// heartbeat is the time between two heartbeats of a VM, registrationExpiry the silence
+// after which the registration of one that doesn't reach the store is removed.
+const (
+	heartbeat          = 1500 * time.Millisecond
+	registrationExpiry = 3 * heartbeat
+)
+
 // registrationLag is the time for which a registration outlasts its incarnation.
 const registrationLag = 1500 * time.Millisecond
 
@@ -230,6 +278,8 @@
 		wor.sit.recordEnd(wor.id, task, run.run, "gone")
 	}
 	wor.runs, wor.unacked = map[string]*activeRun{}, nil
+	// Polls end with the incarnation.
+	close(wor.changed)
 	if pool == "" {
 		pool = wor.pool
 	}
@@ -269,11 +319,12 @@
 	}
 	wor.mu.Lock()
 	defer wor.mu.Unlock()
-	if wor.late > 0 && req.URL.Path != "/hold" {
+	if wor.late > 0 && (wor.pollsLate || req.URL.Path != "/hold") {
 		time.AfterFunc(wor.late, func() {
 			wor.mu.Lock()
 			defer wor.mu.Unlock()
 			if wor.state == machineUp {
+				ord.Wait = 0
 				wor.carryOut(noAnswer{}, req.URL.Path, req.Header.Get("X-Expected-Instance"), ord)
 			}
 		})
@@ -301,7 +352,17 @@
 	if wor.state != machineUp {
 		panic(http.ErrAbortHandler)
 	}
+	born := wor.born
 	wor.carryOut(wri, req.URL.Path, req.Header.Get("X-Expected-Instance"), ord)
+	if !wor.isUpSince(born) {
+		// The connection ended with the incarnation.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// isUpSince reports whether the incarnation that began at a given time runs.
+func (wor *Worker) isUpSince(born time.Time) bool {
+	return wor.state == machineUp && wor.born.Equal(born)
 }
 
 // carryOut carries out an order to an incarnation. The lock must be held.
@@ -315,7 +376,7 @@
 		return
 	}
 	wor.vmToken = ord.Token
-	wor.deadline = max(wor.deadline, min(time.Duration(ord.Deadline)*time.Millisecond, wor.clock()+maxLease))
+	wor.deadline = max(wor.deadline, min(time.Duration(ord.Deadline)*time.Millisecond, wor.clock()+wor.sit.LongestLease()))
 	switch path {
 	case "/run-start":
 		wor.start(wri, ord)
@@ -333,7 +394,7 @@
 	}
 }
 
-// maxLease is the longest lease that a VM grants.
+// maxLease is the longest lease that a VM grants if Options.LongestLease is 0.
 const maxLease = 6 * time.Second
 
 // noAnswer drops an answer that nobody waits for.
@@ -413,8 +474,9 @@
 
 // hold drops the ended runs that the dispatcher has acknowledged and reports the
 // active and the remaining ended ones. With none ended, it waits for one up to the
-// time in the order.
+// time in the order. It answers nothing if the incarnation ends meanwhile.
 func (wor *Worker) hold(wri http.ResponseWriter, ord order) {
+	born := wor.born
 	kept := wor.unacked[:0]
 	for _, end := range wor.unacked {
 		if end.sequence > ord.Acked {
@@ -426,7 +488,7 @@
 	wor.unacked = kept
 	wait := time.NewTimer(time.Duration(ord.Wait) * time.Millisecond)
 	defer wait.Stop()
-	for expired := ord.Wait == 0; len(wor.unacked) == 0 && !expired; {
+	for expired := ord.Wait == 0; len(wor.unacked) == 0 && !expired && wor.isUpSince(born); {
 		changed := wor.changed
 		wor.mu.Unlock()
 		select {
@@ -436,6 +498,9 @@
 		}
 		wor.mu.Lock()
 	}
+	if !wor.isUpSince(born) {
+		return
+	}
 	// A row of running is a task with its run, checkpoint, percentage and load; one
 	// of finished is a sequence number, a task with its run, outcome and checkpoint.
 	running, finished := [][]any{}, [][]any{}
