standin: cuts of a VM from the store may overlap

Two faults may cut the same VM off at the same time. The VM reaches the store again when the last of them has ended; TestCutVMWorksOn has two cuts that overlap.

--- a/internal/standin/site/worker.go
+++ b/internal/standin/site/worker.go
@@ -50,9 +50,9 @@
 	// at once; polls are among them if pollsLate is set.
 	late      time.Duration
 	pollsLate bool
-	// cut is set while the VM doesn't reach the store, cuts counts the changes of it.
-	cut  bool
-	cuts int
+	// cuts counts the faults in which the VM doesn't reach the store, cutChanges the
+	// times at which the first of them began or the last one ended.
+	cuts, cutChanges int
 	// begun holds the waves in which the machine's upkeep has begun; lastWave is the
 	// last of them.
 	begun    map[int64]bool
@@ -134,36 +134,42 @@
 	wor.late, wor.pollsLate = delay, true
 }
 
-// SetCut starts or ends a fault in which the VM doesn't reach the store: its
-// registration expires, and is back with its next heartbeat after the fault. The VM
-// carries out the orders that reach it.
-func (wor *Worker) SetCut(cut bool) {
+// Cut starts a fault in which the VM doesn't reach the store: its registration expires,
+// and is back with its next heartbeat after the fault. The VM carries out the orders that
+// reach it. The fault lasts until Uncut was called as often.
+func (wor *Worker) Cut() {
 	wor.mu.Lock()
 	defer wor.mu.Unlock()
-	if wor.cut == cut {
+	if wor.cuts++; wor.cuts > 1 {
 		return
 	}
-	wor.cut = cut
-	wor.cuts++
-	num, id := wor.cuts, wor.id
-	sinceHeartbeat := wor.clock() % heartbeat
-	if cut {
-		time.AfterFunc(registrationExpiry-sinceHeartbeat, func() { wor.atCut(num, func() { wor.sit.Store.Delete(registrationPrefix + id) }) })
-		return
-	}
-	time.AfterFunc(heartbeat-sinceHeartbeat, func() { wor.atCut(num, wor.register) })
+	id := wor.id
+	wor.atCut(registrationExpiry-wor.clock()%heartbeat, func() { wor.sit.Store.Delete(registrationPrefix + id) })
 }
 
-// atCut calls a function unless the VM was cut off or reached again since, by the
-// number of such changes.
-func (wor *Worker) atCut(num int, act func()) {
+// Uncut ends a fault that Cut started.
+func (wor *Worker) Uncut() {
 	wor.mu.Lock()
 	defer wor.mu.Unlock()
-	if wor.cuts == num {
-		act()
+	if wor.cuts--; wor.cuts == 0 {
+		wor.atCut(heartbeat-wor.clock()%heartbeat, wor.register)
 	}
 }
 
+// atCut calls a function after a time, unless the VM is cut off or reached again by
+// then. The lock must be held.
+func (wor *Worker) atCut(after time.Duration, act func()) {
+	wor.cutChanges++
+	num := wor.cutChanges
+	time.AfterFunc(after, func() {
+		wor.mu.Lock()
+		defer wor.mu.Unlock()
+		if wor.cutChanges == num {
+			act()
+		}
+	})
+}
+
 // RunningVM returns the id of the VM that runs on the machine, the machine's pool,
 // and whether there is a VM that answers.
 func (wor *Worker) RunningVM() (id, pool string, ok bool) {
@@ -204,7 +210,7 @@
 // register writes the registration of the VM, if it runs and reaches the store. The
 // lock must be held.
 func (wor *Worker) register() {
-	if wor.sit.isStandby(wor.pool) || wor.cut || wor.state != machineUp {
+	if wor.sit.isStandby(wor.pool) || wor.cuts > 0 || wor.state != machineUp {
 		return
 	}
 	wor.sit.Store.Put(registrationPrefix+wor.id, map[string]any{
--- a/internal/standin/site/worker_test.go
+++ b/internal/standin/site/worker_test.go
@@ -116,7 +116,7 @@
 	wor := sit.Workers[0]
 	registration := func() []byte { return sit.Store.Value(registrationPrefix + "vm-0") }
 	before := registration()
-	wor.SetCut(true)
+	wor.Cut()
 	status, err := post(wor.address, "/run-start", "vm-0", `{"task":"j.0.0.0","run":1,"fencing-token":1,"deadline-ms":60000}`)
 	assert.NilError(t, err)
 	assert.Equal(t, status, http.StatusOK)
@@ -129,7 +129,10 @@
 	assert.NilError(t, err)
 	assert.Equal(t, status, http.StatusOK)
 	assert.Equal(t, len(registration()), 0)
-	wor.SetCut(false)
+	wor.Cut()
+	wor.Uncut()
+	assert.Equal(t, len(registration()), 0)
+	wor.Uncut()
 	time.Sleep(heartbeat + 100*time.Millisecond)
 	after := registration()
 	assert.Assert(t, len(after) > 0 && string(after) != string(before), "%s", after)
