soak: VMs that restart under their ID are cut off

A VM that is back under its ID takes calls that were meant for its former incarnation, so that its lease may be the longest that it grants. The soak had no such series: VMs that restarted behind a cut had no runs, tasks ended within 3.6 s, and leases were 6 s at most.

--recut adds them: VMs restart, often while the calls to them are held back, and are cut off 0.3 to 3 s later for 4 to 10 s, from the store as well; the holder is killed or shut down near the start of the cut. One caller submits tasks of 2 to 13 s, and VMs grant 10 s. At times the calls of the 0.4 s before the restart are carried out late.

Cuts of the links of a VM that overlap end with the last of them now, also those of earlier schedules, which are drawn as before.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -38,8 +38,10 @@
 type caller struct {
 	run    *Run
 	number int
-	// annex is set if the caller submits to the annex only.
+	// annex is set if the caller submits to the annex only, long if it submits jobs
+	// with long tasks only.
 	annex  bool
+	long   bool
 	rng    *rand.Rand
 	client *http.Client
 	sent   int
@@ -80,6 +82,9 @@
 	if cal.annex {
 		return cal.annexJob()
 	}
+	if cal.long {
+		return cal.longJob()
+	}
 	return cal.newJob()
 }
 
@@ -121,10 +126,14 @@
 
 // estimate returns the duration that callers estimate for the tasks of a step.
 func estimate(ste ledger.Step) time.Duration {
-	if ste.Slow {
+	switch {
+	case ste.Long:
+		return longTaskEstimate
+	case ste.Slow:
 		return slowTaskEstimate
+	default:
+		return taskEstimate
 	}
-	return taskEstimate
 }
 
 // jobBody returns the request body that submits a job.
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -125,15 +125,23 @@
 // arrive after it is reverted.
 func (run *Run) cutVM(fau Fault, afterFault func(func())) {
 	// The ledger identifies a machine by the name of its first VM.
-	prx, machine := run.vmProxies[fau.Target], fmt.Sprintf("vm-%d", fau.Target)
-	prx.SetCut(true, true)
+	machine := fmt.Sprintf("vm-%d", fau.Target)
+	run.cutLink(fau.Target, 1)
 	run.ledger.LinkCut(time.Now(), machine)
 	afterFault(func() {
 		run.ledger.LinkCut(time.Now().Add(cutDrainTime), machine)
-		prx.SetCut(false, false)
+		run.cutLink(fau.Target, -1)
 	})
 }
 
+// cutLink changes by how many faults the connections to a VM are cut, by -1 or 1.
+func (run *Run) cutLink(vm, change int) {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	run.linkCuts[vm] += change
+	run.vmProxies[vm].SetCut(run.linkCuts[vm] > 0, run.linkCuts[vm] > 0)
+}
+
 // cutDrainTime is the longest time after the end of a cut at which delayed data
 // arrives.
 const cutDrainTime = 200 * time.Millisecond
--- a/internal/soak/injectseries.go
+++ b/internal/soak/injectseries.go
@@ -84,6 +84,8 @@
 		afterFault(run.sit.RegisterOdd(fau.Target))
 	case ListsLate, UpkeepAnswersLost, VMReborn, QueueRemoved:
 		run.injectLag(fau, afterFault)
+	case VMRecut:
+		run.recutVMs(fau)
 	default:
 		run.injectVMSeries(fau, afterFault)
 	}
--- a/internal/soak/lag.go
+++ b/internal/soak/lag.go
@@ -119,18 +119,18 @@
 		return
 	}
 	num := usable[fau.Target%len(usable)]
-	wor, prx, machine := run.sit.Workers[num], run.vmProxies[num], fmt.Sprintf("vm-%d", num)
+	wor, machine := run.sit.Workers[num], fmt.Sprintf("vm-%d", num)
 	delay := rebornLead + fau.For + cutDrainTime
 	run.ledger.LinkCut(time.Now(), machine)
 	wor.SetOrdersLate(delay)
 	time.Sleep(rebornLead)
 	wor.SetOrdersLate(0)
-	prx.SetCut(true, true)
+	run.cutLink(num, 1)
 	wor.Restart(rebornDown)
 	time.Sleep(fau.For)
 	// The last order that is late was taken when the cut began.
 	run.ledger.LinkCut(time.Now().Add(rebornLead+2*cutDrainTime), machine)
-	prx.SetCut(false, false)
+	run.cutLink(num, -1)
 	time.Sleep(rebornLead + 2*cutDrainTime)
 }
 
--- a/internal/soak/lag_test.go
+++ b/internal/soak/lag_test.go
@@ -58,7 +58,7 @@
 	assert.NilError(t, err)
 	defer run.sit.Stop()
 	run.rotateKeys(accounts...)
-	nod, err := newNode("entry-0", binary, dir, run.sit.StoreAddress, run.sit.MachinesAddress)
+	nod, err := newNode("entry-0", binary, dir, run.sit)
 	assert.NilError(t, err)
 	defer nod.store.Close()
 	assert.NilError(t, nod.start())
--- a/internal/soak/ledger/ledger.go
+++ b/internal/soak/ledger/ledger.go
@@ -61,6 +61,8 @@
 	Lasting bool
 	// Slow tasks take several times as long as others.
 	Slow bool
+	// Long tasks may outlast the lease of a VM.
+	Long bool
 	// Frail tasks fail several times as often as others.
 	Frail bool
 }
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -48,14 +48,14 @@
 }
 
 // newNode opens the proxy to the store and writes the settings file of a process.
-func newNode(name, binary, dir, store, machines string) (nod *node, err error) {
+func newNode(name, binary, dir string, sit *site.Site) (nod *node, err error) {
 	defer func() {
 		if err != nil {
 			err = fmt.Errorf("prepare process %s: %w", name, err)
 		}
 	}()
 	nod = &node{name: name, binary: binary, dir: dir}
-	if nod.store, err = proxy.New(store); err != nil {
+	if nod.store, err = proxy.New(sit.StoreAddress); err != nil {
 		return nil, err
 	}
 	var ports [3]int
@@ -66,8 +66,8 @@
 	}
 	nod.callersAddress, nod.readyAddress = fmt.Sprintf("127.0.0.1:%d", ports[0]), fmt.Sprintf("127.0.0.1:%d", ports[1])
 	text := site.Process{
-		Name: name, Callers: nod.callersAddress, Ready: nod.readyAddress, Port: ports[2], Store: nod.store.Address(), Machines: machines,
-		Grace: gracePeriod, Revoke: ledger.PlatformBounds.Revoke,
+		Name: name, Callers: nod.callersAddress, Ready: nod.readyAddress, Port: ports[2], Store: nod.store.Address(), Machines: sit.MachinesAddress,
+		Grace: gracePeriod, Revoke: ledger.PlatformBounds.Revoke, LongestLease: sit.LongestLease(),
 	}.Settings()
 	return nod, os.WriteFile(nod.settingsPath(), []byte(text), 0o600)
 }
--- /dev/null
+++ b/internal/soak/recut_test.go
@@ -0,0 +1,86 @@
+package soak
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/balsamgauge/balsamgauge/internal/standin/site"
+	"gotest.tools/v3/assert"
+)
+
+// TestScheduleRecut checks that schedules of VMRecut are determined by their seed, and that
+// they have each variant, faults that overlap among them.
+func TestScheduleRecut(t *testing.T) {
+	const span = 20 * time.Second
+	killed, shutDown, dark, late, overlapping := 0, 0, 0, 0, 0
+	for seed := range uint64(50) {
+		faults := ScheduleRecut(seed, span, 14)
+		assert.DeepEqual(t, faults, ScheduleRecut(seed, span, 14))
+		assert.Assert(t, len(faults) >= 2 && slices.IsSortedFunc(faults, func(one, oth Fault) int { return int(one.At - oth.At) }))
+		for i, fau := range faults {
+			rec := fau.Recut
+			assert.Assert(t, rec.VMs >= 1 && rec.VMs <= 2 && rec.CutAfter >= minRecutAfter && rec.CutAfter < maxRecutAfter, "%v", fau)
+			assert.Assert(t, rec.EndAfter >= 0 && rec.EndAfter >= rec.CutAfter-recutEndBefore && rec.EndAfter < rec.CutAfter+recutEndAfter, "%v", fau)
+			if rec.Term {
+				shutDown++
+			} else {
+				killed++
+			}
+			if rec.Dark {
+				dark++
+			}
+			if rec.Late > 0 {
+				late++
+			}
+			if i > 0 && fau.At < faults[i-1].At+recutLead+faults[i-1].Recut.Down+faults[i-1].Recut.CutAfter+faults[i-1].For {
+				overlapping++
+			}
+		}
+	}
+	assert.Assert(t, killed > 0 && shutDown > 0 && dark > 0 && late > 0 && overlapping > 0, "%d %d %d %d %d", killed, shutDown, dark, late, overlapping)
+}
+
+// TestRecutStrikes checks that VMRecut restarts a VM under its ID, that a call which was
+// on its way meanwhile reaches the next incarnation, and that the cut delays a later one
+// until its end.
+func TestRecutStrikes(t *testing.T) {
+	run := newRun(Options{Machines: 1, Recut: true})
+	var err error
+	run.sit, err = site.Start(site.Options{
+		Pools: run.pools(), TaskDuration: time.Hour, Expose: run.expose, LongestLease: recutLease, Observer: observer{run},
+	})
+	assert.NilError(t, err)
+	defer run.sit.Stop()
+	began := time.Now()
+	// The second call uses the connection of the first: the stand-in ends one that sends
+	// no request for long.
+	client := &http.Client{Timeout: 10 * time.Second}
+	call := func() (took time.Duration) {
+		req, err := http.NewRequest(http.MethodPost, "http://"+run.vmProxies[0].Address()+"/hold", strings.NewReader(`{"fencing-token":1,"deadline-ms":900000}`))
+		assert.NilError(t, err)
+		req.Header.Set("X-Expected-Instance", "vm-0")
+		rsp, err := client.Do(req)
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, rsp.Body)
+		assert.NilError(t, errors.Join(err, rsp.Body.Close()))
+		assert.Equal(t, rsp.StatusCode, http.StatusOK)
+		return time.Since(began)
+	}
+	const down, cutAfter, cut = 500 * time.Millisecond, 500 * time.Millisecond, 2 * time.Second
+	run.injectFault(Fault{Kind: VMRecut, For: cut, Recut: Recut{VMs: 1, Down: down, Dark: true, CutAfter: cutAfter, EndAfter: cutAfter}})
+	time.Sleep(recutLead + down/2)
+	dark := call()
+	time.Sleep(time.Until(began.Add(recutLead + down + cutAfter + cut/4)))
+	behind := call()
+	run.pending.Wait()
+	assert.Assert(t, dark >= recutLead+down && dark < recutLead+down+cutAfter, "%v", dark)
+	assert.Assert(t, behind >= recutLead+down+cutAfter+cut, "%v", behind)
+	id, _, ok := run.sit.Workers[0].RunningVM()
+	assert.Assert(t, ok && id == "vm-0")
+	assert.Equal(t, len(run.ledger.Violations()), 0)
+}
--- a/internal/soak/reload_test.go
+++ b/internal/soak/reload_test.go
@@ -23,7 +23,7 @@
 	assert.NilError(t, err)
 	defer sit.Stop()
 	sit.Configure(site.Config{Version: 1, Pools: []site.Pool{{Name: queuePool}}})
-	nod, err := newNode("entry-0", binary, dir, sit.StoreAddress, sit.MachinesAddress)
+	nod, err := newNode("entry-0", binary, dir, sit)
 	assert.NilError(t, err)
 	defer nod.store.Close()
 	assert.NilError(t, nod.start())
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -58,11 +58,17 @@
 	Target int
 	// For is the duration of a fault that is reverted.
 	For time.Duration
+	// Recut has the further parameters of VMRecut.
+	Recut Recut
 }
 
 // String formats the fault for a report.
 func (fau Fault) String() string {
-	return fmt.Sprintf("%6d ms %s %d for %d ms", fau.At.Milliseconds(), fau.Kind, fau.Target, fau.For.Milliseconds())
+	text := fmt.Sprintf("%6d ms %s %d for %d ms", fau.At.Milliseconds(), fau.Kind, fau.Target, fau.For.Milliseconds())
+	if fau.Kind == VMRecut {
+		text += ": " + fau.Recut.String()
+	}
+	return text
 }
 
 // Intervals between faults and durations of faults.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -23,6 +23,9 @@
 	For time.Duration
 	// Series adds the faults that come in series to the single ones.
 	Series bool
+	// Recut adds VMs that restart under their IDs and are cut off soon after, while long
+	// tasks run, and the ends of the holder in between. Leases may be longer then.
+	Recut bool
 	// FinalCrash makes the VMs of all availability zones crash once the other faults
 	// have ended.
 	FinalCrash bool
@@ -87,7 +90,9 @@
 	// vmProxies holds the proxy in front of each VM.
 	vmProxies []*proxy.Proxy
 
-	mu            sync.Mutex
+	mu sync.Mutex
+	// linkCuts counts the faults that cut the connections to each VM.
+	linkCuts      map[int]int
 	configVersion int
 	keys          map[string]string
 	waves         int
@@ -109,7 +114,7 @@
 
 func newRun(opt Options) *Run {
 	return &Run{
-		opt: opt, keys: map[string]string{}, calm: make(chan struct{}), stepEnded: make(chan struct{}),
+		opt: opt, keys: map[string]string{}, linkCuts: map[int]int{}, calm: make(chan struct{}), stepEnded: make(chan struct{}),
 		ledger: ledger.New(ledger.PlatformBounds, map[string]int64{accounts[0]: smallCapMillicores}),
 	}
 }
@@ -130,11 +135,7 @@
 	settleCtx, stop := context.WithCancel(ctx)
 	defer stop()
 	var work sync.WaitGroup
-	for i := range callerCount + annexCallerCount {
-		cal := newCaller(run, i)
-		cal.annex = i >= callerCount
-		work.Go(func() { cal.work(submitCtx, settleCtx) })
-	}
+	run.startCallers(faultCtx, submitCtx, settleCtx, &work)
 	lingerCtx, stopLingering := context.WithCancel(settleCtx)
 	defer stopLingering()
 	var lingerers sync.WaitGroup
@@ -170,6 +171,21 @@
 	return rep, nil
 }
 
+// startCallers starts the callers. They submit jobs until submitCtx is done, or
+// faultCtx for long jobs, and poll them until settleCtx is done.
+func (run *Run) startCallers(faultCtx, submitCtx, settleCtx context.Context, work *sync.WaitGroup) {
+	for i := range callerCount + annexCallerCount {
+		cal := newCaller(run, i)
+		cal.annex = i >= callerCount
+		work.Go(func() { cal.work(submitCtx, settleCtx) })
+	}
+	if run.opt.Recut {
+		cal := newCaller(run, callerCount+annexCallerCount+1)
+		cal.long = true
+		work.Go(func() { cal.work(faultCtx, settleCtx) })
+	}
+}
+
 // schedule returns the faults of the run.
 func (run *Run) schedule() (faults []Fault) {
 	opt, vms, zones := run.opt, len(run.vmProxies), len(run.sit.Zones())
@@ -178,6 +194,12 @@
 		faults = merge(faults, ScheduleSeries(opt.Seed, opt.For, opt.Processes, vms, zones))
 		faults = merge(faults, ScheduleLag(opt.Seed, opt.For, opt.Processes, vms))
 	}
+	if opt.Recut && !opt.Series {
+		faults = thin(faults)
+	}
+	if opt.Recut {
+		faults = merge(faults, ScheduleRecut(opt.Seed, opt.For, vms))
+	}
 	return faults
 }
 
@@ -206,8 +228,12 @@
 	}
 	var mu sync.Mutex
 	rng := rand.New(rand.NewPCG(run.opt.Seed, 3))
+	var longestLease time.Duration
+	if run.opt.Recut {
+		longestLease = recutLease
+	}
 	run.sit, err = site.Start(site.Options{
-		Pools: run.pools(),
+		Pools: run.pools(), LongestLease: longestLease,
 		Outcome: func(task string, _ int) (time.Duration, string) {
 			ste := run.ledger.StepOf(task)
 			if ste.Lasting {
@@ -225,14 +251,7 @@
 			// Runs take from 0.3 to 1.8 times the estimate.
 			return time.Duration(float64(estimate(ste)) * (0.3 + 1.5*rng.Float64())), outcome
 		},
-		Expose: func(_, address string) (string, error) {
-			prx, err := proxy.New(address)
-			if err != nil {
-				return "", err
-			}
-			run.vmProxies = append(run.vmProxies, prx)
-			return prx.Address(), nil
-		},
+		Expose:   run.expose,
 		Observer: observer{run},
 	})
 	if err != nil {
@@ -240,7 +259,7 @@
 	}
 	run.rotateKeys(accounts...)
 	for i := range run.opt.Processes {
-		nod, err := newNode(fmt.Sprintf("entry-%d", i), run.opt.Binary, run.opt.Dir, run.sit.StoreAddress, run.sit.MachinesAddress)
+		nod, err := newNode(fmt.Sprintf("entry-%d", i), run.opt.Binary, run.opt.Dir, run.sit)
 		if err != nil {
 			return err
 		}
@@ -258,6 +277,16 @@
 	return run.awaitReady()
 }
 
+// expose opens the proxy before a VM.
+func (run *Run) expose(_, address string) (exposed string, err error) {
+	prx, err := proxy.New(address)
+	if err != nil {
+		return "", err
+	}
+	run.vmProxies = append(run.vmProxies, prx)
+	return prx.Address(), nil
+}
+
 // pools returns the pools of the stand-in. Only the first has queues.
 func (run *Run) pools() []site.Pool {
 	return []site.Pool{
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -32,14 +32,20 @@
 	assert.DeepEqual(t, kinds, want)
 }
 
+// buildProgram builds the program and returns its path.
+func buildProgram(t *testing.T) (binary string) {
+	binary = filepath.Join(t.TempDir(), "balsamgauge")
+	out, err := exec.Command("go", "build", "-o", binary, "../../cmd/balsamgauge").CombinedOutput()
+	assert.NilError(t, err, "%s", out)
+	return binary
+}
+
 // TestSoak executes short runs of the real program: seed 1, each seed that has failed
 // before, and one with series of faults. They must have the same verdict each time,
 // so they leave out the final crash of all VMs and series in which faults that
 // KNOWN-RED.txt lists show now and then.
 func TestSoak(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "balsamgauge")
-	out, err := exec.Command("go", "build", "-o", binary, "../../cmd/balsamgauge").CombinedOutput()
-	assert.NilError(t, err, "%s", out)
+	binary := buildProgram(t)
 	for _, tst := range []struct {
 		seed   uint64
 		series bool
