--- a/internal/soak/recut_test.go
+++ b/internal/soak/recut_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -84,3 +85,16 @@
 	assert.Assert(t, ok && id == "vm-0")
 	assert.Equal(t, len(run.ledger.Violations()), 0)
 }
+
+// TestSoakRecut executes a short run in which VMs restart under their IDs and are cut off
+// soon after. It guards against a task that starts elsewhere after a takeover while a run
+// of it goes on behind the cut, by the longest lease that its VM grants.
+func TestSoakRecut(t *testing.T) {
+	rep, err := Execute(context.Background(), Options{
+		Seed: 13, Recut: true, For: 12 * time.Second, Processes: 3, Machines: 4, Binary: buildProgram(t), Dir: t.TempDir(),
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, len(rep.Violations), 0, "%s", strings.Join(rep.Violations, "\n"))
+	assert.Assert(t, slices.ContainsFunc(rep.Faults, func(fau Fault) bool { return fau.Kind == VMRecut }))
+	assert.Assert(t, rep.Accepted > 0 && rep.Started > 0, "%d jobs, %d runs", rep.Accepted, rep.Started)
+}
