--- a/internal/core/scheduler/reviewstarts_test.go
+++ b/internal/core/scheduler/reviewstarts_test.go
@@ -65,6 +65,51 @@
 	}
 }
 
+// TestLatePollExtendsRecordedStart guards against two runs of one task: a VM restarts behind a
+// cut and carries a start out late, and a poll that was sent long after it extends the lease.
+// The record names when the start was sent.
+func TestLatePollExtendsRecordedStart(t *testing.T) {
+	const delay = 11900 * time.Millisecond
+	for _, polledAfter := range []time.Duration{2 * time.Second, 6 * time.Second, 10 * time.Second} {
+		t.Run(polledAfter.String(), func(t *testing.T) {
+			fix := newTakeoverFixture(t)
+			var polledAt time.Time
+			fix.emu.late = func(eff Effect) time.Duration {
+				switch eff := eff.(type) {
+				case Start:
+					switch {
+					case eff.VM.Address != fix.first.vm.Address:
+						return 0
+					case eff.Task.Index != 0 || !fix.heldAt.IsZero():
+						// It never arrives.
+						return time.Hour
+					}
+					fix.heldAt = fix.emu.now
+					return delay
+				case Poll:
+					if eff.VM.Address == fix.first.vm.Address && eff.Deadline > 0 && polledAt.IsZero() && !fix.heldAt.IsZero() && fix.emu.now.Sub(fix.heldAt) >= polledAfter {
+						polledAt = fix.emu.now
+						return delay
+					}
+				}
+				return 0
+			}
+			fix.emu.submit(servingPair(0))
+			for polledAt.IsZero() && fix.emu.now.Sub(fix.emu.start) < time.Minute {
+				fix.pass(10 * time.Millisecond)
+			}
+			assert.Assert(t, !polledAt.IsZero())
+			fix.emu.cut(fix.first)
+			fix.emu.heal(fix.oth)
+			fix.emu.killDispatcher()
+			fix.emu.after(100*time.Millisecond, func() { fix.emu.crash(fix.first, 5*time.Millisecond) })
+			fix.emu.after(60*time.Second, func() { fix.emu.heal(fix.first) })
+			fix.pass(90 * time.Second)
+			fix.checkViolations()
+		})
+	}
+}
+
 // TestLateStartOnVMListedDownRunsNoTaskTwice guards against two runs of one task: a list of
 // machines shows a VM as down while it restarts under its ID. The VM is back behind a
 // partition when a late start of its former incarnation arrives.
