scheduler: polls acknowledge ends only until one is answered

An idle VM restarts under its ID and its registration takes 0.3 s. It gets a short task as its former incarnation; the next poll names the number up to which that one's ends are acknowledged, and the new one forgets the end.

Cause: each poll repeated the number, though the VM had confirmed it long ago. The token doesn't help as long as the restart isn't known.

Change: a poll names the number only until a poll with it has been answered.

--- a/internal/core/scheduler/effect.go
+++ b/internal/core/scheduler/effect.go
@@ -18,7 +18,7 @@
 type Poll struct {
 	VM    worker.VM
 	Token int64
-	// Acked is the number up to which all ends are acknowledged.
+	// Acked is the number up to which all ends are acknowledged; 0 if the VM knows.
 	Acked int64
 	// Deadline is the new end of the lease on the VM's clock; 0 extends nothing.
 	Deadline time.Duration
--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -223,7 +223,7 @@
 
 // sendPoll polls a VM and acknowledges its ends.
 func (sta *State) sendPoll(hos *host) {
-	pol := Poll{VM: hos.vm, Token: hos.token, Acked: hos.ackableUpTo, Slack: min(maxPollSlack, pollSlack<<min(hos.failedPolls, 4))}
+	pol := Poll{VM: hos.vm, Token: hos.token, Slack: min(maxPollSlack, pollSlack<<min(hos.failedPolls, 4))}
 	// A silent VM may still receive polls. If they extended its lease, its tasks
 	// would have to wait longer to start elsewhere.
 	if hos.termAccepted && hos.failedPolls == 0 {
@@ -238,6 +238,10 @@
 			}
 		}
 	}
+	if hos.ackableUpTo > hos.ackedUpTo {
+		pol.Acked = hos.ackableUpTo
+	}
+	hos.ackSent = pol.Acked
 	hos.ackDue, hos.reportDue = false, false
 	hos.pollInFlight, hos.lastPoll = true, sta.now
 	sta.emit(pol)
@@ -297,6 +301,7 @@
 		hos.vm.StartedAtMS = startedAtMS
 	}
 	hos.failedPolls = 0
+	hos.ackedUpTo = max(hos.ackedUpTo, hos.ackSent)
 	if !hos.termAccepted {
 		sta.boundLease(hos, evt.Report.Clock)
 	}
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -300,6 +300,10 @@
 	// ends that may be acknowledged once those between may be.
 	lastEnd, ackableUpTo int64
 	ackable              map[int64]bool
+	// ackSent is the number up to which the last poll acknowledged ends, 0 for none.
+	// ackedUpTo is the highest that a poll with an answer did: the next incarnation, whose
+	// numbers start anew, must not get it.
+	ackSent, ackedUpTo int64
 	// ackDue reports whether ackableUpTo has risen since the last poll.
 	ackDue bool
 	// reportDue reports whether the VM's runs differ from the recorded ones: it
