scheduler: recorded starts count from the takeover

A start whose step can't bear a stop is repeated for 20 s, and polls extend the lease of its VM all the while; both may be late. The next dispatcher bounded the run by the time of the first record.

Cause: the age of a record says when a start was first sent, not when it was last.

Change: former dispatchers may have sent starts and polls until the tenure began, and the bounds count from there. A resumed run also raises the number of its task.

--- a/internal/core/scheduler/startrecords.go
+++ b/internal/core/scheduler/startrecords.go
@@ -41,7 +41,7 @@
 	if len(sta.newStarts) == 0 && !cleanDue {
 		return
 	}
-	txn, err := sta.startLog.Write(sta.now, sta.newStarts, kv.MaxTxnEntries-reservedEntries)
+	txn, err := sta.startLog.Write(sta.newStarts, kv.MaxTxnEntries-reservedEntries)
 	if err != nil {
 		sta.stepDown(err.Error())
 		return
@@ -85,31 +85,28 @@
 	}
 }
 
-// formerStart is the last recorded start of a task.
+// formerStart is the recorded start of a task with the highest run number.
 type formerStart struct {
 	run latestart.Run
 	vm  startlog.VMRuns
-	// sentAt is the latest time at which it may have been sent.
-	sentAt time.Time
 }
 
-// restoreStarts takes over the records of former dispatchers. The last recorded run of a
-// task counts as active until its VM has answered, or can't run it any more: it was started
-// when those before it were over.
+// restoreStarts takes over the records of former dispatchers. Of each task the run with the
+// highest number counts as active until its VM has answered, or can't run it any more. A
+// start may have been sent again, and its lease extended, until the tenure began.
 func (sta *State) restoreStarts() {
 	last := map[job.Task]formerStart{}
 	for key, rec := range sta.formerStarts {
 		sta.startLog.Restore(key, rec)
-		sentAt := rec.LatestSend(sta.now)
 		for _, vmr := range rec.VMs {
 			for _, row := range vmr.Runs {
 				run := row.LateStart()
 				if stg := sta.stageOfRun(run.Task); stg == nil || stg.liveJob.final != "" || stg.tasks[run.Task.Index].phase == phaseDone {
 					continue
 				}
-				sta.lateStarts.Restore(vmr.ID, run, sentAt)
+				sta.lateStarts.Restore(vmr.ID, run, sta.opt.Since)
 				if run.Number > last[run.Task].run.Number {
-					last[run.Task] = formerStart{run, vmr, sentAt}
+					last[run.Task] = formerStart{run, vmr}
 				}
 			}
 		}
@@ -122,8 +119,8 @@
 
 // restoreStart reserves the run of a recorded start.
 func (sta *State) restoreStart(fmr formerStart) {
-	one, inherited := fmr.vm.VM(), fmr.sentAt.Add(sta.leases.LongestInheritance())
-	if los, ok := sta.lostVMs.Get(one.ID); ok && los.vm.SameIncarnation(one) || !sta.now.Before(inherited) {
+	one, inherited := fmr.vm.VM(), sta.leases.InheritedFromFormer(sta.opt.Since)
+	if los, ok := sta.lostVMs.Get(one.ID); ok && los.vm.SameIncarnation(one) {
 		return
 	}
 	hos := sta.hosts[one.ID]
@@ -174,7 +171,9 @@
 // stopped if its task doesn't need it.
 func (sta *State) resumeFormer(hos *host, pla *placement, row worker.Running) {
 	pla.former, pla.run = false, row.Run
-	if wanted := pla.stage.liveJob.final == "" && pla.stage.tasks[pla.task.Index].host == hos; !wanted {
+	tas := &pla.stage.tasks[pla.task.Index]
+	tas.run = max(tas.run, row.Run)
+	if wanted := pla.stage.liveJob.final == "" && tas.host == hos; !wanted {
 		sta.stop(hos, pla, stopUnwanted)
 	}
 }
--- a/internal/core/startlog/record.go
+++ b/internal/core/startlog/record.go
@@ -5,12 +5,10 @@
 	"fmt"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
 	"github.com/balsamgauge/balsamgauge/internal/core/latestart"
 	"github.com/balsamgauge/balsamgauge/internal/core/packed"
-	"github.com/balsamgauge/balsamgauge/internal/core/vmclock"
 	"github.com/balsamgauge/balsamgauge/internal/core/worker"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -20,22 +18,10 @@
 
 // Record is a stored list of starts that were decided at the same time.
 type Record struct {
-	Term int64 `msgpack:"t"`
-	// AtMS is when the starts were decided, by the dispatcher's time of day, in Unix
-	// milliseconds.
-	AtMS int64    `msgpack:"d"`
+	Term int64    `msgpack:"t"`
 	VMs  []VMRuns `msgpack:"v"`
 }
 
-// LatestSend returns the latest time at which the starts may have been sent, for a
-// dispatcher that took over before now.
-func (rec Record) LatestSend(now time.Time) time.Time {
-	if at := time.UnixMilli(rec.AtMS).Add(vmclock.MaxSkew); at.Before(now) {
-		return at
-	}
-	return now
-}
-
 // VMRuns are the runs that a VM is told to start.
 type VMRuns struct {
 	ID          string `msgpack:"i"`
@@ -76,8 +62,8 @@
 }
 
 // newRecord returns the record of some starts, sorted by VM.
-func newRecord(term int64, now time.Time, starts []Start) Record {
-	rec := Record{Term: term, AtMS: now.UnixMilli()}
+func newRecord(term int64, starts []Start) Record {
+	rec := Record{Term: term}
 	sorted := slices.SortedStableFunc(slices.Values(starts), func(one, oth Start) int {
 		return cmp.Or(strings.Compare(one.VM.ID, oth.VM.ID), cmp.Compare(one.VM.StartedAtMS, oth.VM.StartedAtMS))
 	})
--- a/internal/core/startlog/startlog.go
+++ b/internal/core/startlog/startlog.go
@@ -10,7 +10,6 @@
 	"fmt"
 	"maps"
 	"slices"
-	"time"
 
 	"github.com/balsamgauge/balsamgauge/internal/core/latestart"
 	"github.com/balsamgauge/balsamgauge/internal/kv"
@@ -49,11 +48,11 @@
 
 // Write returns the transaction that records starts and deletes as many obsolete records
 // as fit into a number of entries.
-func (log *Log) Write(now time.Time, starts []Start, entries int) (txn kv.Txn, err error) {
+func (log *Log) Write(starts []Start, entries int) (txn kv.Txn, err error) {
 	if len(starts) > 0 {
 		log.count++
 		key := fmt.Sprintf("%s%d.%d", Prefix, log.term, log.count)
-		raw, err := newRecord(log.term, now, starts).encode()
+		raw, err := newRecord(log.term, starts).encode()
 		if err != nil {
 			return kv.Txn{}, err
 		}
