scheduler: a late start is rejected within its step's budget

A start reaches the next incarnation of its VM and is carried out; the registration arrives before a report, and the stop that rejects the start ends a serving task at work while another one of its step is away.

Change: the stop is sent only if the step can bear it; otherwise the first report tells whether the run has begun.

--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -97,7 +97,10 @@
 			continue
 		}
 		sta.logDecision("late_start_rejected", run.Task.Job, map[string]any{"task": run.Task.String(), "run": run.Number, "vm": hos.vm.ID})
-		sta.stop(hos, sta.reserve(hos, sta.stageOfRun(run.Task), run.Task, run.Number, runUnknown), stopLateStart)
+		// Beyond the step's budget, the first report tells whether the run has begun.
+		if pla := sta.reserve(hos, sta.stageOfRun(run.Task), run.Task, run.Number, runUnknown); pla.mayEnd() {
+			sta.stop(hos, pla, stopLateStart)
+		}
 	}
 }
 
