manager: a failed deletion of records delays no starts

A write that only deletes records was taken for starts that were sent if it took longer than 50 ms. When it failed, other starts lost their patience until it was repeated with success. By reading, in review; the next write deletes the records.

--- a/internal/manager/startrecords.go
+++ b/internal/manager/startrecords.go
@@ -28,7 +28,7 @@
 	written := make(chan error, 1)
 	go func() { written <- dis.writeRecord(ctx, txn) }()
 	var patience <-chan time.Time
-	if dis.lateRecords.Load() == 0 {
+	if len(starts) > 0 && dis.lateRecords.Load() == 0 {
 		patience = time.After(recordPatience)
 	}
 	sent := false
