--- a/internal/core/scheduler/startrecords.go
+++ b/internal/core/scheduler/startrecords.go
@@ -124,7 +124,8 @@
 		return
 	}
 	hos := sta.hosts[one.ID]
-	if hos == nil && !sta.machines.asOf.Before(sta.opt.Since) && sta.machines.byName[sta.machines.byVM[one.ID]].State != worker.MachineUp {
+	listed := !sta.machines.asOf.Before(sta.opt.Since)
+	if hos == nil && listed && sta.machines.byName[sta.machines.byVM[one.ID]].State != worker.MachineUp {
 		return
 	}
 	if hos == nil {
@@ -181,17 +182,17 @@
 // boundLease bounds the lease of a VM that has accepted its token, by its report. All calls
 // for former incarnations that extend it have arrived.
 func (sta *State) boundLease(hos *host, clock time.Duration) {
-	accepted := sta.now
+	inherits := sta.now.Before(hos.longLeaseUntil)
+	hos.leaseExpiry, hos.longLeaseUntil = sta.now, time.Time{}
 	if sta.opt.Term > 1 {
-		accepted = sta.leases.Accepted(sta.opt.Since, sta.now, sta.ageOf(hos.vm, clock))
+		hos.leaseExpiry = sta.leases.Accepted(sta.opt.Since, sta.now, sta.ageOf(hos.vm, clock))
 	}
-	if sta.now.Before(hos.longLeaseUntil) {
-		accepted = sta.now.Add(vmclock.LongestLease(sta.opt.LongestLease))
+	if inherits {
+		hos.leaseExpiry = sta.now.Add(vmclock.LongestLease(sta.opt.LongestLease))
 	}
-	if hos.longLeaseUntil = accepted; sta.opt.Term > 1 && !accepted.After(sta.leases.OfFormer(sta.opt.Since)) {
-		hos.longLeaseUntil = time.Time{}
+	if hos.leaseExpiry.After(vmclock.Latest(sta.now, sta.leases.OfFormer(sta.opt.Since))) {
+		hos.longLeaseUntil = hos.leaseExpiry
 	}
-	hos.leaseExpiry = accepted
 }
 
 // ageOf returns the least time for which a VM may have been running. Its clock may start
--- a/internal/core/vmclock/leases.go
+++ b/internal/core/vmclock/leases.go
@@ -64,7 +64,7 @@
 
 // Accepted returns when the lease of a VM is guaranteed to have ended that calls of
 // a former dispatcher have extended, if the VM accepts none of them from now on. The
-// tenure began at since; age is how long the VM has been running, by its own clock. The
+// tenure began at since; age is the least time for which the VM has been running. The
 // calls may have been for another incarnation only if the VM has restarted since or not long
 // before.
 func (lea *Leases) Accepted(since, now time.Time, age time.Duration) (end time.Time) {
