--- a/internal/core/scheduler/emulator_test.go
+++ b/internal/core/scheduler/emulator_test.go
@@ -65,6 +65,15 @@
 	// slowList is how long the list of machines takes to arrive, in addition to the
 	// latency.
 	slowList time.Duration
+	// slowMachineOrder is how long the platform takes to carry out a machine order, in
+	// addition to the latency.
+	slowMachineOrder time.Duration
+	// stopTime is the time that a run takes to stop.
+	stopTime time.Duration
+	// startup is the time from the start of a run until its task is at work.
+	startup time.Duration
+	// onDecision is called with each decision; nil for none.
+	onDecision func(name string)
 	// killOnUpkeep is the probability that the dispatcher is killed as it orders
 	// upkeep.
 	killOnUpkeep float64
@@ -222,6 +231,7 @@
 		rng: rand.New(rand.NewPCG(seed, 1)), now: start, start: start, catalog: cat, vms: map[string]*emulatedVM{},
 		store: &emulatedStore{rev: 1, items: map[string]kv.Item{}}, truth: map[job.Task]*taskTruth{}, decisions: map[string]int{},
 		finished: map[job.ID]time.Time{}, jobsEnded: map[job.ID]bool{}, specs: map[job.ID]job.Spec{}, connected: map[string]bool{},
+		stopTime: emulatedStopTime,
 		duration: func(_ job.Task, ste job.Step) time.Duration { return ste.Estimate },
 		failing:  func(job.Task) bool { return false },
 	}
@@ -531,6 +541,9 @@
 		delete(emu.connected, eff.VM.ID)
 	case LogDecision:
 		emu.decisions[eff.Name]++
+		if emu.onDecision != nil {
+			emu.onDecision(eff.Name)
+		}
 		if eff.Name == "job_ended" {
 			emu.jobsEnded[eff.Job] = true
 		}
@@ -592,7 +605,7 @@
 			}
 		})
 	}
-	emu.after(emulatedLatency, func() {
+	emu.after(emulatedLatency+emu.slowMachineOrder, func() {
 		vm := emu.vms[eff.Machine]
 		switch {
 		case vm.upkeepBegun[eff.Wave]:
@@ -997,7 +1010,7 @@
 	run := vm.runs[ord.Task]
 	if run != nil && run.run <= ord.Run {
 		emu.checkBudget(vm, ord)
-		emu.after(emulatedStopTime, func() {
+		emu.after(emu.stopTime, func() {
 			if vm.runs[ord.Task] == run {
 				emu.endRun(vm, ord.Task, run, worker.EndStopped)
 			}
@@ -1157,7 +1170,11 @@
 	rep := worker.Report{Clock: emu.clock(vm), StartedAtMS: vm.vm.StartedAtMS, Ends: append([]worker.End(nil), vm.ends...)}
 	for _, name := range vm.sorted() {
 		run := vm.runs[name]
-		rep.Running = append(rep.Running, worker.Running{Task: name, Run: run.run, Percent: 100})
+		percent := percentWorking
+		if emu.now.Sub(run.since) < emu.startup {
+			percent = 0
+		}
+		rep.Running = append(rep.Running, worker.Running{Task: name, Run: run.run, Percent: percent})
 	}
 	return rep
 }
--- /dev/null
+++ b/internal/core/scheduler/successor_test.go
@@ -0,0 +1,188 @@
+package scheduler
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/balsamgauge/balsamgauge/internal/core/job"
+	"github.com/balsamgauge/balsamgauge/internal/core/upkeep"
+	"gotest.tools/v3/assert"
+)
+
+// cutAndKill cuts the first VM off, kills the dispatcher and heals the second VM.
+func (fix *restartFixture) cutAndKill() {
+	fix.first.partitioned = true
+	fix.emu.heal(fix.oth)
+	fix.emu.killDispatcher()
+}
+
+// TestLongLeaseOfRestartedVMOutlastsTakeover: a late poll for the former incarnation of a VM
+// gives the next one its longest lease, 10 s. The dispatcher knows that, and is killed as the
+// VM is cut off. Its successor takes all leases of former dispatchers for over after 4.2 s.
+func TestLongLeaseOfRestartedVMOutlastsTakeover(t *testing.T) {
+	for _, delay := range []time.Duration{2 * time.Second, 5 * time.Second, 11900 * time.Millisecond} {
+		fix := newRestartFixture(t)
+		fix.emu.submit(fanOut(1, "large", 1, 500, 2*time.Second))
+		fix.delay = delay
+		fix.holds = func(eff Effect) bool {
+			pol, ok := eff.(Poll)
+			return ok && pol.VM.Address == fix.first.vm.Address && len(fix.first.runs) > 0
+		}
+		fix.pass(time.Second)
+		assert.Assert(t, !fix.heldAt.IsZero())
+		fix.at(1100*time.Millisecond, func() { fix.emu.crash(fix.first, 300*time.Millisecond) })
+		fix.at(delay-300*time.Millisecond, func() { fix.emu.submit(fanOut(2, "large", 1, 500, 20*time.Second)) })
+		fix.at(delay+100*time.Millisecond, func() {
+			assert.Assert(t, fix.first.runs[job.Task{Job: jobName(2)}] != nil, "delay %v: the task doesn't run", delay)
+			fix.cutAndKill()
+		})
+		fix.at(delay+20*time.Second, func() { fix.emu.heal(fix.first) })
+		fix.pass(120 * time.Second)
+		fix.check(2)
+	}
+}
+
+// TestStartOnUnseenIncarnationOutlastsTakeover: no order is late. An idle VM restarts under its
+// ID while registrations are silent; a start with a deadline on its former clock gives
+// it the longest lease. The dispatcher is killed as the VM is cut off.
+func TestStartOnUnseenIncarnationOutlastsTakeover(t *testing.T) {
+	for _, after := range []time.Duration{100 * time.Millisecond, time.Second, 3 * time.Second} {
+		fix := newRestartFixture(t)
+		fix.pass(270 * time.Millisecond)
+		fix.emu.registrationsSilent = true
+		fix.emu.crash(fix.first, 20*time.Millisecond)
+		fix.pass(100 * time.Millisecond)
+		fix.emu.submit(fanOut(1, "large", 1, 500, 20*time.Second))
+		fix.pass(after)
+		assert.Assert(t, fix.first.runs[job.Task{Job: jobName(1)}] != nil, "the task doesn't run")
+		fix.emu.registrationsSilent = false
+		fix.cutAndKill()
+		fix.pass(20 * time.Second)
+		fix.emu.heal(fix.first)
+		fix.pass(90 * time.Second)
+		fix.check(1)
+	}
+}
+
+// TestLongLeaseOutlastsSecondTakeover: the late poll of the first dispatcher reaches the VM before
+// the second one, which knows that the lease may be long (vmclock.Leases.Accepted). It is killed
+// as the VM is cut off, and the third one doesn't know it.
+func TestLongLeaseOutlastsSecondTakeover(t *testing.T) {
+	for _, delay := range []time.Duration{3 * time.Second, 8 * time.Second, 11900 * time.Millisecond} {
+		fix := newRestartFixture(t)
+		fix.emu.submit(fanOut(1, "large", 1, 500, 200*time.Millisecond))
+		fix.delay = delay
+		fix.holds = func(eff Effect) bool {
+			pol, ok := eff.(Poll)
+			return ok && pol.VM.Address == fix.first.vm.Address && len(fix.first.runs) > 0
+		}
+		fix.pass(100 * time.Millisecond)
+		assert.Assert(t, !fix.heldAt.IsZero())
+		fix.at(120*time.Millisecond, fix.emu.killDispatcher)
+		const crashAt = 150 * time.Millisecond
+		fix.at(crashAt, func() { fix.emu.crash(fix.first, delay-crashAt-time.Millisecond) })
+		fix.at(delay, func() {
+			assert.Equal(t, fix.first.fence, int64(1), "delay %v", delay)
+			fix.emu.submit(fanOut(2, "large", 1, 500, 20*time.Second))
+		})
+		fix.at(delay+300*time.Millisecond, func() {
+			assert.Assert(t, fix.first.runs[job.Task{Job: jobName(2)}] != nil, "delay %v: the task doesn't run", delay)
+			fix.cutAndKill()
+		})
+		fix.at(delay+20*time.Second, func() { fix.emu.heal(fix.first) })
+		fix.pass(120 * time.Second)
+		assert.Equal(t, len(fix.emu.violations), 0, "delay %v: %s", delay, strings.Join(fix.emu.violations, "\n"))
+		assert.Equal(t, len(fix.emu.finished), 2)
+	}
+}
+
+// handBack ends the dispatcher's tenure as a handback or a SIGTERM does: the lease is ended
+// at once, so the next tenure begins after a moment.
+func (emu *emulator) handBack() {
+	opt := emu.opt
+	emu.dispatcherDown = true
+	emu.after(20*time.Millisecond, func() { emu.takeOver(opt) })
+}
+
+// TestMachineOrderUnderWayAtHandback: the platform takes 0.9 s to carry out an order for a
+// machine. The dispatcher hands the duty back just after two orders. Its successor waits
+// for 0.6 s only and sees both machines up, with tasks that it has started there itself.
+func TestMachineOrderUnderWayAtHandback(t *testing.T) {
+	for _, slow := range []time.Duration{0, 300 * time.Millisecond, 900 * time.Millisecond, 1500 * time.Millisecond} {
+		for _, handBack := range []bool{false, true} {
+			emu := newEmulator(1, testCatalog())
+			emu.addVMs("lots", 8, 2, job.Size{CPU: 16_000, Memory: 32_768})
+			emu.takeOver(testOptions())
+			emu.run(2 * time.Second)
+			emu.slowMachineOrder = slow
+			once := false
+			emu.onDecision = func(name string) {
+				if name != "upkeep_ordered" || once {
+					return
+				}
+				once = true
+				emu.after(5*time.Millisecond, func() {
+					if handBack {
+						emu.handBack()
+					}
+					emu.after(100*time.Millisecond, func() { emu.submit(fanOut(1, "large", 2, 9_000, 20*time.Second)) })
+				})
+			}
+			emu.requestWave(upkeep.Wave{Number: 1, Machines: emu.names, Duration: 60 * time.Second, Cap: 2})
+			emu.run(50 * time.Second)
+			assert.Check(t, len(emu.violations) == 0, "slow %v, handback %v: %s", slow, handBack, strings.Join(emu.violations, "\n"))
+		}
+	}
+}
+
+// TestStopUnderWayAtHandback: a task that serves is stopped to relocate it, which takes as long
+// as stop-ms, and the dispatcher hands the duty back. Its successor finds the run listed and takes
+// it for one at work, and stops another task of the step, as it knows the runs of a VM in another
+// order.
+func TestStopUnderWayAtHandback(t *testing.T) {
+	for _, stop := range []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 900 * time.Millisecond} {
+		for _, handBack := range []bool{false, true} {
+			emu := newEmulator(1, testCatalog())
+			emu.stopTime, emu.startup = stop, 800*time.Millisecond
+			emu.addVMs("lots", 6, 2, job.Size{CPU: 16_000, Memory: 32_768})
+			opt := testOptions()
+			opt.StopTime = stop
+			emu.takeOver(opt)
+			emu.submit(job.Spec{ID: jobName(1), Queue: "settle", Account: "large", Payload: "x", Steps: []job.Step{{
+				Count: 8, Size: job.Size{CPU: 1500, Memory: 4096}, LongRunning: true, MaxUnavailable: 1,
+			}}})
+			emu.run(4 * time.Second)
+			once := false
+			emu.onDecision = func(name string) {
+				if name == "task_relocated" && !once && handBack {
+					once = true
+					emu.after(6*time.Millisecond, emu.handBack)
+				}
+			}
+			fewest := 8
+			for at := time.Duration(0); at < 56*time.Second; at += 5 * time.Millisecond {
+				emu.after(at, func() {
+					working := 0
+					for _, vm := range emu.vms {
+						for _, run := range vm.runs {
+							if emu.now.Sub(run.since) >= emu.startup {
+								working++
+							}
+						}
+					}
+					fewest = min(fewest, working)
+				})
+			}
+			// The task of lots-2 goes to lots-3, whose runs are then known in another order than
+			// that of a report.
+			emu.requestWave(upkeep.Wave{Number: 1, Machines: []string{"lots-2"}, Duration: 60 * time.Second, Cap: 3})
+			emu.run(12 * time.Second)
+			emu.requestWave(upkeep.Wave{Number: 2, Machines: []string{"lots-3"}, Duration: 60 * time.Second, Cap: 3})
+			emu.run(60 * time.Second)
+			assert.Check(t, emu.decisions["task_relocated"] > 0)
+			assert.Check(t, fewest >= 7, "stop %v, handback %v: only %d of 8 tasks were at work at one time, decisions %v", stop, handBack, fewest, emu.decisions)
+			assert.Check(t, len(emu.violations) == 0, "stop %v, handback %v: %s", stop, handBack, strings.Join(emu.violations, "\n"))
+		}
+	}
+}
