--- a/internal/core/scheduler/successor_test.go
+++ b/internal/core/scheduler/successor_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
 	"github.com/balsamgauge/balsamgauge/internal/core/upkeep"
+	"github.com/balsamgauge/balsamgauge/internal/core/worker"
 	"gotest.tools/v3/assert"
 )
 
@@ -186,3 +187,125 @@
 		}
 	}
 }
+
+// TestPausedTaskOfFormerDispatcherGoesOn: a former dispatcher has paused a best-effort task beside a
+// serving one. Its successor takes it for one at full pace and gives no order, however far
+// the serving task is below its target.
+func TestPausedTaskOfFormerDispatcherGoesOn(t *testing.T) {
+	for _, beside := range []bool{true, false} {
+		now := time.Date(2026, 1, 2, 3, 0, 0, 0, time.UTC)
+		opt := testOptions()
+		opt.Since, opt.Revision, opt.Term = now, 10, 2
+		sta := New(opt)
+		vm := testVM("vm-1")
+		serving := job.Spec{ID: jobName(1), Queue: "settle", Account: "large", Payload: "x", Accepted: now, Steps: []job.Step{
+			{Count: 1, Size: job.Size{CPU: 500, Memory: 512}, LongRunning: true, TailTarget: 100 * time.Millisecond},
+		}}
+		filling := job.Spec{ID: jobName(2), Queue: "gate", Account: "large", Payload: "x", Accepted: now, Steps: []job.Step{
+			{Count: 1, Size: job.Size{CPU: 500, Memory: 512}, BestEffort: true, Estimate: 10 * time.Second},
+		}}
+		// The pace that the former dispatcher has ordered; the VM doesn't report it.
+		pace := 0
+		reduce := func(events ...Event) {
+			now = reduceAnswered(sta, now, events, func(eff Effect) []Event {
+				switch eff := eff.(type) {
+				case Pace:
+					pace = eff.Percent
+					return []Event{PaceAnswered{VM: eff.VM, Task: eff.Task, Percent: eff.Percent}}
+				case Poll:
+					rep := worker.Report{StartedAtMS: vm.StartedAtMS, Clock: now.Sub(opt.Since) + time.Minute, Running: []worker.Running{
+						{Task: job.Task{Job: filling.ID}, Run: 1, Percent: 10},
+					}}
+					if beside {
+						rep.Running = append(rep.Running, worker.Running{Task: job.Task{Job: serving.ID}, Run: 1, Percent: 100, Load: 10})
+					}
+					return []Event{PollAnswered{VM: vm, Sent: now, Report: rep}}
+				}
+				return nil
+			})
+		}
+		reduce(CatalogChanged{testCatalog()}, VMRegistered{vm}, JobAccepted{Spec: serving, Revision: 5}, JobAccepted{Spec: filling, Revision: 6}, JobsLoaded{})
+		for end := now.Add(30 * time.Second); now.Before(end); {
+			reduce(Tick{})
+		}
+		assert.Check(t, pace == 100, "beside a serving task: %v: the task is at a pace of %d%% after 30 s", beside, pace)
+	}
+}
+
+// TestOrphansOfEndedJobCountAgainstCap: runs of a job that ended as cancelled outlast the takeover,
+// as their stops are held up. The successor doesn't know their account, and stops to count
+// them once leases of former dispatchers are over, though its own polls extend theirs.
+func TestOrphansOfEndedJobCountAgainstCap(t *testing.T) {
+	for _, held := range []time.Duration{100 * time.Millisecond, 3 * time.Second, 8 * time.Second} {
+		emu := newEmulator(1, testCatalog())
+		emu.addVMs("lots", 4, 2, job.Size{CPU: 16_000, Memory: 32_768})
+		emu.takeOver(testOptions())
+		emu.submit(fanOut(1, "small", 3, 8_000, 60*time.Second))
+		emu.run(2 * time.Second)
+		until := emu.now.Add(held)
+		emu.late = func(eff Effect) time.Duration {
+			if _, ok := eff.(Stop); ok && emu.now.Before(until) {
+				return 11 * time.Second
+			}
+			return 0
+		}
+		emu.cancel(jobName(1))
+		emu.run(2300 * time.Millisecond)
+		emu.killDispatcher()
+		emu.submit(fanOut(2, "small", 3, 8_000, 3*time.Second))
+		emu.run(60 * time.Second)
+		assert.Check(t, len(emu.violations) == 0, "held up for %v: %s", held, strings.Join(emu.violations, "\n"))
+		assert.Check(t, len(emu.finished) == 2)
+	}
+}
+
+// TestFormerEndOfGangStopsNoLaterRun: a gang has started again after one of its members ended, and that
+// end is reported once more: to a successor, as the former dispatcher was killed before it
+// acknowledged it, or first of all by a VM that was cut off. It ended a former run.
+func TestFormerEndOfGangStopsNoLaterRun(t *testing.T) {
+	for _, takeover := range []bool{true, false} {
+		now := time.Date(2026, 1, 2, 3, 0, 0, 0, time.UTC)
+		opt := testOptions()
+		opt.Since, opt.Revision, opt.Term = now, 10, 2
+		sta := New(opt)
+		vms := []worker.VM{testVM("vm-1"), testVM("vm-2"), testVM("vm-3")}
+		spe := job.Spec{ID: jobName(1), Queue: "gate", Account: "large", Payload: "x", Accepted: now, Steps: []job.Step{
+			{Count: 2, Size: job.Size{CPU: 500, Memory: 512}, Gang: true, Estimate: 10 * time.Second},
+		}}
+		stops := 0
+		reported := takeover
+		reduce := func(events ...Event) {
+			now = reduceAnswered(sta, now, events, func(eff Effect) []Event {
+				switch eff := eff.(type) {
+				case Stop:
+					stops++
+				case Poll:
+					rep := worker.Report{StartedAtMS: 1, Clock: now.Sub(opt.Since) + time.Minute}
+					switch eff.VM.ID {
+					case "vm-1", "vm-2":
+						index := int(eff.VM.ID[3] - '1')
+						rep.Running = []worker.Running{{Task: job.Task{Job: spe.ID, Index: index}, Run: 2, Percent: 10}}
+					case "vm-3":
+						if reported && eff.Acked == 0 {
+							rep.Ends = []worker.End{{Number: 1, Task: job.Task{Job: spe.ID}, Run: 1, Kind: worker.EndLeaseExpired}}
+						}
+					}
+					return []Event{PollAnswered{VM: eff.VM, Sent: now, Report: rep}}
+				}
+				return nil
+			})
+		}
+		reduce(CatalogChanged{testCatalog()}, VMRegistered{vms[0]}, VMRegistered{vms[1]}, VMRegistered{vms[2]}, JobAccepted{Spec: spe, Revision: 5}, JobsLoaded{})
+		for range 100 {
+			reduce(Tick{})
+		}
+		if !takeover {
+			reported = true
+			sta.hosts["vm-3"].reportDue = true
+		}
+		for range 100 {
+			reduce(Tick{})
+		}
+		assert.Check(t, stops == 0, "takeover %v: %d stops of the present run", takeover, stops)
+	}
+}
