--- a/internal/core/scheduler/emulator_test.go
+++ b/internal/core/scheduler/emulator_test.go
@@ -68,6 +68,10 @@
 	// slowMachineOrder is how long the platform takes to carry out a machine order, in
 	// addition to the latency.
 	slowMachineOrder time.Duration
+	// upkeepTime is the time that a machine is down for its upkeep, and onUpkeep is called
+	// with each order for one; nil for none.
+	upkeepTime time.Duration
+	onUpkeep   func(machine string)
 	// stopTime is the time that a run takes to stop.
 	stopTime time.Duration
 	// startup is the time from the start of a run until its task is at work.
@@ -231,7 +235,7 @@
 		rng: rand.New(rand.NewPCG(seed, 1)), now: start, start: start, catalog: cat, vms: map[string]*emulatedVM{},
 		store: &emulatedStore{rev: 1, items: map[string]kv.Item{}}, truth: map[job.Task]*taskTruth{}, decisions: map[string]int{},
 		finished: map[job.ID]time.Time{}, jobsEnded: map[job.ID]bool{}, specs: map[job.ID]job.Spec{}, connected: map[string]bool{},
-		stopTime: emulatedStopTime,
+		stopTime: emulatedStopTime, upkeepTime: 4 * time.Second,
 		duration: func(_ job.Task, ste job.Step) time.Duration { return ste.Estimate },
 		failing:  func(job.Task) bool { return false },
 	}
@@ -575,8 +579,12 @@
 // shutDown ends a VM without reporting any ends, as a machine order does.
 func (emu *emulator) shutDown(vm *emulatedVM, downtime time.Duration) {
 	vm.up, vm.offline = false, true
+	for _, name := range vm.sorted() {
+		emu.checkBudget(vm, Stop{Task: name, Run: vm.runs[name].run})
+	}
 	for name, run := range vm.runs {
 		emu.recordEnd(name, run)
+		emu.truthOf(name).stopped = true
 	}
 	vm.runs = map[job.Task]*emulatedRun{}
 	id := vm.vm.ID
@@ -590,6 +598,9 @@
 // performUpkeep begins a machine's upkeep, unless it has begun before in the
 // same wave.
 func (emu *emulator) performUpkeep(eff Upkeep) {
+	if emu.onUpkeep != nil {
+		emu.onUpkeep(eff.Machine)
+	}
 	if emu.rng.Float64() < emu.killOnUpkeep {
 		emu.after(time.Millisecond, emu.killDispatcher)
 	}
@@ -623,7 +634,7 @@
 			if down >= emu.wave.Cap {
 				emu.fail("upkeep of %s begins while %d are down", eff.Machine, down)
 			}
-			emu.shutDown(vm, 4*time.Second)
+			emu.shutDown(vm, emu.upkeepTime)
 			answer(worker.MachineOK)
 		}
 	})
--- a/internal/core/scheduler/schedule_test.go
+++ b/internal/core/scheduler/schedule_test.go
@@ -56,6 +56,10 @@
 	repeats int
 	// keepsIDs has VMs restart under their ID.
 	keepsIDs bool
+	// handBacks is how often the duty is handed back, and slowMachineOrder how long the
+	// platform takes for a machine order.
+	handBacks        int
+	slowMachineOrder time.Duration
 }
 
 // faultScenario runs half a minute of jobs with faults of every kind, and then
@@ -109,6 +113,10 @@
 	for range 3 {
 		emu.after(time.Duration(emu.rng.Int64N(int64(28*time.Second))), emu.killDispatcher)
 	}
+	emu.slowMachineOrder = opt.slowMachineOrder
+	for range opt.handBacks {
+		emu.after(time.Duration(emu.rng.Int64N(int64(28*time.Second))), emu.handBack)
+	}
 	if seed%2 == 1 {
 		emu.killOnUpkeep = 0.15
 		emu.after(3*time.Second, func() {
--- a/internal/core/scheduler/successor_test.go
+++ b/internal/core/scheduler/successor_test.go
@@ -101,6 +101,9 @@
 // handBack ends the dispatcher's tenure as a handback or a SIGTERM does: the lease is ended
 // at once, so the next tenure begins after a moment.
 func (emu *emulator) handBack() {
+	if emu.dispatcherDown || emu.sched == nil {
+		return
+	}
 	opt := emu.opt
 	emu.dispatcherDown = true
 	emu.after(20*time.Millisecond, func() { emu.takeOver(opt) })
@@ -309,3 +312,126 @@
 		assert.Check(t, stops == 0, "takeover %v: %d stops of the present run", takeover, stops)
 	}
 }
+
+// TestHoldersDontOrderOneMachineInTurn: a dispatcher hands the duty back between an order for
+// upkeep and the record of it. Its successor orders the same machine again as it is
+// back, within lease-ms (3 s) of the first order, and both processes are in touch.
+func TestHoldersDontOrderOneMachineInTurn(t *testing.T) {
+	const leaseTime = 3 * time.Second
+	emu := newEmulator(1, testCatalog())
+	emu.upkeepTime = 2 * time.Second
+	emu.addVMs("lots", 4, 2, job.Size{CPU: 16_000, Memory: 32_768})
+	emu.takeOver(testOptions())
+	emu.run(2 * time.Second)
+	type order struct {
+		term int64
+		at   time.Time
+	}
+	last := map[string]order{}
+	emu.onUpkeep = func(machine string) {
+		if len(last) == 0 {
+			emu.after(time.Millisecond, emu.handBack)
+		}
+		if old, ok := last[machine]; ok && old.term != emu.term && emu.now.Sub(old.at) < leaseTime {
+			emu.fail("%s is ordered with term %d, %v after an order with term %d", machine, emu.term, emu.now.Sub(old.at), old.term)
+		}
+		last[machine] = order{emu.term, emu.now}
+	}
+	emu.requestWave(upkeep.Wave{Number: 1, Machines: emu.names, Duration: 60 * time.Second, Cap: 1})
+	emu.run(40 * time.Second)
+	assert.Equal(t, len(emu.violations), 0, "%s", strings.Join(emu.violations, "\n"))
+}
+
+// TestWaveKeepsItsTimeAfterTakeover: a wave's time counts from the request. The successor counts it
+// anew, so a machine whose task doesn't end has its upkeep late.
+func TestWaveKeepsItsTimeAfterTakeover(t *testing.T) {
+	const duration = 20 * time.Second
+	emu := newEmulator(1, testCatalog())
+	emu.addVMs("lots", 2, 2, job.Size{CPU: 16_000, Memory: 32_768})
+	emu.takeOver(testOptions())
+	emu.submit(fanOut(1, "large", 2, 12_000, 100*time.Second))
+	emu.run(2 * time.Second)
+	requested := emu.now
+	ordered := map[string]time.Time{}
+	emu.onUpkeep = func(machine string) { ordered[machine] = emu.now }
+	emu.requestWave(upkeep.Wave{Number: 1, Machines: emu.names, Duration: duration, Cap: 2})
+	emu.after(duration/2, emu.killDispatcher)
+	emu.run(60 * time.Second)
+	for _, name := range emu.names {
+		assert.Check(t, ordered[name].Sub(requested) < duration, "upkeep of %s is ordered after %v of %v", name, ordered[name].Sub(requested), duration)
+	}
+}
+
+// TestSuccessorRaisesNoPaceBesideLateTask: a former dispatcher has slowed a best-effort task down to 10%, and
+// the serving task beside it is near its target. The successor's first cut, to half of a full
+// pace that isn't there, makes the best-effort task faster.
+func TestSuccessorRaisesNoPaceBesideLateTask(t *testing.T) {
+	now := time.Date(2026, 1, 2, 3, 0, 0, 0, time.UTC)
+	opt := testOptions()
+	opt.Since, opt.Revision, opt.Term = now, 10, 2
+	sta := New(opt)
+	vm := testVM("vm-1")
+	serving := job.Spec{ID: jobName(1), Queue: "settle", Account: "large", Payload: "x", Accepted: now, Steps: []job.Step{
+		{Count: 1, Size: job.Size{CPU: 500, Memory: 512}, LongRunning: true, TailTarget: 100 * time.Millisecond},
+	}}
+	filling := job.Spec{ID: jobName(2), Queue: "gate", Account: "large", Payload: "x", Accepted: now, Steps: []job.Step{
+		{Count: 1, Size: job.Size{CPU: 500, Memory: 512}, BestEffort: true, Estimate: 10 * time.Second},
+	}}
+	pace := 10
+	reduce := func(events ...Event) {
+		now = reduceAnswered(sta, now, events, func(eff Effect) []Event {
+			switch eff := eff.(type) {
+			case Pace:
+				assert.Check(t, eff.Percent <= pace, "the pace rises from %d%% to %d%%", pace, eff.Percent)
+				pace = eff.Percent
+				return []Event{PaceAnswered{VM: eff.VM, Task: eff.Task, Percent: eff.Percent}}
+			case Poll:
+				return []Event{PollAnswered{VM: vm, Sent: now, Report: worker.Report{StartedAtMS: vm.StartedAtMS, Clock: now.Sub(opt.Since) + time.Minute, Running: []worker.Running{
+					{Task: job.Task{Job: filling.ID}, Run: 1, Percent: 10},
+					{Task: job.Task{Job: serving.ID}, Run: 1, Percent: 100, Load: 95},
+				}}}}
+			}
+			return nil
+		})
+	}
+	reduce(CatalogChanged{testCatalog()}, VMRegistered{vm}, JobAccepted{Spec: serving, Revision: 5}, JobAccepted{Spec: filling, Revision: 6}, JobsLoaded{})
+	for end := now.Add(5 * time.Second); now.Before(end); {
+		reduce(Tick{})
+	}
+}
+
+// TestRecordedOccurrenceNotYetDue: a former dispatcher whose clock was ahead has started an occurrence and
+// recorded one of its tasks. By the successor's clock it isn't due; the other tasks must wait
+// as they do beside a run that is reported (stageOfRun).
+func TestRecordedOccurrenceNotYetDue(t *testing.T) {
+	now := time.Date(2026, 1, 2, 3, 0, 0, 0, time.UTC)
+	opt := testOptions()
+	opt.Since, opt.Revision, opt.Term = now, 10, 2
+	sta := New(opt)
+	spe := job.Spec{
+		ID: jobName(1), Queue: "gate", Account: "large", Payload: "x", Accepted: now.Add(-time.Minute), Occurrences: 1, Interval: time.Minute, FirstDue: now.Add(10 * time.Second),
+		Steps: []job.Step{{Count: 2, Size: job.Size{CPU: 500, Memory: 512}, Estimate: time.Second}},
+	}
+	vm, machines := testVM("vm-1"), []worker.Machine{{Name: "m-1", Pool: "lots", State: worker.MachineUp, VM: "vm-1"}}
+	var running []worker.Running
+	reduce := func(events ...Event) {
+		now = reduceAnswered(sta, now, events, func(eff Effect) []Event {
+			switch eff := eff.(type) {
+			case Start:
+				assert.Check(t, !now.Before(spe.FirstDue), "%s starts %v before it is due", eff.Task, spe.FirstDue.Sub(now))
+				running = append(running, worker.Running{Task: eff.Task, Run: eff.Run})
+				return []Event{StartAnswered{VM: eff.VM, Task: eff.Task, Run: eff.Run}}
+			case Poll:
+				return []Event{PollAnswered{VM: vm, Sent: now, Report: worker.Report{StartedAtMS: vm.StartedAtMS, Clock: now.Sub(opt.Since) + time.Minute, Running: running}}}
+			case ListMachines:
+				return []Event{MachinesListed{RequestedAt: now, Machines: machines}}
+			}
+			return nil
+		})
+	}
+	stored := job.Progress{Tasks: []job.TaskRecord{{Index: 0, Done: true, Run: 1}}}
+	reduce(CatalogChanged{testCatalog()}, VMRegistered{vm}, JobAccepted{Spec: spe, Revision: 5, Progress: stored, ProgressRevision: 6}, JobsLoaded{})
+	for end := now.Add(2 * time.Second); now.Before(end); {
+		reduce(Tick{})
+	}
+}
