--- a/internal/core/scheduler/emulator_test.go
+++ b/internal/core/scheduler/emulator_test.go
@@ -72,6 +72,19 @@
 	// slowList is how long the list of machines takes to arrive, in addition to the
 	// latency.
 	slowList time.Duration
+	// slowMachineOrder is how long the platform takes to carry out a machine order, in
+	// addition to the latency.
+	slowMachineOrder time.Duration
+	// upkeepTime is the time that a machine is down for its upkeep, and onUpkeep is called
+	// with each order for one; nil for none.
+	upkeepTime time.Duration
+	onUpkeep   func(machine string)
+	// stopTime is the time that a run takes to stop.
+	stopTime time.Duration
+	// startup is the time from the start of a run until its task is at work.
+	startup time.Duration
+	// onDecision is called with each decision; nil for none.
+	onDecision func(name string)
 	// killOnUpkeep is the probability that the dispatcher is killed as it orders
 	// upkeep.
 	killOnUpkeep float64
@@ -231,6 +244,7 @@
 		rng: rand.New(rand.NewPCG(seed, 1)), now: start, start: start, catalog: cat, vms: map[string]*emulatedVM{},
 		store: &emulatedStore{rev: 1, items: map[string]kv.Item{}}, truth: map[job.Task]*taskTruth{}, decisions: map[string]int{},
 		finished: map[job.ID]time.Time{}, jobsEnded: map[job.ID]bool{}, specs: map[job.ID]job.Spec{}, connected: map[string]bool{},
+		stopTime: emulatedStopTime, upkeepTime: 4 * time.Second,
 		duration: func(_ job.Task, ste job.Step) time.Duration { return ste.Estimate },
 		failing:  func(job.Task) bool { return false },
 	}
@@ -592,6 +606,9 @@
 		delete(emu.connected, eff.VM.ID)
 	case LogDecision:
 		emu.decisions[eff.Name]++
+		if emu.onDecision != nil {
+			emu.onDecision(eff.Name)
+		}
 		if eff.Name == "job_ended" {
 			emu.jobsEnded[eff.Job] = true
 		}
@@ -623,8 +640,12 @@
 // shutDown ends a VM without reporting any ends, as a machine order does.
 func (emu *emulator) shutDown(vm *emulatedVM, downtime time.Duration) {
 	vm.up, vm.offline = false, true
+	for _, name := range vm.sorted() {
+		emu.checkBudget(vm, Stop{Task: name, Run: vm.runs[name].run})
+	}
 	for name, run := range vm.runs {
 		emu.recordEnd(name, run)
+		emu.truthOf(name).stopped = true
 	}
 	vm.runs = map[job.Task]*emulatedRun{}
 	id := vm.vm.ID
@@ -639,6 +660,9 @@
 // performUpkeep begins a machine's upkeep, unless it has begun before in the
 // same wave.
 func (emu *emulator) performUpkeep(eff Upkeep) {
+	if emu.onUpkeep != nil {
+		emu.onUpkeep(eff.Machine)
+	}
 	if emu.rng.Float64() < emu.killOnUpkeep {
 		emu.after(time.Millisecond, emu.killDispatcher)
 	}
@@ -654,7 +678,7 @@
 			}
 		})
 	}
-	emu.after(emulatedLatency, func() {
+	emu.after(emulatedLatency+emu.slowMachineOrder, func() {
 		vm := emu.vms[eff.Machine]
 		switch {
 		case vm.upkeepBegun[eff.Wave]:
@@ -672,7 +696,7 @@
 			if down >= emu.wave.Cap {
 				emu.fail("upkeep of %s begins while %d are down", eff.Machine, down)
 			}
-			emu.shutDown(vm, 4*time.Second)
+			emu.shutDown(vm, emu.upkeepTime)
 			answer(worker.MachineOK)
 		}
 	})
@@ -1060,7 +1084,7 @@
 	run := vm.runs[ord.Task]
 	if run != nil && run.run <= ord.Run {
 		emu.checkBudget(vm, ord)
-		emu.after(emulatedStopTime, func() {
+		emu.after(emu.stopTime, func() {
 			if vm.runs[ord.Task] == run {
 				emu.endRun(vm, ord.Task, run, worker.EndStopped)
 			}
@@ -1223,7 +1247,11 @@
 	rep := worker.Report{Clock: emu.clock(vm), StartedAtMS: vm.vm.StartedAtMS, Ends: append([]worker.End(nil), vm.ends...)}
 	for _, name := range vm.sorted() {
 		run := vm.runs[name]
-		rep.Running = append(rep.Running, worker.Running{Task: name, Run: run.run, Percent: 100})
+		percent := percentWorking
+		if emu.now.Sub(run.since) < emu.startup {
+			percent = 0
+		}
+		rep.Running = append(rep.Running, worker.Running{Task: name, Run: run.run, Percent: percent})
 	}
 	return rep
 }
