--- a/internal/core/scheduler/emulator_test.go
+++ b/internal/core/scheduler/emulator_test.go
@@ -605,13 +605,18 @@
 	case Forget:
 		delete(emu.connected, eff.VM.ID)
 	case LogDecision:
-		emu.decisions[eff.Name]++
-		if emu.onDecision != nil {
-			emu.onDecision(eff.Name)
-		}
-		if eff.Name == "job_ended" {
-			emu.jobsEnded[eff.Job] = true
-		}
+		emu.noteDecision(eff)
+	}
+}
+
+// noteDecision counts a decision.
+func (emu *emulator) noteDecision(dec LogDecision) {
+	emu.decisions[dec.Name]++
+	if emu.onDecision != nil {
+		emu.onDecision(dec.Name)
+	}
+	if dec.Name == "job_ended" {
+		emu.jobsEnded[dec.Job] = true
 	}
 }
 
--- a/internal/core/scheduler/schedule_test.go
+++ b/internal/core/scheduler/schedule_test.go
@@ -110,13 +110,8 @@
 			emu.after(at+span, func() { vm.failsTasks = false })
 		}
 	}
-	for range 3 {
-		emu.after(time.Duration(emu.rng.Int64N(int64(28*time.Second))), emu.killDispatcher)
-	}
 	emu.slowMachineOrder = opt.slowMachineOrder
-	for range opt.handBacks {
-		emu.after(time.Duration(emu.rng.Int64N(int64(28*time.Second))), emu.handBack)
-	}
+	emu.endTenures(3, opt.handBacks)
 	if seed%2 == 1 {
 		emu.killOnUpkeep = 0.15
 		emu.after(3*time.Second, func() {
@@ -131,6 +126,16 @@
 	return emu
 }
 
+// endTenures kills the dispatcher and has it hand the duty back a number of times each.
+func (emu *emulator) endTenures(kills, handBacks int) {
+	for range kills {
+		emu.after(time.Duration(emu.rng.Int64N(int64(28*time.Second))), emu.killDispatcher)
+	}
+	for range handBacks {
+		emu.after(time.Duration(emu.rng.Int64N(int64(28*time.Second))), emu.handBack)
+	}
+}
+
 // vary makes some jobs gangs, limits some per VM and schedules some in
 // occurrences.
 func (emu *emulator) vary(spe *job.Spec, number int) {
