scheduler: an end of a former run of a gang stops no later one

Seen: TestFormerEndOfGangStopsNoLaterRun, "2 stops of the present run", after a takeover and without one. The members of a gang that is at work are stopped, and all that it has done since its last checkpoint is lost.

Cause: endGang stopped the members whatever their run. The end of a former run is reported again to a successor if it wasn't acknowledged, and for the first time by a VM that was cut off.

Change: an end that isn't done stops the members whose run isn't later than the one that ended. Of a later run all members are at work or settled by their own reports. If a former run was done, the gang is done, and its later run is stopped; its members were left running before.

Evidence: the test failed before. No test covers the stop of a later run after a former one was done.

--- a/internal/core/scheduler/jobs.go
+++ b/internal/core/scheduler/jobs.go
@@ -359,17 +359,22 @@
 }
 
 // endGang handles the end of one member of a gang: if it is done, so is the whole
-// gang; otherwise the other members are stopped.
+// gang; otherwise the other members of its run are stopped. A later run goes on, unless the
+// gang is done: the end of a former run may be reported again, or late by a VM that was
+// cut off.
 func (sta *State) endGang(stg *stage, end worker.End) {
 	for i := range stg.tasks {
+		if hos := stg.tasks[i].host; hos != nil {
+			pla, done := hos.runs[stg.task(i)], end.Kind == worker.EndDone
+			switch later := pla.run > end.Run; {
+			case done && later:
+				sta.stop(hos, pla, stopTaskDone)
+			case !done && !later:
+				sta.stop(hos, pla, stopGangBroken)
+			}
+		}
 		if end.Kind == worker.EndDone {
 			sta.markDone(stg, i)
-			continue
-		}
-		if hos := stg.tasks[i].host; hos != nil {
-			name := end.Task
-			name.Index = i
-			sta.stop(hos, hos.runs[name], stopGangBroken)
 		}
 	}
 }
