scheduler, pace: the pace of a run that a former dispatcher started is ordered

Seen: a best-effort task that a former dispatcher has paused stays paused as long as it runs (TestPausedTaskOfFormerDispatcherGoesOn, "the task is at a pace of 0% after 30 s").

Cause: reserve set the pace of every run to the full one. An equal pace isn't ordered, and the first cut started from it. VMs don't report paces.

Change: the pace of a run that this dispatcher didn't start is unknown. Beside serving tasks the run keeps it until the control cuts or raises the pace, which starts from the least pace that the task may have, by the CPU that it uses. Beside none the full pace is ordered at once.

TestFirstPaceOfAdoptedTask: a task that uses all of its CPU is ordered to full pace first, so a takeover doesn't slow it down.

Why it works: a task uses no more CPU than its pace allows, so a cut from what it uses never raises it, and a raise is at most that of one step. What VMs report as CPU in use is rough, and a task that uses less than it may goes on at what it uses and is raised from there.

--- a/internal/core/pace/pace.go
+++ b/internal/core/pace/pace.go
@@ -9,6 +9,9 @@
 // Full is the pace of an unthrottled task, in percent.
 const Full = 100
 
+// Unknown is the pace of a task that another dispatcher may have throttled.
+const Unknown = -1
+
 // Parameters of the controller.
 const (
 	// highRatio is the ratio of tail latency to target above which the pace is
@@ -41,6 +44,25 @@
 // NewControl returns a control at full pace.
 func NewControl() Control { return Control{Percent: Full} }
 
+// From returns the control with a pace that the tasks may have without an order of it.
+func (con Control) From(percent int) Control {
+	con.Percent = percent
+	return con
+}
+
+// Least returns the least pace that a task may have that uses a CPU time out of the one at
+// full pace.
+func Least(used, full int64) int {
+	if used <= 0 || full <= 0 {
+		return 0
+	}
+	return int(min(Full, Full*float64(used)/float64(full)))
+}
+
+// Keeps reports whether the pace is neither cut nor raised at a ratio of tail latency to
+// target.
+func Keeps(ratio float64) bool { return lowRatio <= ratio && ratio <= highRatio }
+
 // WithTailRatio returns the control after a poll of the VM. ratio is the highest
 // ratio of tail latency to target of the VM's serving tasks.
 func (con Control) WithTailRatio(now time.Time, ratio float64) Control {
--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -352,6 +352,7 @@
 	case row.Run > pla.run:
 		// An order of a former dispatcher was carried out late.
 		pla.run = row.Run
+		hos.adopt(pla)
 	case row.Run < pla.run:
 		return
 	}
@@ -379,7 +380,7 @@
 		fields["other_vm"], fields["other_run"], fields["other_state"] = oth.vm.ID, oth.runs[row.Task].run, oth.runs[row.Task].state.String()
 	}
 	pla := sta.reserve(hos, stg, row.Task, row.Run, runRunning)
-	pla.adopted = true
+	hos.adopt(pla)
 	sta.logDecision("run_adopted", row.Task.Job, fields)
 	if !wanted {
 		sta.stop(hos, pla, stopUnwanted)
--- a/internal/core/scheduler/pace.go
+++ b/internal/core/scheduler/pace.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "github.com/balsamgauge/balsamgauge/internal/core/worker"
+import (
+	"github.com/balsamgauge/balsamgauge/internal/core/pace"
+	"github.com/balsamgauge/balsamgauge/internal/core/worker"
+)
 
 // tailRatio returns the highest ratio of tail latency to target among the
 // serving tasks on a host, and whether both serving and best-effort tasks run
@@ -25,12 +28,19 @@
 }
 
 // controlPace sets the pace of a host's best-effort tasks after a poll. It rises
-// to full speed while no serving task runs beside them.
+// to full speed while no serving task runs beside them. Tasks of a former dispatcher keep
+// the pace that it ordered until the pace is cut or raised, from the least that they may have.
 func (sta *State) controlPace(hos *host) {
 	ratio, mixed := hos.tailRatio()
 	if !mixed {
 		ratio = 0
 	}
+	if hos.paceUnordered {
+		if pace.Keeps(ratio) {
+			return
+		}
+		hos.pace, hos.paceUnordered = hos.pace.From(hos.leastPace(mixed)), false
+	}
 	before := hos.pace.Percent
 	hos.pace = hos.pace.WithTailRatio(sta.now, ratio)
 	if hos.pace.Percent != before {
@@ -45,6 +55,31 @@
 	}
 }
 
+// adopt records that a former dispatcher started a run, and may have ordered a pace for it.
+func (hos *host) adopt(pla *placement) {
+	pla.adopted = true
+	if pla.stage != nil && pla.stage.step.BestEffort {
+		pla.pace, hos.paceUnordered = pace.Unknown, true
+	}
+}
+
+// leastPace returns the least pace that the best-effort tasks on a host may have. Beside no
+// serving task it doesn't matter.
+func (hos *host) leastPace(mixed bool) int {
+	least := pace.Full
+	for _, pla := range hos.runList {
+		if !mixed || pla.stage == nil || !pla.stage.step.BestEffort {
+			continue
+		}
+		known := pla.pace
+		if known == pace.Unknown {
+			known = pace.Least(pla.load, pla.stage.step.Size.CPU)
+		}
+		least = min(least, known)
+	}
+	return least
+}
+
 // paceAnswered handles the answer to an order to set the pace of a task.
 func (sta *State) paceAnswered(hos *host, evt PaceAnswered) {
 	pla := hos.runs[evt.Task]
--- a/internal/core/scheduler/startrecords.go
+++ b/internal/core/scheduler/startrecords.go
@@ -153,7 +153,8 @@
 		return
 	}
 	pla := sta.reserve(hos, stg, run.Task, run.Number, runUnknown)
-	pla.former, pla.adopted = true, true
+	pla.former = true
+	hos.adopt(pla)
 	sta.logDecision("start_restored", run.Task.Job, map[string]any{
 		"task": run.Task.String(), "run": run.Number, "vm": hos.vm.ID, "registered": !hos.unregistered,
 		"long_lease": sta.now.Before(hos.longLeaseUntil), "lapse_ms": hos.leaseExpiry.Sub(sta.now).Milliseconds(),
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -243,7 +243,7 @@
 	percent int
 	load    int64
 	// pace is the pace that the VM last confirmed, as a percentage of full
-	// speed.
+	// speed; pace.Unknown if only a former dispatcher has ordered it.
 	pace         int
 	paceInFlight bool
 	checkpoint   string
@@ -329,8 +329,11 @@
 	suspects, finite int
 	// keptFree reports whether the VM gets only suspects in this call of Reduce.
 	keptFree bool
-	// pace controls the pace of the best-effort tasks on the VM.
-	pace pace.Control
+	// pace controls the pace of the best-effort tasks on the VM. paceUnordered reports
+	// whether a former dispatcher may have ordered that of some, and this one none since it knows
+	// them.
+	pace          pace.Control
+	paceUnordered bool
 }
 
 // usable reports whether new tasks may start on the VM, unless its availability
