scheduler: recorded occurrences that aren't due yet wait

Cause: a former dispatcher whose clock was ahead has started an occurrence and recorded one of its tasks. restoreTask opened the occurrence with tasks that may start at once; stageOfRun, which does the same for a reported run, has them wait until they are due.

Change: both open occurrences by one function, in which the tasks wait.

--- a/internal/core/scheduler/jobs.go
+++ b/internal/core/scheduler/jobs.go
@@ -97,9 +97,7 @@
 		sta.logDecision("progress_ignored", liv.spec.ID, map[string]any{"occurrence": rec.Occurrence, "step": rec.Step, "index": rec.Index})
 		return
 	}
-	for len(liv.occs) <= rec.Occurrence {
-		sta.openOccurrence(liv)
-	}
+	sta.openOccurrences(liv, rec.Occurrence)
 	liv.begun = true
 	stg := &liv.occs[rec.Occurrence].stages[rec.Step]
 	tas := &stg.tasks[rec.Index]
@@ -128,13 +126,11 @@
 	return &occ.stages[tas.Step]
 }
 
-// stageOfRun returns the stage of a task of which a VM reports a run, or nil if
-// the job is not live or has no such task. A former dispatcher whose clock was ahead
-// may have started an occurrence that is not due yet. It is opened, as its runs
-// count, and its other tasks wait until it is due.
-func (sta *State) stageOfRun(tas job.Task) *stage {
-	liv := sta.jobs[tas.Job]
-	for liv != nil && liv.final == "" && len(liv.occs) <= tas.Occurrence && tas.Occurrence < liv.spec.OccurrenceCount() {
+// openOccurrences opens a job's occurrences up to one of which a former dispatcher has
+// started tasks. If its clock was ahead, the occurrence is not due yet: it is opened, as
+// its runs and their records count, and its other tasks wait until it is due.
+func (sta *State) openOccurrences(liv *liveJob, last int) {
+	for len(liv.occs) <= last {
 		due := liv.spec.Due(len(liv.occs))
 		for _, stg := range sta.openOccurrence(liv).stages {
 			for i := range stg.tasks {
@@ -142,6 +138,14 @@
 			}
 		}
 	}
+}
+
+// stageOfRun returns the stage of a task of which a VM reports a run, or nil if
+// the job is not live or has no such task.
+func (sta *State) stageOfRun(tas job.Task) *stage {
+	if liv := sta.jobs[tas.Job]; liv != nil && liv.final == "" && tas.Occurrence < liv.spec.OccurrenceCount() {
+		sta.openOccurrences(liv, tas.Occurrence)
+	}
 	return sta.stageOf(tas)
 }
 
