scheduler, manager: a wave's time counts from its request after a takeover

Seen: TestWaveKeepsItsTimeAfterTakeover, "upkeep of lots-0 is ordered after 26.583s of 20s". A machine whose tasks don't end has its upkeep late, by as long as the former dispatcher knew of the wave.

Cause: a dispatcher counted a wave's time from when it received the request itself.

Change: the time at which a dispatcher first received the request is stored beside the progress of the wave (upkeep/N/requested), with the revision of the request, as another one may have the same number. The next dispatcher counts from it, unless it is ahead of its own clock. The record of the machines is unchanged, so processes of both versions read it.

TestShutdownAwaitsMachineOrders reads the time from the store.

Remains: the clocks of two processes may differ by seconds, by which a wave may seem older or newer than it is.

--- a/internal/core/scheduler/effect.go
+++ b/internal/core/scheduler/effect.go
@@ -92,6 +92,10 @@
 	Number    int64
 	Begun     []string
 	Completed bool
+	// Request and RequestedAt are the store's revision of the request and the time at which a
+	// dispatcher first received it.
+	Request     int64
+	RequestedAt time.Time
 }
 
 // Move moves a machine to another pool.
--- a/internal/core/scheduler/emulator_test.go
+++ b/internal/core/scheduler/emulator_test.go
@@ -102,6 +102,8 @@
 	// wave is the requested wave, and begun its stored progress.
 	wave  *upkeep.Wave
 	begun []string
+	// waveRequestedAt is the stored time at which a dispatcher first received the wave.
+	waveRequestedAt time.Time
 
 	truth      map[job.Task]*taskTruth
 	violations []string
@@ -508,7 +510,7 @@
 		emu.deliver(evt)
 	}
 	if emu.wave != nil {
-		emu.deliver(WaveRequested{Wave: *emu.wave, Begun: emu.begun})
+		emu.deliver(WaveRequested{Wave: *emu.wave, Begun: emu.begun, RequestedAt: emu.waveRequestedAt})
 	}
 	former := FormerStartsListed{Records: map[string]startlog.Record{}}
 	for _, itm := range emu.store.sorted(startlog.Prefix) {
@@ -607,6 +609,9 @@
 		emu.after(emulatedLatency, func() {
 			if term == emu.term && !emu.dispatcherDown {
 				emu.begun = eff.Begun
+				if eff.Number == emu.wave.Number {
+					emu.waveRequestedAt = eff.RequestedAt
+				}
 				emu.wavesSaving--
 			}
 		})
@@ -648,7 +653,7 @@
 
 // requestWave requests a wave of upkeep.
 func (emu *emulator) requestWave(wav upkeep.Wave) {
-	emu.wave = &wav
+	emu.wave, emu.waveRequestedAt = &wav, time.Time{}
 	emu.deliver(WaveRequested{Wave: wav})
 }
 
--- a/internal/core/scheduler/event.go
+++ b/internal/core/scheduler/event.go
@@ -122,6 +122,8 @@
 type WaveRequested struct {
 	Wave  upkeep.Wave
 	Begun []string
+	// RequestedAt is when a former dispatcher received the request; zero if none did.
+	RequestedAt time.Time
 }
 
 // WaveWithdrawn reports that the operator has withdrawn a wave.
--- a/internal/core/scheduler/waves.go
+++ b/internal/core/scheduler/waves.go
@@ -15,12 +15,17 @@
 		return
 	}
 	plan := upkeep.Plan{Wave: evt.Wave, RequestedAt: sta.now}
+	// The clock of the process that received it first may be ahead.
+	if !evt.RequestedAt.IsZero() && evt.RequestedAt.Before(sta.now) {
+		plan.RequestedAt = evt.RequestedAt
+	}
 	for _, name := range evt.Begun {
 		plan = plan.WithBegun(name)
 	}
-	sta.waves[evt.Wave.Number] = &wave{plan: plan}
-	sta.logDecision("wave_asked", "", map[string]any{"wave": evt.Wave.Number, "machines": len(evt.Wave.Machines), "cap": evt.Wave.Cap, "duration_ms": evt.Wave.Duration.Milliseconds(), "begun": len(evt.Begun)})
-	sta.emit(SaveWave{Number: evt.Wave.Number, Begun: evt.Begun})
+	wav := &wave{plan: plan}
+	sta.waves[evt.Wave.Number] = wav
+	sta.logDecision("wave_asked", "", map[string]any{"wave": evt.Wave.Number, "machines": len(evt.Wave.Machines), "cap": evt.Wave.Cap, "duration_ms": evt.Wave.Duration.Milliseconds(), "begun": len(evt.Begun), "age_ms": sta.now.Sub(plan.RequestedAt).Milliseconds()})
+	sta.saveWave(wav)
 }
 
 // wavePlanInterval is the time between two plans of upkeep, which look at every
@@ -51,7 +56,7 @@
 	if wav.plan.Completed(exists) && !sta.upkeeps.Unanswered(number) {
 		wav.completed = true
 		sta.logDecision("wave_completed", "", map[string]any{"wave": number, "age_ms": sta.now.Sub(wav.plan.RequestedAt).Milliseconds()})
-		sta.emit(SaveWave{Number: number, Begun: wav.begun(), Completed: true})
+		sta.saveWave(wav)
 		return
 	}
 	if !sta.mayOrderMachines() {
@@ -116,6 +121,13 @@
 	return true
 }
 
+// saveWave stores a wave's progress.
+func (sta *State) saveWave(wav *wave) {
+	sta.emit(SaveWave{
+		Number: wav.plan.Wave.Number, Begun: wav.begun(), Completed: wav.completed, Request: wav.plan.Wave.Revision, RequestedAt: wav.plan.RequestedAt,
+	})
+}
+
 // begun returns the sorted names of the machines whose upkeep has begun.
 func (wav *wave) begun() (names []string) {
 	for name := range wav.plan.Begun {
@@ -286,7 +298,7 @@
 		sta.noteDown(sta.hosts[sta.upkeeps.End(evt.Machine, evt.Wave, sta.now)])
 		if wav != nil {
 			wav.plan = wav.plan.WithBegun(evt.Machine)
-			sta.emit(SaveWave{Number: evt.Wave, Begun: wav.begun()})
+			sta.saveWave(wav)
 		}
 	case worker.MachineUnknown:
 		sta.noteDown(sta.hosts[sta.upkeeps.End(evt.Machine, evt.Wave, sta.now)])
--- a/internal/manager/dispatcher.go
+++ b/internal/manager/dispatcher.go
@@ -376,12 +376,12 @@
 	for {
 		for number, wav := range sna.waves {
 			if !sent[number] {
-				begun, ok := dis.readWaveBegun(ctx, number)
+				evt, ok := dis.readWave(ctx, wav)
 				if !ok {
 					return
 				}
 				sent[number] = true
-				dis.send(ctx, scheduler.WaveRequested{Wave: wav, Begun: begun})
+				dis.send(ctx, evt)
 			}
 		}
 		for number := range sent {
--- a/internal/manager/effects.go
+++ b/internal/manager/effects.go
@@ -11,6 +11,7 @@
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
 	"github.com/balsamgauge/balsamgauge/internal/core/packed"
 	"github.com/balsamgauge/balsamgauge/internal/core/scheduler"
+	"github.com/balsamgauge/balsamgauge/internal/core/upkeep"
 	"github.com/balsamgauge/balsamgauge/internal/core/worker"
 	"github.com/balsamgauge/balsamgauge/internal/decisionlog"
 	"github.com/balsamgauge/balsamgauge/internal/follow"
@@ -278,6 +279,16 @@
 
 func waveKey(number int64) string { return fmt.Sprintf("%s%d", wavePrefix, number) }
 
+// waveRequest is the record of when a dispatcher first received the request for a wave.
+type waveRequest struct {
+	// Revision is that of the request, which may be replaced by another one of the same
+	// number.
+	Revision int64 `msgpack:"r"`
+	AtMS     int64 `msgpack:"t"`
+}
+
+func waveRequestKey(number int64) string { return waveKey(number) + "/requested" }
+
 // saveWave stores a wave's progress for the operator and for the next
 // dispatcher.
 func (dis *dispatcher) saveWave(ctx context.Context, eff scheduler.SaveWave) {
@@ -294,29 +305,53 @@
 		lat = record.NewLatest(waveKey(eff.Number), dis.commit, notSaved)
 		dis.waveRecords[eff.Number] = lat
 	}
+	request, err := msgpack.Marshal(&waveRequest{Revision: eff.Request, AtMS: eff.RequestedAt.UnixMilli()})
+	if err != nil {
+		notSaved(err)
+		return
+	}
 	lat.Put(ctx,
 		kv.Put{Key: waveKey(eff.Number), Value: raw},
+		kv.Put{Key: waveRequestKey(eff.Number), Value: request},
 		kv.Put{Key: platform.WaveStatusKey(eff.Number), Value: platform.EncodeWaveStatus(eff.Completed)},
 	)
 }
 
-// readWaveBegun reads the machines whose upkeep an earlier dispatcher began.
-func (dis *dispatcher) readWaveBegun(ctx context.Context, number int64) (begun []string, ok bool) {
+// readWave reads what earlier dispatchers stored of a wave: the machines whose upkeep has
+// begun, and when they received the request.
+func (dis *dispatcher) readWave(ctx context.Context, wav upkeep.Wave) (evt scheduler.WaveRequested, ok bool) {
+	evt.Wave = wav
+	if !dis.readRecord(ctx, waveKey(wav.Number), &evt.Begun) {
+		return evt, false
+	}
+	var request waveRequest
+	if !dis.readRecord(ctx, waveRequestKey(wav.Number), &request) {
+		return evt, false
+	}
+	if request.AtMS != 0 && request.Revision == wav.Revision {
+		evt.RequestedAt = time.UnixMilli(request.AtMS)
+	}
+	return evt, true
+}
+
+// readRecord reads a record into val, which stays as it is if there is no valid one. It
+// repeats the call until the store answers or the context is done.
+func (dis *dispatcher) readRecord(ctx context.Context, key string, val any) (ok bool) {
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, follow.ReadTimeout)
-		itm, err := dis.nod.store.Get(callCtx, waveKey(number))
+		itm, err := dis.nod.store.Get(callCtx, key)
 		cancel()
 		switch {
 		case errors.Is(err, kv.ErrNotFound):
-			return nil, true
+			return true
 		case err == nil:
-			if err := packed.Unmarshal(itm.Value, &begun); err != nil {
+			if err := packed.Unmarshal(itm.Value, val); err != nil {
 				dis.logIgnored(itm, err)
 			}
-			return begun, true
+			return true
 		}
 		dis.nod.log.Event("store_read_failed", decisionlog.Fields{"prefix": wavePrefix, "error": err.Error()})
 		clock.Pause(ctx, follow.RetryDelay)
 	}
-	return nil, false
+	return false
 }
--- a/internal/manager/ending_test.go
+++ b/internal/manager/ending_test.go
@@ -40,6 +40,9 @@
 	assert.Equal(t, len(clu.out.lines(`"upkeep_ordered"`)), 2)
 	// The next dispatcher knows of these two from the record of the wave.
 	clu.await("wave", func() bool { return len(clu.out.lines(`"wave_asked"`)) == 2 })
-	assert.Assert(t, strings.Contains(clu.out.lines(`"wave_asked"`)[1], `"begun":2`), "%v", clu.out.lines(`"wave_asked"`))
+	asked := clu.out.lines(`"wave_asked"`)
+	assert.Assert(t, strings.Contains(asked[1], `"begun":2`), "%v", asked)
+	// It counts the wave's time from the request.
+	assert.Assert(t, strings.Contains(asked[0], `"age_ms":0`) && !strings.Contains(asked[1], `"age_ms":0`), "%v", asked)
 	assert.DeepEqual(t, clu.sit.Violations(), []string(nil))
 }
