scheduler: runs of ended jobs count against caps until they have stopped

Seen: TestOrphansOfEndedJobCountAgainstCap with stops that are held up for 8 s, "raises the usage of account small to 48000, above its cap of 24000" (QUOTA).

Cause: runs of a job that ended under a former dispatcher have an unknown account, so what their VMs can hold counts against every cap. That ended when leases granted by former dispatchers were over, though this dispatcher's own polls extend the leases of these runs.

Change: it counts as long as a VM that has answered may hold such runs.

While no VM holds such runs, nothing is computed.

--- a/internal/core/scheduler/former.go
+++ b/internal/core/scheduler/former.go
@@ -33,7 +33,10 @@
 // and that count against no account.
 func (sta *State) boundFormerRuns() (frm formerRuns) {
 	if !sta.formerLeasesMayHold() {
-		return formerRuns{mayExist: slices.ContainsFunc(sta.hostList, func(hos *host) bool { return hos.endsLeftOut })}
+		return formerRuns{
+			mayExist: slices.ContainsFunc(sta.hostList, func(hos *host) bool { return hos.endsLeftOut }),
+			size:     sta.orphanRoom(),
+		}
 	}
 	if sta.machines.asOf.Before(sta.opt.Since) {
 		return formerRuns{mayExist: true, size: unknownSize}
@@ -50,10 +53,8 @@
 			frm.add(mac.Capacity.Max(hos.vm.Capacity))
 		}
 	}
+	frm.size = frm.size.Plus(sta.orphanRoom())
 	for _, hos := range sta.hostList {
-		if hos.termAccepted && hos.hasOrphanRuns() {
-			frm.size = frm.size.Plus(hos.vm.Capacity.Minus(hos.used).Max(job.Size{}))
-		}
 		if mac, ok := sta.machines.byName[sta.machines.byVM[hos.vm.ID]]; !hos.termAccepted && (!ok || mac.State != worker.MachineUp) {
 			frm.add(hos.vm.Capacity)
 		}
@@ -64,6 +65,20 @@
 	return frm
 }
 
+// orphanRoom returns what the VMs that run tasks of unknown jobs can hold besides the known
+// runs. Polls extend the leases of those tasks until they have stopped.
+func (sta *State) orphanRoom() (size job.Size) {
+	if sta.orphans == 0 {
+		return size
+	}
+	for _, hos := range sta.hostList {
+		if hos.termAccepted && hos.hasOrphanRuns() {
+			size = size.Plus(hos.vm.Capacity.Minus(hos.used).Max(job.Size{}))
+		}
+	}
+	return size
+}
+
 // startedAgo returns how long ago a VM started, by the time of day, which may differ
 // between VMs; 0 if it is unknown.
 func (sta *State) startedAgo(one worker.VM) time.Duration {
--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -138,6 +138,7 @@
 	sta.usage[pla.account] = sta.usage[pla.account].Minus(pla.size)
 	stg := pla.stage
 	if stg == nil {
+		sta.orphans--
 		return
 	}
 	hos.setSuspect(pla, false)
@@ -157,7 +158,9 @@
 // it takes up.
 func (sta *State) reserve(hos *host, stg *stage, name job.Task, run int, state runState) *placement {
 	pla := &placement{task: name, run: run, state: state, since: sta.now, stage: stg, pace: pace.Full}
-	if stg != nil {
+	if stg == nil {
+		sta.orphans++
+	} else {
 		pla.reserved, pla.size, pla.account = stg.step.Reservation(), stg.step.Size, stg.liveJob.spec.Account
 		tas := &stg.tasks[name.Index]
 		tas.run = max(tas.run, run)
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -372,6 +372,8 @@
 	// allowances holds the leaky buckets that meter the accounts' new jobs.
 	usage      map[string]job.Size
 	allowances map[string]allowance.Bucket
+	// orphans counts the runs of unknown jobs on all VMs.
+	orphans int
 	// former bounds the unreported runs of a former dispatcher, in a call of Reduce.
 	former formerRuns
 	// formerLeasesLogged reports whether the end of the former dispatcher's leases was
