scheduler: a serving task keeps its run that is at work

Seen: TestSuccessorKeepsRunAtWork, "run 2 on vm-2 is stopped, which is at work" (AVAIL). Two VMs list a run of one serving task, as a start was carried out late. A dispatcher that has just taken over keeps the run that is reported first.

Cause: adopt stops each run of a task that has one already.

Change: of two runs that former dispatchers started, the one at work replaces one that isn't, which is stopped instead.

If both are at work, or neither, the one that is reported first is kept as before.

--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -373,7 +373,7 @@
 }
 
 // adopt records a run that this dispatcher did not order. The run is stopped
-// unless its task is waiting for one.
+// unless its task is waiting for one, or has only one that isn't at work.
 func (sta *State) adopt(hos *host, stg *stage, row worker.Running) *placement {
 	sta.supersedeFormer(stg, row.Task, row.Run)
 	wanted := stg != nil && stg.liveJob.final == "" && stg.tasks[row.Task.Index].phase == phaseWaiting
@@ -385,12 +385,31 @@
 	pla := sta.reserve(hos, stg, row.Task, row.Run, runRunning)
 	hos.adopt(pla)
 	sta.logDecision("run_adopted", row.Task.Job, fields)
-	if !wanted {
+	if !wanted && !sta.replaceIdleRun(hos, pla, row) {
 		sta.stop(hos, pla, stopUnwanted)
 	}
 	return pla
 }
 
+// replaceIdleRun has a serving task keep a run that is at work in place of another one of a
+// former dispatcher that isn't, and reports whether it does.
+func (sta *State) replaceIdleRun(hos *host, pla *placement, row worker.Running) bool {
+	if !pla.isServing() || row.Percent < percentWorking {
+		return false
+	}
+	tas := &pla.stage.tasks[row.Task.Index]
+	if tas.host == nil {
+		return false
+	}
+	oth := tas.host.runs[row.Task]
+	if !oth.adopted || oth.state != runRunning || oth.working() {
+		return false
+	}
+	sta.stop(tas.host, oth, stopUnwanted)
+	tas.host = hos
+	return true
+}
+
 // applyMissing handles a run that is missing from the answer to a poll sent at
 // a given time.
 func (sta *State) applyMissing(hos *host, pla *placement, sent time.Time) {
