--- a/internal/core/scheduler/emulator_test.go
+++ b/internal/core/scheduler/emulator_test.go
@@ -72,6 +72,23 @@
 	// slowList is how long the list of machines takes to arrive, in addition to the
 	// latency.
 	slowList time.Duration
+	// slowMachineOrder is how long the platform takes to carry out a machine order, in
+	// addition to the latency.
+	slowMachineOrder time.Duration
+	// upkeepTime is the time that a machine is down for its upkeep, and onUpkeep is called
+	// with each order for one; nil for none.
+	upkeepTime time.Duration
+	onUpkeep   func(machine string)
+	// stopTime is the time that a run takes to stop.
+	stopTime time.Duration
+	// startup is the time from the start of a run until its task is at work.
+	startup time.Duration
+	// ending reports whether the dispatcher hands the duty back, and wavesSaving counts the
+	// writes of the progress of waves that are under way.
+	ending      bool
+	wavesSaving int
+	// onDecision is called with each decision; nil for none.
+	onDecision func(name string)
 	// killOnUpkeep is the probability that the dispatcher is killed as it orders
 	// upkeep.
 	killOnUpkeep float64
@@ -85,6 +102,8 @@
 	// wave is the requested wave, and begun its stored progress.
 	wave  *upkeep.Wave
 	begun []string
+	// waveRequestedAt is the stored time at which a dispatcher first received the wave.
+	waveRequestedAt time.Time
 
 	truth      map[job.Task]*taskTruth
 	violations []string
@@ -231,6 +250,7 @@
 		rng: rand.New(rand.NewPCG(seed, 1)), now: start, start: start, catalog: cat, vms: map[string]*emulatedVM{},
 		store: &emulatedStore{rev: 1, items: map[string]kv.Item{}}, truth: map[job.Task]*taskTruth{}, decisions: map[string]int{},
 		finished: map[job.ID]time.Time{}, jobsEnded: map[job.ID]bool{}, specs: map[job.ID]job.Spec{}, connected: map[string]bool{},
+		stopTime: emulatedStopTime, upkeepTime: 4 * time.Second,
 		duration: func(_ job.Task, ste job.Step) time.Duration { return ste.Estimate },
 		failing:  func(job.Task) bool { return false },
 	}
@@ -396,6 +416,9 @@
 	for _, eff := range emu.sched.Reduce(emu.now, events) {
 		emu.perform(eff)
 	}
+	if emu.ending && emu.wavesSaving == 0 && emu.sched.MayEnd() {
+		emu.releaseDuty()
+	}
 	emu.wake(emulatedTick)
 }
 
@@ -407,6 +430,7 @@
 	opt.Since, opt.Revision, opt.Term = emu.now, emu.store.rev, emu.term
 	emu.opt = opt
 	emu.sched, emu.inbox, emu.dispatcherDown, emu.wakePending = New(opt), nil, false, false
+	emu.ending, emu.wavesSaving = false, 0
 	emu.connected = map[string]bool{}
 	emu.deliver(CatalogChanged{Catalog: emu.catalog})
 	if emu.advisor != nil {
@@ -486,7 +510,7 @@
 		emu.deliver(evt)
 	}
 	if emu.wave != nil {
-		emu.deliver(WaveRequested{Wave: *emu.wave, Begun: emu.begun})
+		emu.deliver(WaveRequested{Wave: *emu.wave, Begun: emu.begun, RequestedAt: emu.waveRequestedAt})
 	}
 	former := FormerStartsListed{Records: map[string]startlog.Record{}}
 	for _, itm := range emu.store.sorted(startlog.Prefix) {
@@ -581,9 +605,14 @@
 		emu.performMove(eff)
 	case SaveWave:
 		term := emu.term
+		emu.wavesSaving++
 		emu.after(emulatedLatency, func() {
 			if term == emu.term && !emu.dispatcherDown {
 				emu.begun = eff.Begun
+				if eff.Number == emu.wave.Number {
+					emu.waveRequestedAt = eff.RequestedAt
+				}
+				emu.wavesSaving--
 			}
 		})
 	case StepDown:
@@ -591,10 +620,18 @@
 	case Forget:
 		delete(emu.connected, eff.VM.ID)
 	case LogDecision:
-		emu.decisions[eff.Name]++
-		if eff.Name == "job_ended" {
-			emu.jobsEnded[eff.Job] = true
-		}
+		emu.noteDecision(eff)
+	}
+}
+
+// noteDecision counts a decision.
+func (emu *emulator) noteDecision(dec LogDecision) {
+	emu.decisions[dec.Name]++
+	if emu.onDecision != nil {
+		emu.onDecision(dec.Name)
+	}
+	if dec.Name == "job_ended" {
+		emu.jobsEnded[dec.Job] = true
 	}
 }
 
@@ -616,15 +653,19 @@
 
 // requestWave requests a wave of upkeep.
 func (emu *emulator) requestWave(wav upkeep.Wave) {
-	emu.wave = &wav
+	emu.wave, emu.waveRequestedAt = &wav, time.Time{}
 	emu.deliver(WaveRequested{Wave: wav})
 }
 
 // shutDown ends a VM without reporting any ends, as a machine order does.
 func (emu *emulator) shutDown(vm *emulatedVM, downtime time.Duration) {
 	vm.up, vm.offline = false, true
+	for _, name := range vm.sorted() {
+		emu.checkBudget(vm, Stop{Task: name, Run: vm.runs[name].run})
+	}
 	for name, run := range vm.runs {
 		emu.recordEnd(name, run)
+		emu.truthOf(name).stopped = true
 	}
 	vm.runs = map[job.Task]*emulatedRun{}
 	id := vm.vm.ID
@@ -639,6 +680,9 @@
 // performUpkeep begins a machine's upkeep, unless it has begun before in the
 // same wave.
 func (emu *emulator) performUpkeep(eff Upkeep) {
+	if emu.onUpkeep != nil {
+		emu.onUpkeep(eff.Machine)
+	}
 	if emu.rng.Float64() < emu.killOnUpkeep {
 		emu.after(time.Millisecond, emu.killDispatcher)
 	}
@@ -654,7 +698,7 @@
 			}
 		})
 	}
-	emu.after(emulatedLatency, func() {
+	emu.after(emulatedLatency+emu.slowMachineOrder, func() {
 		vm := emu.vms[eff.Machine]
 		switch {
 		case vm.upkeepBegun[eff.Wave]:
@@ -672,7 +716,7 @@
 			if down >= emu.wave.Cap {
 				emu.fail("upkeep of %s begins while %d are down", eff.Machine, down)
 			}
-			emu.shutDown(vm, 4*time.Second)
+			emu.shutDown(vm, emu.upkeepTime)
 			answer(worker.MachineOK)
 		}
 	})
@@ -1060,7 +1104,7 @@
 	run := vm.runs[ord.Task]
 	if run != nil && run.run <= ord.Run {
 		emu.checkBudget(vm, ord)
-		emu.after(emulatedStopTime, func() {
+		emu.after(emu.stopTime, func() {
 			if vm.runs[ord.Task] == run {
 				emu.endRun(vm, ord.Task, run, worker.EndStopped)
 			}
@@ -1223,7 +1267,11 @@
 	rep := worker.Report{Clock: emu.clock(vm), StartedAtMS: vm.vm.StartedAtMS, Ends: append([]worker.End(nil), vm.ends...)}
 	for _, name := range vm.sorted() {
 		run := vm.runs[name]
-		rep.Running = append(rep.Running, worker.Running{Task: name, Run: run.run, Percent: 100})
+		percent := percentWorking
+		if emu.now.Sub(run.since) < emu.startup {
+			percent = 0
+		}
+		rep.Running = append(rep.Running, worker.Running{Task: name, Run: run.run, Percent: percent})
 	}
 	return rep
 }
--- a/internal/core/scheduler/event.go
+++ b/internal/core/scheduler/event.go
@@ -128,6 +128,8 @@
 type WaveRequested struct {
 	Wave  upkeep.Wave
 	Begun []string
+	// RequestedAt is when a former dispatcher received the request; zero if none did.
+	RequestedAt time.Time
 }
 
 // WaveWithdrawn reports that the operator has withdrawn a wave.
@@ -167,6 +169,10 @@
 // have been received.
 type JobsLoaded struct{}
 
+// TenureEnding reports that the duty is about to be handed back or released. From then on no
+// machine orders are given (State.MayEnd).
+type TenureEnding struct{}
+
 func (Tick) event()                {}
 func (CatalogChanged) event()      {}
 func (ZonesChanged) event()        {}
@@ -191,3 +197,4 @@
 func (FormerStartsListed) event()  {}
 func (StartsNotRecorded) event()   {}
 func (JobsLoaded) event()          {}
+func (TenureEnding) event()        {}
--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -142,6 +142,7 @@
 	sta.usage[pla.account] = sta.usage[pla.account].Minus(pla.size)
 	stg := pla.stage
 	if stg == nil {
+		sta.orphans--
 		return
 	}
 	hos.setSuspect(pla, false)
@@ -161,7 +162,9 @@
 // it takes up.
 func (sta *State) reserve(hos *host, stg *stage, name job.Task, run int, state runState) *placement {
 	pla := &placement{task: name, run: run, state: state, since: sta.now, stage: stg, pace: pace.Full}
-	if stg != nil {
+	if stg == nil {
+		sta.orphans++
+	} else {
 		pla.reserved, pla.size, pla.account = stg.step.Reservation(), stg.step.Size, stg.liveJob.spec.Account
 		tas := &stg.tasks[name.Index]
 		tas.run = max(tas.run, run)
@@ -358,6 +361,7 @@
 	case row.Run > pla.run:
 		// An order of a former dispatcher was carried out late.
 		pla.run = row.Run
+		hos.adopt(pla)
 	case row.Run < pla.run:
 		return
 	}
@@ -375,7 +379,7 @@
 }
 
 // adopt records a run that this dispatcher did not order. The run is stopped
-// unless its task is waiting for one.
+// unless its task is waiting for one, or has only one that isn't at work.
 func (sta *State) adopt(hos *host, stg *stage, row worker.Running) *placement {
 	sta.supersedeFormer(stg, row.Task, row.Run)
 	wanted := stg != nil && stg.liveJob.final == "" && stg.tasks[row.Task.Index].phase == phaseWaiting
@@ -385,14 +389,33 @@
 		fields["other_vm"], fields["other_run"], fields["other_state"] = oth.vm.ID, oth.runs[row.Task].run, oth.runs[row.Task].state.String()
 	}
 	pla := sta.reserve(hos, stg, row.Task, row.Run, runRunning)
-	pla.adopted = true
+	hos.adopt(pla)
 	sta.logDecision("run_adopted", row.Task.Job, fields)
-	if !wanted {
+	if !wanted && !sta.replaceIdleRun(hos, pla, row) {
 		sta.stop(hos, pla, stopUnwanted)
 	}
 	return pla
 }
 
+// replaceIdleRun has a serving task keep a run that is at work in place of another one of a
+// former dispatcher that isn't, and reports whether it does.
+func (sta *State) replaceIdleRun(hos *host, pla *placement, row worker.Running) bool {
+	if !pla.isServing() || row.Percent < percentWorking {
+		return false
+	}
+	tas := &pla.stage.tasks[row.Task.Index]
+	if tas.host == nil {
+		return false
+	}
+	oth := tas.host.runs[row.Task]
+	if !oth.adopted || oth.state != runRunning || oth.working() {
+		return false
+	}
+	sta.stop(tas.host, oth, stopUnwanted)
+	tas.host = hos
+	return true
+}
+
 // applyMissing handles a run that is missing from the answer to a poll sent at
 // a given time.
 func (sta *State) applyMissing(hos *host, pla *placement, sent time.Time) {
--- a/internal/core/scheduler/schedule_test.go
+++ b/internal/core/scheduler/schedule_test.go
@@ -56,6 +56,10 @@
 	repeats int
 	// keepsIDs has VMs restart under their ID.
 	keepsIDs bool
+	// handBacks is how often the duty is handed back, and slowMachineOrder how long the
+	// platform takes for a machine order.
+	handBacks        int
+	slowMachineOrder time.Duration
 }
 
 // faultScenario runs half a minute of jobs with faults of every kind, and then
@@ -106,9 +110,8 @@
 			emu.after(at+span, func() { vm.failsTasks = false })
 		}
 	}
-	for range 3 {
-		emu.after(time.Duration(emu.rng.Int64N(int64(28*time.Second))), emu.killDispatcher)
-	}
+	emu.slowMachineOrder = opt.slowMachineOrder
+	emu.endTenures(3, opt.handBacks)
 	if seed%2 == 1 {
 		emu.killOnUpkeep = 0.15
 		emu.after(3*time.Second, func() {
@@ -123,6 +126,16 @@
 	return emu
 }
 
+// endTenures kills the dispatcher and has it hand the duty back a number of times each.
+func (emu *emulator) endTenures(kills, handBacks int) {
+	for range kills {
+		emu.after(time.Duration(emu.rng.Int64N(int64(28*time.Second))), emu.killDispatcher)
+	}
+	for range handBacks {
+		emu.after(time.Duration(emu.rng.Int64N(int64(28*time.Second))), emu.handBack)
+	}
+}
+
 // vary makes some jobs gangs, limits some per VM and schedules some in
 // occurrences.
 func (emu *emulator) vary(spe *job.Spec, number int) {
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -243,7 +243,7 @@
 	percent int
 	load    int64
 	// pace is the pace that the VM last confirmed, as a percentage of full
-	// speed.
+	// speed; pace.Unknown if only a former dispatcher has ordered it.
 	pace         int
 	paceInFlight bool
 	checkpoint   string
@@ -336,8 +336,11 @@
 	suspects, finite int
 	// keptFree reports whether the VM gets only suspects in this call of Reduce.
 	keptFree bool
-	// pace controls the pace of the best-effort tasks on the VM.
-	pace pace.Control
+	// pace controls the pace of the best-effort tasks on the VM. paceUnordered reports
+	// whether a former dispatcher may have ordered that of some, and this one none since it knows
+	// them.
+	pace          pace.Control
+	paceUnordered bool
 }
 
 // usable reports whether new tasks may start on the VM, unless its availability
@@ -376,6 +379,8 @@
 	// allowances holds the leaky buckets that meter the accounts' new jobs.
 	usage      map[string]job.Size
 	allowances map[string]allowance.Bucket
+	// orphans counts the runs of unknown jobs on all VMs.
+	orphans int
 	// former bounds the unreported runs of a former dispatcher, in a call of Reduce.
 	former formerRuns
 	// formerLeasesLogged reports whether the end of the former dispatcher's leases was
@@ -426,6 +431,8 @@
 	// runtimeRatios holds, by queue, the ratio of actual to estimated run times.
 	runtimeRatios estimate.Ratios
 	steppedDown   bool
+	// ending reports whether the tenure is about to end.
+	ending bool
 	// machineNames holds the sorted names of the listed machines.
 	machineNames []string
 	demands      map[string]*rebalance.Demand
