--- a/internal/core/scheduler/successor_test.go
+++ b/internal/core/scheduler/successor_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/balsamgauge/balsamgauge/internal/core/duty"
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
 	"github.com/balsamgauge/balsamgauge/internal/core/upkeep"
 	"github.com/balsamgauge/balsamgauge/internal/core/worker"
@@ -96,7 +97,7 @@
 		const crashAt = 150 * time.Millisecond
 		fix.at(crashAt, func() { fix.emu.crash(fix.first, delay-crashAt-time.Millisecond) })
 		fix.at(delay, func() {
-			assert.Equal(t, fix.first.fence, int64(1), "delay %v", delay)
+			assert.Equal(t, duty.TokenTerm(fix.first.fence), int64(1), "delay %v", delay)
 			fix.emu.submit(fanOut(2, "large", 1, 500, 20*time.Second))
 		})
 		fix.at(delay+300*time.Millisecond, func() {
