--- a/internal/manager/startrecords.go
+++ b/internal/manager/startrecords.go
@@ -13,8 +13,9 @@
 
 // Timing of records of starts.
 const (
-	// recordTimeout bounds the write of a record. latestart.MaxDelay includes it.
-	recordTimeout = 600 * time.Millisecond
+	// maxRecordTime is the time after which starts that wait for their record aren't sent
+	// any more. latestart.MaxDelay includes it.
+	maxRecordTime = 600 * time.Millisecond
 	// recordPatience is how long starts wait for their record. A write that is on its way to
 	// a slow store is carried out even if this process is killed.
 	recordPatience = 50 * time.Millisecond
@@ -55,9 +56,7 @@
 
 // writeRecord writes a record of starts once.
 func (dis *dispatcher) writeRecord(ctx context.Context, txn kv.Txn) (err error) {
-	callCtx, cancel := context.WithTimeout(ctx, recordTimeout)
-	defer cancel()
-	_, err = dis.commit(callCtx, txn)
+	_, err = dis.commit(ctx, txn)
 	return err
 }
 
@@ -78,7 +77,7 @@
 func (dis *dispatcher) sendStarts(ctx context.Context, decided time.Time, txn kv.Txn, starts []scheduler.Start) (sent bool) {
 	now := dis.nod.now()
 	took := now.Sub(decided)
-	if !dis.ten.Holds(now) || took > recordTimeout {
+	if !dis.ten.Holds(now) || took > maxRecordTime {
 		dis.send(ctx, scheduler.StartsNotRecorded{Txn: txn, Starts: starts, Err: errNotHeld})
 		return false
 	}
