--- a/internal/core/scheduler/adoptedpace_test.go
+++ b/internal/core/scheduler/adoptedpace_test.go
@@ -29,16 +29,7 @@
 	} {
 		t.Run(tst.name, func(t *testing.T) {
 			now := time.Date(2026, 1, 2, 3, 0, 0, 0, time.UTC)
-			opt := testOptions()
-			opt.Since, opt.Revision, opt.Term = now, 10, 2
-			sta := New(opt)
-			vm := testVM("vm-1")
-			serving := job.Spec{ID: jobName(1), Queue: "settle", Account: "large", Payload: "x", Accepted: now, Steps: []job.Step{
-				{Count: 1, Size: job.Size{CPU: 500, Memory: 512}, LongRunning: true, TailTarget: 100 * time.Millisecond},
-			}}
-			filling := job.Spec{ID: jobName(2), Queue: "gate", Account: "large", Payload: "x", Accepted: now, Steps: []job.Step{
-				{Count: 1, Size: job.Size{CPU: 500, Memory: 512}, BestEffort: true, Estimate: 10 * time.Second},
-			}}
+			sta, vm, serving, filling := servingBesideFilling(now)
 			var ordered []int
 			reduce := func(events ...Event) {
 				now = reduceAnswered(sta, now, events, func(eff Effect) []Event {
@@ -47,7 +38,7 @@
 						ordered = append(ordered, eff.Percent)
 						return []Event{PaceAnswered{VM: eff.VM, Task: eff.Task, Percent: eff.Percent}}
 					case Poll:
-						return []Event{PollAnswered{VM: vm, Sent: now, Report: worker.Report{StartedAtMS: vm.StartedAtMS, Clock: now.Sub(opt.Since) + time.Minute, Running: []worker.Running{
+						return []Event{PollAnswered{VM: vm, Sent: now, Report: worker.Report{StartedAtMS: vm.StartedAtMS, Clock: now.Sub(sta.opt.Since) + time.Minute, Running: []worker.Running{
 							{Task: job.Task{Job: filling.ID}, Run: 1, Percent: 10, Load: tst.used},
 							{Task: job.Task{Job: serving.ID}, Run: 1, Percent: 100, Load: tst.latency},
 						}}}}
@@ -63,3 +54,17 @@
 		})
 	}
 }
+
+// servingBesideFilling returns the state of a second dispatcher whose tenure begins now, a VM, and two
+// jobs of one task each, a serving one and a best-effort one.
+func servingBesideFilling(now time.Time) (sta *State, one worker.VM, serving, filling job.Spec) {
+	opt := testOptions()
+	opt.Since, opt.Revision, opt.Term = now, 10, 2
+	serving = job.Spec{ID: jobName(1), Queue: "settle", Account: "large", Payload: "x", Accepted: now, Steps: []job.Step{
+		{Count: 1, Size: job.Size{CPU: 500, Memory: 512}, LongRunning: true, TailTarget: 100 * time.Millisecond},
+	}}
+	filling = job.Spec{ID: jobName(2), Queue: "gate", Account: "large", Payload: "x", Accepted: now, Steps: []job.Step{
+		{Count: 1, Size: job.Size{CPU: 500, Memory: 512}, BestEffort: true, Estimate: 10 * time.Second},
+	}}
+	return New(opt), testVM("vm-1"), serving, filling
+}
--- a/internal/core/scheduler/successor_test.go
+++ b/internal/core/scheduler/successor_test.go
@@ -229,16 +229,7 @@
 func TestPausedTaskOfFormerDispatcherGoesOn(t *testing.T) {
 	for _, beside := range []bool{true, false} {
 		now := time.Date(2026, 1, 2, 3, 0, 0, 0, time.UTC)
-		opt := testOptions()
-		opt.Since, opt.Revision, opt.Term = now, 10, 2
-		sta := New(opt)
-		vm := testVM("vm-1")
-		serving := job.Spec{ID: jobName(1), Queue: "settle", Account: "large", Payload: "x", Accepted: now, Steps: []job.Step{
-			{Count: 1, Size: job.Size{CPU: 500, Memory: 512}, LongRunning: true, TailTarget: 100 * time.Millisecond},
-		}}
-		filling := job.Spec{ID: jobName(2), Queue: "gate", Account: "large", Payload: "x", Accepted: now, Steps: []job.Step{
-			{Count: 1, Size: job.Size{CPU: 500, Memory: 512}, BestEffort: true, Estimate: 10 * time.Second},
-		}}
+		sta, vm, serving, filling := servingBesideFilling(now)
 		// The pace that the former dispatcher has ordered; the VM doesn't report it.
 		pace := 0
 		reduce := func(events ...Event) {
@@ -248,7 +239,7 @@
 					pace = eff.Percent
 					return []Event{PaceAnswered{VM: eff.VM, Task: eff.Task, Percent: eff.Percent}}
 				case Poll:
-					rep := worker.Report{StartedAtMS: vm.StartedAtMS, Clock: now.Sub(opt.Since) + time.Minute, Running: []worker.Running{
+					rep := worker.Report{StartedAtMS: vm.StartedAtMS, Clock: now.Sub(sta.opt.Since) + time.Minute, Running: []worker.Running{
 						{Task: job.Task{Job: filling.ID}, Run: 1, Percent: 10},
 					}}
 					if beside {
@@ -315,7 +306,7 @@
 				case Stop:
 					stops++
 				case Poll:
-					rep := worker.Report{StartedAtMS: 1, Clock: now.Sub(opt.Since) + time.Minute}
+					rep := worker.Report{StartedAtMS: 1, Clock: now.Sub(sta.opt.Since) + time.Minute}
 					switch eff.VM.ID {
 					case "vm-1", "vm-2":
 						index := int(eff.VM.ID[3] - '1')
@@ -399,16 +390,7 @@
 // pace that isn't there, makes the best-effort task faster.
 func TestSuccessorRaisesNoPaceBesideLateTask(t *testing.T) {
 	now := time.Date(2026, 1, 2, 3, 0, 0, 0, time.UTC)
-	opt := testOptions()
-	opt.Since, opt.Revision, opt.Term = now, 10, 2
-	sta := New(opt)
-	vm := testVM("vm-1")
-	serving := job.Spec{ID: jobName(1), Queue: "settle", Account: "large", Payload: "x", Accepted: now, Steps: []job.Step{
-		{Count: 1, Size: job.Size{CPU: 500, Memory: 512}, LongRunning: true, TailTarget: 100 * time.Millisecond},
-	}}
-	filling := job.Spec{ID: jobName(2), Queue: "gate", Account: "large", Payload: "x", Accepted: now, Steps: []job.Step{
-		{Count: 1, Size: job.Size{CPU: 500, Memory: 512}, BestEffort: true, Estimate: 10 * time.Second},
-	}}
+	sta, vm, serving, filling := servingBesideFilling(now)
 	pace := 10
 	reduce := func(events ...Event) {
 		now = reduceAnswered(sta, now, events, func(eff Effect) []Event {
@@ -418,7 +400,7 @@
 				pace = eff.Percent
 				return []Event{PaceAnswered{VM: eff.VM, Task: eff.Task, Percent: eff.Percent}}
 			case Poll:
-				return []Event{PollAnswered{VM: vm, Sent: now, Report: worker.Report{StartedAtMS: vm.StartedAtMS, Clock: now.Sub(opt.Since) + time.Minute, Running: []worker.Running{
+				return []Event{PollAnswered{VM: vm, Sent: now, Report: worker.Report{StartedAtMS: vm.StartedAtMS, Clock: now.Sub(sta.opt.Since) + time.Minute, Running: []worker.Running{
 					{Task: job.Task{Job: filling.ID}, Run: 1, Percent: 10},
 					{Task: job.Task{Job: serving.ID}, Run: 1, Percent: 100, Load: 95},
 				}}}}
@@ -454,7 +436,7 @@
 				running = append(running, worker.Running{Task: eff.Task, Run: eff.Run})
 				return []Event{StartAnswered{VM: eff.VM, Task: eff.Task, Run: eff.Run}}
 			case Poll:
-				return []Event{PollAnswered{VM: vm, Sent: now, Report: worker.Report{StartedAtMS: vm.StartedAtMS, Clock: now.Sub(opt.Since) + time.Minute, Running: running}}}
+				return []Event{PollAnswered{VM: vm, Sent: now, Report: worker.Report{StartedAtMS: vm.StartedAtMS, Clock: now.Sub(sta.opt.Since) + time.Minute, Running: running}}}
 			case ListMachines:
 				return []Event{MachinesListed{RequestedAt: now, Machines: machines}}
 			}
@@ -491,7 +473,7 @@
 					if eff.VM.ID == late {
 						row.Run, row.Percent = 1, 0
 					}
-					return []Event{PollAnswered{VM: eff.VM, Sent: now, Report: worker.Report{StartedAtMS: 1, Clock: now.Sub(opt.Since) + time.Minute, Running: []worker.Running{row}}}}
+					return []Event{PollAnswered{VM: eff.VM, Sent: now, Report: worker.Report{StartedAtMS: 1, Clock: now.Sub(sta.opt.Since) + time.Minute, Running: []worker.Running{row}}}}
 				}
 				return nil
 			})
--- a/internal/soak/recut_test.go
+++ b/internal/soak/recut_test.go
@@ -2,15 +2,14 @@
 
 import (
 	"context"
-	"errors"
-	"io"
-	"net/http"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/balsamgauge/balsamgauge/internal/core/worker"
 	"github.com/balsamgauge/balsamgauge/internal/standin/site"
+	"github.com/balsamgauge/balsamgauge/platform"
 	"gotest.tools/v3/assert"
 )
 
@@ -60,16 +59,13 @@
 	began := time.Now()
 	// The second call uses the connection of the first: the stand-in ends one that sends
 	// no request for long.
-	client := &http.Client{Timeout: 10 * time.Second}
+	executors, vm := platform.NewExecutors(), worker.VM{ID: "vm-0", Address: run.vmProxies[0].Address()}
 	call := func() (took time.Duration) {
-		req, err := http.NewRequest(http.MethodPost, "http://"+run.vmProxies[0].Address()+"/hold", strings.NewReader(`{"fencing-token":1,"deadline-ms":900000}`))
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		_, res, err := executors.Poll(ctx, vm, platform.Poll{Token: 1, Deadline: 900 * time.Second})
 		assert.NilError(t, err)
-		req.Header.Set("X-Expected-Instance", "vm-0")
-		rsp, err := client.Do(req)
-		assert.NilError(t, err)
-		_, err = io.Copy(io.Discard, rsp.Body)
-		assert.NilError(t, errors.Join(err, rsp.Body.Close()))
-		assert.Equal(t, rsp.StatusCode, http.StatusOK)
+		assert.Equal(t, res, worker.ResultOK)
 		return time.Since(began)
 	}
 	const down, cutAfter, cut = 500 * time.Millisecond, 500 * time.Millisecond, 2 * time.Second
