--- a/internal/core/scheduler/effect.go
+++ b/internal/core/scheduler/effect.go
@@ -28,8 +28,8 @@
 	Slack time.Duration
 }
 
-// Start orders a VM to start a run. If it isn't recorded, it is sent once the RecordStarts
-// of the same call of Reduce has succeeded.
+// Start orders a VM to start a run. If it isn't recorded, it is sent by the RecordStarts of
+// the same call of Reduce.
 type Start struct {
 	VM      worker.VM
 	Token   int64
@@ -44,8 +44,9 @@
 	Recorded bool
 }
 
-// RecordStarts writes a record of the starts before it to the store. The caller adds the
-// condition that this process still holds the duty.
+// RecordStarts writes a record of the starts before it to the store, and sends them when it
+// is stored, or on its way to a store that is slow. The caller adds the condition that this
+// process still holds the duty.
 type RecordStarts struct{ Txn kv.Txn }
 
 // Stop orders a VM to stop a run, and to reject the run if its start arrives
