--- a/internal/manager/view.go
+++ b/internal/manager/view.go
@@ -137,6 +137,7 @@
 		})
 	case platform.IsWaveKey(itm.Key) && cha.Deleted:
 		delete(opv.waves, itm.Key)
+		opv.log.Event("wave_withdrawn", decisionlog.Fields{"key": itm.Key, "revision": itm.Revision})
 	case platform.IsWaveKey(itm.Key):
 		wav, err := platform.DecodeWave(itm)
 		if err != nil {
@@ -144,5 +145,9 @@
 			return
 		}
 		opv.waves[itm.Key] = wav
+		opv.log.Event("wave_received", decisionlog.Fields{
+			"wave": wav.Number, "machines": len(wav.Machines), "cap": wav.Cap, "duration_ms": wav.Duration.Milliseconds(),
+			"created": itm.Created, "revision": itm.Revision,
+		})
 	}
 }
