--- a/internal/standin/site/machines.go
+++ b/internal/standin/site/machines.go
@@ -160,12 +160,12 @@
 // turn in this wave. It returns the reason of a refusal, or "". Upkeep beyond the
 // wave's cap is carried out and reported as a violation.
 func (sit *Site) startUpkeep(wor *Worker, number int64) (reason string) {
-	wav, ok := sit.wave(number)
+	wav, ok := decodeWave(sit.Store.item(waveKey(number)))
 	if !ok || !slices.Contains(wav.Machines, wor.MachineName()) {
 		return "wave"
 	}
 	wor.mu.Lock()
-	begun, state := wor.begun[number], wor.state
+	begun, state := wor.begun[wav.created], wor.state
 	wor.mu.Unlock()
 	switch {
 	case begun:
@@ -185,48 +185,78 @@
 		sit.reportViolation("upkeep of %s starts while %d machines of wave %d are down", wor.MachineName(), down, number)
 	}
 	wor.mu.Lock()
-	wor.begun[number], wor.lastWave = true, number
+	wor.begun[wav.created], wor.lastWave = true, number
 	wor.mu.Unlock()
 	wor.endIncarnation(machineUpkeep, upkeepTime, "", false)
 	return ""
 }
 
+// UpkeepsBegun returns how many upkeeps have begun.
+func (sit *Site) UpkeepsBegun() (count int) {
+	for _, wor := range sit.Workers {
+		wor.mu.Lock()
+		count += len(wor.begun)
+		wor.mu.Unlock()
+	}
+	return count
+}
+
 // wave is a wave as the operator requests it.
 type wave struct {
 	Machines []string `json:"machines"`
 	Cap      int      `json:"cap"`
+	// created is the revision at which the wave was requested. One that is withdrawn and
+	// requested again under its number is another wave.
+	created int64
 }
 
-// wave returns a wave that the operator requested.
-func (sit *Site) wave(number int64) (wav wave, ok bool) {
-	raw := sit.Store.Value(fmt.Sprintf("op/wave/%d", number))
-	return wav, raw != nil && json.Unmarshal(raw, &wav) == nil
+// wavePrefix is the prefix of the keys under which the operator requests waves.
+const wavePrefix = "op/wave/"
+
+func waveKey(number int64) string { return fmt.Sprintf("%s%d", wavePrefix, number) }
+
+// decodeWave returns the wave that the operator requested with an item.
+func decodeWave(itm item) (wav wave, ok bool) {
+	wav.created = itm.Created
+	return wav, itm.Revision != 0 && json.Unmarshal(itm.Value, &wav) == nil
+}
+
+// decodeWaveStatus returns the state in the status of a wave, or "".
+func decodeWaveStatus(raw []byte) string {
+	var status struct {
+		State string `json:"state"`
+	}
+	if json.Unmarshal(raw, &status) != nil {
+		return ""
+	}
+	return status.State
 }
 
 // waveStatusPrefix is the prefix of the keys under which the state of a wave is
 // written.
 const waveStatusPrefix = "status/wave/"
 
-// checkWave reports a violation if a value says that a wave is completed in which the
-// upkeep of a machine has not begun.
-func (sit *Site) checkWave(key string, value []byte) {
-	number, err := strconv.ParseInt(strings.TrimPrefix(key, waveStatusPrefix), 10, 64)
-	if !strings.HasPrefix(key, waveStatusPrefix) || err != nil {
-		return
-	}
-	var status struct {
-		State string `json:"state"`
-	}
-	wav, ok := sit.wave(number)
-	if !ok || json.Unmarshal(value, &status) != nil || status.State != "completed" {
+// waveOfStatus returns the key of the wave of which a key holds the status.
+func waveOfStatus(key string) (wave string, ok bool) {
+	number, isStatus := strings.CutPrefix(key, waveStatusPrefix)
+	one, err := strconv.ParseInt(number, 10, 64)
+	return waveKey(one), isStatus && err == nil
+}
+
+// checkWave reports a violation if a value says that a wave, as it was requested when
+// the value was written, is completed in which the upkeep of a machine has not begun.
+func (sit *Site) checkWave(value []byte, requested item) {
+	wav, ok := decodeWave(requested)
+	if !ok || decodeWaveStatus(value) != "completed" {
 		return
 	}
 	for _, wor := range sit.Workers {
 		wor.mu.Lock()
-		begun := wor.begun[number]
+		begun := wor.begun[wav.created]
 		wor.mu.Unlock()
+		number := strings.TrimPrefix(requested.Key, wavePrefix)
 		if !begun && slices.Contains(wav.Machines, wor.MachineName()) {
-			sit.reportViolation("wave %d is reported as completed, but the upkeep of %s has not begun", number, wor.MachineName())
+			sit.reportViolation("wave %s is reported as completed, but the upkeep of %s has not begun", number, wor.MachineName())
 		}
 	}
 }
--- a/internal/standin/site/operator.go
+++ b/internal/standin/site/operator.go
@@ -90,11 +90,17 @@
 // RequestWave requests a wave: the upkeep of machines within a duration, with at
 // most maxDown of them down at the same time.
 func (sit *Site) RequestWave(number int, machines []string, duration time.Duration, maxDown int) {
-	sit.Store.Put(fmt.Sprintf("op/wave/%d", number), map[string]any{
+	sit.Store.Put(waveKey(int64(number)), map[string]any{
 		"wave": number, "machines": machines, "duration-s": duration.Seconds(), "cap": maxDown,
 	})
 }
 
+// WithdrawWave withdraws a wave.
+func (sit *Site) WithdrawWave(number int) { sit.Store.Delete(waveKey(int64(number))) }
+
+// WaveStatus returns the state of a wave as the processes have written it, or "".
+func (sit *Site) WaveStatus(number int) string { return decodeWaveStatus(sit.Store.Value(fmt.Sprintf("%s%d", waveStatusPrefix, number))) }
+
 // Step is a step of a job.
 type Step struct {
 	// Count is the number of tasks.
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -118,7 +118,7 @@
 			err = fmt.Errorf("start stand-in of the platform: %w", err)
 		}
 	}()
-	sit.Store.written = sit.checkWave
+	sit.Store.waveReported = sit.checkWave
 	if sit.StoreAddress, err = sit.serve(sit.Store); err != nil {
 		return nil, err
 	}
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -34,8 +34,9 @@
 	// dropResponses is the number of further transactions that take effect but get
 	// no response.
 	dropResponses int
-	// written is called with each value that a transaction has written; it may be nil.
-	written func(key string, value []byte)
+	// waveReported is called with each status of a wave that a transaction has written, and
+	// with the wave as it was requested then; it may be nil.
+	waveReported func(status []byte, requested item)
 }
 
 type lease struct {
@@ -105,10 +106,13 @@
 }
 
 // Value returns a key's value, or nil if there is none.
-func (sto *Store) Value(key string) []byte {
+func (sto *Store) Value(key string) []byte { return sto.item(key).Value }
+
+// item returns the item of a key, with revision 0 if there is none.
+func (sto *Store) item(key string) item {
 	sto.mu.Lock()
 	defer sto.mu.Unlock()
-	return sto.items[key].Value
+	return sto.items[key]
 }
 
 // put writes a value at the current revision, bound to a lease unless it is 0.
@@ -281,14 +285,31 @@
 	Lease int64  `json:"lease"`
 }
 
-// reportWritten calls written for each value that a transaction has written. The lock
-// must not be held.
-func (sto *Store) reportWritten(puts []txnPut) {
-	if sto.written == nil {
+// waveReport is a status of a wave, with the wave as it was requested when the status was
+// written.
+type waveReport struct {
+	status    []byte
+	requested item
+}
+
+// waveReports returns the statuses of waves among the values of a transaction. The lock must
+// be held.
+func (sto *Store) waveReports(puts []txnPut) (reports []waveReport) {
+	for _, put := range puts {
+		if key, ok := waveOfStatus(put.Key); ok {
+			reports = append(reports, waveReport{put.Value, sto.items[key]})
+		}
+	}
+	return reports
+}
+
+// reportWaves calls waveReported. The lock must not be held, as that may call the store.
+func (sto *Store) reportWaves(reports []waveReport) {
+	if sto.waveReported == nil {
 		return
 	}
-	for _, put := range puts {
-		sto.written(put.Key, put.Value)
+	for _, rep := range reports {
+		sto.waveReported(rep.status, rep.requested)
 	}
 }
 
@@ -310,9 +331,8 @@
 			return
 		}
 	}
-	var written []txnPut
-	// written may call the store.
-	defer func() { sto.reportWritten(written) }()
+	var reports []waveReport
+	defer func() { sto.reportWaves(reports) }()
 	sto.mu.Lock()
 	defer sto.mu.Unlock()
 	current := []item{}
@@ -341,7 +361,7 @@
 	for _, key := range request.Deletes {
 		sto.remove(key)
 	}
-	written = request.Puts
+	reports = sto.waveReports(request.Puts)
 	if sto.dropResponses > 0 {
 		sto.dropResponses--
 		panic(http.ErrAbortHandler)
--- a/internal/standin/site/worker.go
+++ b/internal/standin/site/worker.go
@@ -53,8 +53,8 @@
 	// cuts counts the faults in which the VM doesn't reach the store, cutChanges the
 	// times at which the first of them began or the last one ended.
 	cuts, cutChanges int
-	// begun holds the waves in which the machine's upkeep has begun; lastWave is the
-	// last of them.
+	// begun holds the waves in which the machine's upkeep has begun, by the revisions at
+	// which they were requested; lastWave is the number of the last of them.
 	begun    map[int64]bool
 	lastWave int64
 	// machineToken is the highest fencing token of an order to move or maintain the
