--- a/internal/core/scheduler/effect.go
+++ b/internal/core/scheduler/effect.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
+	"github.com/balsamgauge/balsamgauge/internal/core/upkeep"
 	"github.com/balsamgauge/balsamgauge/internal/core/worker"
 	"github.com/balsamgauge/balsamgauge/internal/kv"
 )
@@ -96,12 +97,12 @@
 
 // SaveWave stores the progress of a wave.
 type SaveWave struct {
-	Number    int64
-	Begun     []string
+	Wave  upkeep.Wave
+	Begun []string
+	// Former holds the machines that may be down by orders of the wave's number.
+	Former    []string
 	Completed bool
-	// Request and RequestedAt are the store's revision of the request and the time at which a
-	// dispatcher first received it.
-	Request     int64
+	// RequestedAt is the time from which the wave's duration counts.
 	RequestedAt time.Time
 }
 
--- a/internal/core/scheduler/event.go
+++ b/internal/core/scheduler/event.go
@@ -123,12 +123,16 @@
 // advisor.
 type AdvisorSlotsChanged struct{ Count int }
 
-// WaveRequested carries a wave of upkeep, with the machines whose upkeep a
-// former dispatcher began.
+// WaveRequested carries a wave of upkeep that the operator has requested or changed, with
+// the machines whose upkeep a former dispatcher began by the same request.
 type WaveRequested struct {
 	Wave  upkeep.Wave
 	Begun []string
-	// RequestedAt is when a former dispatcher received the request; zero if none did.
+	// Former holds further machines that may be down by orders of former dispatchers, or by
+	// former requests of the same number.
+	Former []string
+	// RequestedAt is the time from which the duration of the wave, as it is here, counts
+	// by a former dispatcher; zero if none received it.
 	RequestedAt time.Time
 }
 
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -467,6 +467,9 @@
 	plan upkeep.Plan
 	// completed reports whether the upkeep of all machines has begun.
 	completed bool
+	// former holds machines that were down when a dispatcher received the wave, or may have
+	// been, by orders of its number.
+	former []string
 }
 
 // commit is a write to the store that may be in flight.
--- a/internal/core/scheduler/waves.go
+++ b/internal/core/scheduler/waves.go
@@ -9,9 +9,10 @@
 	"github.com/balsamgauge/balsamgauge/internal/core/worker"
 )
 
-// waveRequested adds a wave and saves its state.
+// waveRequested adds a wave, or applies a change of one, and saves its state.
 func (sta *State) waveRequested(evt WaveRequested) {
-	if wav := sta.waves[evt.Wave.Number]; wav != nil {
+	old := sta.waves[evt.Wave.Number]
+	if old != nil && old.plan.Wave.Changed == evt.Wave.Changed {
 		return
 	}
 	plan := upkeep.Plan{Wave: evt.Wave, RequestedAt: sta.now}
@@ -19,12 +20,23 @@
 	if !evt.RequestedAt.IsZero() && evt.RequestedAt.Before(sta.now) {
 		plan.RequestedAt = evt.RequestedAt
 	}
+	former := slices.Concat(evt.Begun, evt.Former)
+	if old != nil {
+		former = append(former, old.former...)
+	}
+	if old != nil {
+		plan = old.plan.WithChange(evt.Wave, sta.now)
+	}
 	for _, name := range evt.Begun {
 		plan = plan.WithBegun(name)
 	}
-	wav := &wave{plan: plan}
+	slices.Sort(former)
+	wav := &wave{plan: plan, former: slices.Compact(former)}
 	sta.waves[evt.Wave.Number] = wav
-	sta.logDecision("wave_asked", "", map[string]any{"wave": evt.Wave.Number, "machines": len(evt.Wave.Machines), "cap": evt.Wave.Cap, "duration_ms": evt.Wave.Duration.Milliseconds(), "begun": len(evt.Begun), "age_ms": sta.now.Sub(plan.RequestedAt).Milliseconds()})
+	sta.logDecision("wave_asked", "", map[string]any{
+		"wave": evt.Wave.Number, "machines": len(evt.Wave.Machines), "cap": evt.Wave.Cap, "duration_ms": evt.Wave.Duration.Milliseconds(), "begun": len(plan.Begun),
+		"age_ms": sta.now.Sub(plan.RequestedAt).Milliseconds(), "created": evt.Wave.Revision, "revision": evt.Wave.Changed,
+	})
 	sta.saveWave(wav)
 }
 
@@ -88,7 +100,7 @@
 		if hos != nil && hos.hasUnstoredEnds() {
 			continue
 		}
-		sta.upkeeps.Give(name, sta.machines.byName[name].VM, number)
+		sta.upkeeps.Give(name, sta.machines.byName[name].VM, wav.plan.Wave)
 		if hos != nil {
 			hos.goingDown = true
 		}
@@ -124,7 +136,7 @@
 // saveWave stores a wave's progress.
 func (sta *State) saveWave(wav *wave) {
 	sta.emit(SaveWave{
-		Number: wav.plan.Wave.Number, Begun: wav.begun(), Completed: wav.completed, Request: wav.plan.Wave.Revision, RequestedAt: wav.plan.RequestedAt,
+		Wave: wav.plan.Wave, Begun: wav.begun(), Former: sta.downByNumber(wav), Completed: wav.completed, RequestedAt: wav.plan.RequestedAt,
 	})
 }
 
@@ -138,16 +150,40 @@
 }
 
 // countMachinesDown returns the number of a wave's machines that are down for
-// upkeep or may be, by orders of any wave.
+// upkeep or may be, by orders of any wave. Machines that the wave no longer names are among
+// them if their upkeep was ordered by it, or by a former request of the same number.
 func (sta *State) countMachinesDown(wav *wave) (n int) {
 	for _, name := range wav.plan.Wave.Machines {
-		if sta.upkeeps.MayBeDown(name) || sta.machines.byName[name].State == worker.MachineUpkeep {
+		if sta.downForUpkeep(name) {
+			n++
+		}
+	}
+	for _, name := range sta.downByNumber(wav) {
+		if !slices.Contains(wav.plan.Wave.Machines, name) {
 			n++
 		}
 	}
 	return n
 }
 
+// downForUpkeep reports whether a machine is down for upkeep or may be.
+func (sta *State) downForUpkeep(name string) bool {
+	return sta.upkeeps.MayBeDown(name) || sta.machines.byName[name].State == worker.MachineUpkeep
+}
+
+// downByNumber returns the machines that are down for upkeep, or may be, by orders of a
+// wave's number, whether the wave names them or not.
+func (sta *State) downByNumber(wav *wave) (names []string) {
+	names = sta.upkeeps.Machines(wav.plan.Wave.Number)
+	for _, name := range wav.former {
+		if sta.downForUpkeep(name) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
 // candidate returns the description of a machine for the plan of a wave.
 func (sta *State) candidate(name string) upkeep.Candidate {
 	mac := sta.machines.byName[name]
@@ -302,6 +338,10 @@
 		}
 	case worker.MachineUnknown:
 		sta.noteDown(sta.hosts[sta.upkeeps.End(evt.Machine, evt.Wave, sta.now)])
+		if wav != nil {
+			// The next dispatcher must know that the machine may be down.
+			sta.saveWave(wav)
+		}
 	default:
 		if hos := sta.hosts[sta.upkeeps.Refuse(evt.Machine, evt.Wave)]; hos != nil {
 			hos.goingDown = false
--- a/internal/core/upkeep/orders.go
+++ b/internal/core/upkeep/orders.go
@@ -12,9 +12,9 @@
 
 // order is an order for the upkeep of a machine.
 type order struct {
-	// wave is the number of the wave for which it was given, and vm the ID of the VM
+	// wave is the wave for which it was given, as it was then, and vm the ID of the VM
 	// that it ends; empty if none was listed.
-	wave int64
+	wave Wave
 	vm   string
 	// endedAt is when the call with the order ended; zero while it is unanswered.
 	endedAt time.Time
@@ -24,15 +24,25 @@
 func NewOrders() *Orders { return &Orders{byMachine: map[string]order{}} }
 
 // Give records an order for a machine that has none, and the VM that it ends.
-func (ors *Orders) Give(machine, vm string, wave int64) {
-	ors.byMachine[machine] = order{wave: wave, vm: vm}
+func (ors *Orders) Give(machine, vm string, wav Wave) {
+	ors.byMachine[machine] = order{wave: wav, vm: vm}
+}
+
+// Machines returns the machines with orders of a wave.
+func (ors *Orders) Machines(wave int64) (names []string) {
+	for machine, ord := range ors.byMachine {
+		if ord.wave.Number == wave {
+			names = append(names, machine)
+		}
+	}
+	return names
 }
 
 // End records that the call with an order of a wave ended, and that it may have been
 // carried out. It returns the VM that the order ends.
 func (ors *Orders) End(machine string, wave int64, now time.Time) (vm string) {
 	ord, ok := ors.byMachine[machine]
-	if !ok || ord.wave != wave {
+	if !ok || ord.wave.Number != wave {
 		return ""
 	}
 	ord.endedAt = now
@@ -44,7 +54,7 @@
 // the order would have ended.
 func (ors *Orders) Refuse(machine string, wave int64) (vm string) {
 	ord, ok := ors.byMachine[machine]
-	if !ok || ord.wave != wave {
+	if !ok || ord.wave.Number != wave {
 		return ""
 	}
 	delete(ors.byMachine, machine)
@@ -70,7 +80,7 @@
 // Unanswered reports whether an order of a wave is unanswered.
 func (ors *Orders) Unanswered(wave int64) bool {
 	for _, ord := range ors.byMachine {
-		if ord.wave == wave && ord.endedAt.IsZero() {
+		if ord.wave.Number == wave && ord.endedAt.IsZero() {
 			return true
 		}
 	}
--- a/internal/core/upkeep/wave.go
+++ b/internal/core/upkeep/wave.go
@@ -14,8 +14,8 @@
 	"time"
 )
 
-// Wave is an operator's request for the upkeep of machines within a duration. It
-// is immutable.
+// Wave is an operator's request for the upkeep of machines within a duration. The
+// operator may change it. It is immutable.
 type Wave struct {
 	Number   int64
 	Machines []string
@@ -23,19 +23,51 @@
 	// Cap is the maximum number of the machines that may be down for upkeep at the
 	// same time; at least 1.
 	Cap int
-	// Revision is the revision of the store at which the request was made.
+	// Revision is the revision of the store at which the wave was requested. A wave
+	// that is withdrawn and requested again under its number is another one.
 	Revision int64
+	// Changed is the revision of the last change, at first that of the request.
+	Changed int64
+}
+
+// Revises reports whether the wave is a later state of the same request as another one.
+func (wav Wave) Revises(oth Wave) bool {
+	return wav.Number == oth.Number && wav.Revision == oth.Revision
+}
+
+// demandsMore reports whether the wave names machines that another one doesn't, or
+// another duration.
+func (wav Wave) demandsMore(oth Wave) bool {
+	if wav.Duration != oth.Duration {
+		return true
+	}
+	named := make(map[string]bool, len(oth.Machines))
+	for _, name := range oth.Machines {
+		named[name] = true
+	}
+	return slices.ContainsFunc(wav.Machines, func(name string) bool { return !named[name] })
 }
 
 // Plan is a wave and its progress. It is immutable.
 type Plan struct {
 	Wave Wave
-	// RequestedAt is the time at which this process received the request.
+	// RequestedAt is the time from which the wave's duration counts: when a process
+	// received the request, or the last change that demands more.
 	RequestedAt time.Time
-	// Begun is the set of machines whose upkeep has begun.
+	// Begun is the set of machines whose upkeep has begun. The wave may no longer name
+	// some of them.
 	Begun map[string]bool
 }
 
+// WithChange returns the plan after a change of its wave was received.
+func (pla Plan) WithChange(wav Wave, now time.Time) Plan {
+	if wav.demandsMore(pla.Wave) {
+		pla.RequestedAt = now
+	}
+	pla.Wave = wav
+	return pla
+}
+
 // WithBegun returns the plan after the upkeep of a machine has begun.
 func (pla Plan) WithBegun(machine string) Plan {
 	begun := make(map[string]bool, len(pla.Begun)+1)
--- a/internal/core/upkeep/wave_test.go
+++ b/internal/core/upkeep/wave_test.go
@@ -55,3 +55,28 @@
 	assert.Assert(t, pla.Completed(func(machine string) bool { return machine != "c" }))
 	assert.Assert(t, pla.WithBegun("c").Completed(func(string) bool { return true }))
 }
+
+// TestChangeOfWave checks from when the duration of a wave counts after a change, and that
+// upkeep that has begun counts on.
+func TestChangeOfWave(t *testing.T) {
+	later := requested.Add(7 * time.Second)
+	for name, tst := range map[string]struct {
+		change func(wav *Wave)
+		want   time.Time
+	}{
+		"written again":     {func(*Wave) {}, requested},
+		"another cap":       {func(wav *Wave) { wav.Cap = 1 }, requested},
+		"fewer machines":    {func(wav *Wave) { wav.Machines = []string{"c", "a"} }, requested},
+		"another machine":   {func(wav *Wave) { wav.Machines = []string{"a", "d"} }, later},
+		"another duration":  {func(wav *Wave) { wav.Duration = time.Minute }, later},
+		"the same in order": {func(wav *Wave) { wav.Machines = []string{"c", "b", "a"} }, requested},
+	} {
+		old := plan(2).WithBegun("a")
+		wav := old.Wave
+		tst.change(&wav)
+		pla := old.WithChange(wav, later)
+		assert.DeepEqual(t, pla.Wave, wav)
+		assert.Equal(t, pla.RequestedAt, tst.want, name)
+		assert.DeepEqual(t, pla.Begun, map[string]bool{"a": true})
+	}
+}
--- a/internal/manager/dispatcher.go
+++ b/internal/manager/dispatcher.go
@@ -375,15 +375,16 @@
 
 // followOperator sends the operator's changes to the reducer.
 func (dis *dispatcher) followOperator(ctx context.Context, sna snapshot) {
-	sent := map[int64]bool{}
+	// sent holds, by number, the revisions of the waves that the reducer has.
+	sent := map[int64]int64{}
 	for {
 		for number, wav := range sna.waves {
-			if !sent[number] {
+			if sent[number] != wav.Changed {
 				evt, ok := dis.readWave(ctx, wav)
 				if !ok {
 					return
 				}
-				sent[number] = true
+				sent[number] = wav.Changed
 				dis.send(ctx, evt)
 			}
 		}
--- a/internal/manager/effects.go
+++ b/internal/manager/effects.go
@@ -275,12 +275,17 @@
 
 func waveKey(number int64) string { return fmt.Sprintf("%s%d", wavePrefix, number) }
 
-// waveRequest is the record of when a dispatcher first received the request for a wave.
+// waveRequest is the record of the request that the progress of a wave belongs to, and of
+// the time from which the wave's duration counts.
 type waveRequest struct {
 	// Revision is that of the request, which may be replaced by another one of the same
 	// number.
 	Revision int64 `msgpack:"r"`
 	AtMS     int64 `msgpack:"t"`
+	// Changed is the revision of the last change. Records of earlier versions have none.
+	Changed int64 `msgpack:"c,omitempty"`
+	// Former holds machines that may be down by orders of the same number.
+	Former []string `msgpack:"f,omitempty"`
 }
 
 func waveRequestKey(number int64) string { return waveKey(number) + "/requested" }
@@ -288,33 +293,35 @@
 // saveWave stores a wave's progress for the operator and for the next
 // dispatcher.
 func (dis *dispatcher) saveWave(ctx context.Context, eff scheduler.SaveWave) {
+	number := eff.Wave.Number
 	notSaved := func(err error) {
-		dis.nod.log.Event("wave_not_saved", decisionlog.Fields{"wave": eff.Number, "error": err.Error()})
+		dis.nod.log.Event("wave_not_saved", decisionlog.Fields{"wave": number, "error": err.Error()})
 	}
 	raw, err := msgpack.Marshal(eff.Begun)
 	if err != nil {
 		notSaved(err)
 		return
 	}
-	lat := dis.waveRecords[eff.Number]
+	lat := dis.waveRecords[number]
 	if lat == nil {
-		lat = record.NewLatest(waveKey(eff.Number), dis.commit, notSaved)
-		dis.waveRecords[eff.Number] = lat
+		lat = record.NewLatest(waveKey(number), dis.commit, notSaved)
+		dis.waveRecords[number] = lat
 	}
-	request, err := msgpack.Marshal(&waveRequest{Revision: eff.Request, AtMS: eff.RequestedAt.UnixMilli()})
+	request, err := msgpack.Marshal(&waveRequest{Revision: eff.Wave.Revision, AtMS: eff.RequestedAt.UnixMilli(), Changed: eff.Wave.Changed, Former: eff.Former})
 	if err != nil {
 		notSaved(err)
 		return
 	}
 	lat.Put(ctx,
-		kv.Put{Key: waveKey(eff.Number), Value: raw},
-		kv.Put{Key: waveRequestKey(eff.Number), Value: request},
-		kv.Put{Key: platform.WaveStatusKey(eff.Number), Value: platform.EncodeWaveStatus(eff.Completed)},
+		kv.Put{Key: waveKey(number), Value: raw},
+		kv.Put{Key: waveRequestKey(number), Value: request},
+		kv.Put{Key: platform.WaveStatusKey(number), Value: platform.EncodeWaveStatus(eff.Completed)},
 	)
 }
 
 // readWave reads what earlier dispatchers stored of a wave: the machines whose upkeep has
-// begun, and when they received the request.
+// begun by the same request, and the time from which its duration counts if they received
+// its last change.
 func (dis *dispatcher) readWave(ctx context.Context, wav upkeep.Wave) (evt scheduler.WaveRequested, ok bool) {
 	evt.Wave = wav
 	if !dis.readRecord(ctx, waveKey(wav.Number), &evt.Begun) {
@@ -324,7 +331,8 @@
 	if !dis.readRecord(ctx, waveRequestKey(wav.Number), &request) {
 		return evt, false
 	}
-	if request.AtMS != 0 && request.Revision == wav.Revision {
+	evt.Former = request.Former
+	if request.AtMS != 0 && request.Revision == wav.Revision && (request.Changed == 0 || request.Changed == wav.Changed) {
 		evt.RequestedAt = time.UnixMilli(request.AtMS)
 	}
 	return evt, true
--- a/internal/standin/site/operator.go
+++ b/internal/standin/site/operator.go
@@ -99,7 +99,9 @@
 func (sit *Site) WithdrawWave(number int) { sit.Store.Delete(waveKey(int64(number))) }
 
 // WaveStatus returns the state of a wave as the processes have written it, or "".
-func (sit *Site) WaveStatus(number int) string { return decodeWaveStatus(sit.Store.Value(fmt.Sprintf("%s%d", waveStatusPrefix, number))) }
+func (sit *Site) WaveStatus(number int) string {
+	return decodeWaveStatus(sit.Store.Value(fmt.Sprintf("%s%d", waveStatusPrefix, number)))
+}
 
 // Step is a step of a job.
 type Step struct {
