--- a/internal/core/scheduler/waves.go
+++ b/internal/core/scheduler/waves.go
@@ -24,7 +24,7 @@
 	if old != nil {
 		former = append(former, old.former...)
 	}
-	if old != nil {
+	if old != nil && evt.Wave.Revises(old.plan.Wave) {
 		plan = old.plan.WithChange(evt.Wave, sta.now)
 	}
 	for _, name := range evt.Begun {
@@ -329,6 +329,11 @@
 		return
 	}
 	wav := sta.waves[evt.Wave]
+	given := sta.upkeeps.Wave(evt.Machine, evt.Wave)
+	if wav != nil && !wav.plan.Wave.Revises(given) {
+		// The wave that is known by now was requested after the order.
+		wav = nil
+	}
 	switch evt.Result {
 	case worker.MachineOK:
 		sta.noteDown(sta.hosts[sta.upkeeps.End(evt.Machine, evt.Wave, sta.now)])
--- a/internal/core/upkeep/orders.go
+++ b/internal/core/upkeep/orders.go
@@ -28,6 +28,15 @@
 	ors.byMachine[machine] = order{wave: wav, vm: vm}
 }
 
+// Wave returns the wave with a number, as it was when the order for a machine was given;
+// the zero wave if the machine has no order of a wave with that number.
+func (ors *Orders) Wave(machine string, number int64) (wav Wave) {
+	if ord, ok := ors.byMachine[machine]; ok && ord.wave.Number == number {
+		wav = ord.wave
+	}
+	return wav
+}
+
 // Machines returns the machines with orders of a wave.
 func (ors *Orders) Machines(wave int64) (names []string) {
 	for machine, ord := range ors.byMachine {
--- a/internal/manager/changedwave_test.go
+++ b/internal/manager/changedwave_test.go
@@ -34,6 +34,19 @@
 			clu.await("completed", func() bool { return clu.sit.WaveStatus(1) == "completed" })
 			clu.sit.RequestWave(1, machines(0, 1, 2), time.Minute, 1)
 		}, 3},
+		"withdrawn and requested again": {func(_ *testing.T, clu *cluster) {
+			clu.await("completed", func() bool { return clu.sit.WaveStatus(1) == "completed" })
+			clu.sit.WithdrawWave(1)
+			clu.sit.RequestWave(1, machines(0), time.Minute, 1)
+		}, 3},
+		"withdrawn, and requested again with another dispatcher": {func(t *testing.T, clu *cluster) {
+			clu.await("completed", func() bool { return clu.sit.WaveStatus(1) == "completed" })
+			clu.sit.WithdrawWave(1)
+			clu.nodes[0].stop()
+			assert.NilError(t, <-clu.nodes[0].done)
+			clu.sit.RequestWave(1, machines(0), time.Minute, 1)
+			clu.nodes[0] = clu.startNode("entry-1")
+		}, 3},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/manager/effects.go
+++ b/internal/manager/effects.go
@@ -332,7 +332,11 @@
 		return evt, false
 	}
 	evt.Former = request.Former
-	if request.AtMS != 0 && request.Revision == wav.Revision && (request.Changed == 0 || request.Changed == wav.Changed) {
+	if request.Revision != wav.Revision {
+		evt.Begun, evt.Former = nil, append(evt.Former, evt.Begun...)
+		return evt, true
+	}
+	if request.AtMS != 0 && (request.Changed == 0 || request.Changed == wav.Changed) {
 		evt.RequestedAt = time.UnixMilli(request.AtMS)
 	}
 	return evt, true
