--- a/internal/core/scheduler/effect.go
+++ b/internal/core/scheduler/effect.go
@@ -100,7 +100,9 @@
 	Wave  upkeep.Wave
 	Begun []string
 	// Former holds the machines that may be down by orders of the wave's number.
-	Former    []string
+	Former []string
+	// Completed is the status of the wave as it is here. It doesn't hold for a wave that
+	// the operator has changed, withdrawn or requested again since.
 	Completed bool
 	// RequestedAt is the time from which the wave's duration counts.
 	RequestedAt time.Time
--- a/internal/manager/changedwave_test.go
+++ b/internal/manager/changedwave_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -59,3 +60,27 @@
 		})
 	}
 }
+
+// TestLateStatusOfChangedWave guards against a wave that is said to be completed by a write
+// without an answer, which the store carries out after the operator has named another machine.
+func TestLateStatusOfChangedWave(t *testing.T) {
+	clu := newCluster(t, 1, 4, time.Hour)
+	lost := make(chan struct{}, 1)
+	clu.sit.Store.LoseAnswers(func(puts map[string][]byte) (time.Duration, bool) {
+		if !strings.Contains(string(puts["status/wave/1"]), "completed") {
+			return 0, false
+		}
+		select {
+		case lost <- struct{}{}:
+		default:
+		}
+		return 300 * time.Millisecond, true
+	})
+	clu.sit.RequestWave(1, []string{"m-vm-0"}, time.Minute, 1)
+	<-lost
+	clu.sit.RequestWave(1, []string{"m-vm-0", "m-vm-1"}, time.Minute, 1)
+	clu.await("all upkeeps", func() bool { return clu.sit.UpkeepsBegun() == 2 })
+	clu.sit.Store.LoseAnswers(nil)
+	clu.await("completed", func() bool { return clu.sit.WaveStatus(1) == "completed" })
+	assert.DeepEqual(t, clu.sit.Violations(), []string(nil))
+}
--- a/internal/manager/dispatcher.go
+++ b/internal/manager/dispatcher.go
@@ -437,7 +437,7 @@
 	go func() {
 		raw, err := encodeLoad(loa)
 		if err == nil {
-			err = dis.loadRecord.Write(ctx, kv.Put{Key: loadKey, Value: raw})
+			err = dis.loadRecord.Write(ctx, record.Value{Puts: []kv.Put{{Key: loadKey, Value: raw}}})
 		}
 		if err != nil {
 			dis.nod.log.Event("load_not_written", decisionlog.Fields{"error": err.Error()})
--- a/internal/manager/effects.go
+++ b/internal/manager/effects.go
@@ -312,11 +312,14 @@
 		notSaved(err)
 		return
 	}
-	lat.Put(ctx,
-		kv.Put{Key: waveKey(number), Value: raw},
-		kv.Put{Key: waveRequestKey(number), Value: request},
-		kv.Put{Key: platform.WaveStatusKey(number), Value: platform.EncodeWaveStatus(eff.Completed)},
-	)
+	lat.Put(ctx, record.Value{
+		Puts:   []kv.Put{{Key: waveKey(number), Value: raw}, {Key: waveRequestKey(number), Value: request}},
+		Claims: []kv.Put{{Key: platform.WaveStatusKey(number), Value: platform.EncodeWaveStatus(eff.Completed)}},
+		Source: kv.Condition{Key: platform.WaveKey(number), Revision: kv.Revision(eff.Wave.Changed)},
+		Outdated: func() {
+			dis.nod.log.Event("wave_status_outdated", decisionlog.Fields{"wave": number, "revision": eff.Wave.Changed, "completed": eff.Completed})
+		},
+	})
 }
 
 // readWave reads what earlier dispatchers stored of a wave: the machines whose upkeep has
--- a/internal/record/latest.go
+++ b/internal/record/latest.go
@@ -6,7 +6,6 @@
 
 	"github.com/balsamgauge/balsamgauge/internal/clock"
 	"github.com/balsamgauge/balsamgauge/internal/follow"
-	"github.com/balsamgauge/balsamgauge/internal/kv"
 )
 
 // Latest stores the last of the values that it is given, in the background. Values that
@@ -19,7 +18,7 @@
 
 	mu sync.Mutex
 	// next is the value to write; nil if the last one is being written or stored.
-	next    []kv.Put
+	next    *Value
 	writing bool
 }
 
@@ -30,10 +29,10 @@
 
 // Put gives the next value and returns at once. The value is written until it is stored,
 // replaced or the context is done.
-func (lat *Latest) Put(ctx context.Context, puts ...kv.Put) {
+func (lat *Latest) Put(ctx context.Context, val Value) {
 	lat.mu.Lock()
 	defer lat.mu.Unlock()
-	lat.next = puts
+	lat.next = &val
 	if !lat.writing {
 		lat.writing = true
 		go lat.run(ctx)
@@ -49,10 +48,10 @@
 
 // run writes until the last value is stored or the context is done.
 func (lat *Latest) run(ctx context.Context) {
-	for puts := lat.take(nil); puts != nil; {
-		err := lat.rec.Write(ctx, puts...)
+	for val := lat.take(nil); val != nil; {
+		err := lat.rec.Write(ctx, *val)
 		if err == nil {
-			puts = lat.take(nil)
+			val = lat.take(nil)
 			continue
 		}
 		if ctx.Err() == nil {
@@ -60,21 +59,21 @@
 			clock.Pause(ctx, follow.RetryDelay)
 		}
 		if ctx.Err() != nil {
-			puts = nil
+			val = nil
 		}
-		puts = lat.take(puts)
+		val = lat.take(val)
 	}
 }
 
 // take returns the next value, or else the given one. If there is neither, the writer
 // stops.
-func (lat *Latest) take(old []kv.Put) (puts []kv.Put) {
+func (lat *Latest) take(old *Value) (val *Value) {
 	lat.mu.Lock()
 	defer lat.mu.Unlock()
-	puts, lat.next = lat.next, nil
-	if puts == nil {
-		puts = old
+	val, lat.next = lat.next, nil
+	if val == nil {
+		val = old
 	}
-	lat.writing = puts != nil
-	return puts
+	lat.writing = val != nil
+	return val
 }
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -23,6 +23,9 @@
 	// refuse is how many of the next writes are refused.
 	refuse int
 	writes int
+	// others holds the revisions of other keys, and written the keys of the last values.
+	others  map[string]kv.Revision
+	written []string
 }
 
 func (sto *store) commit(_ context.Context, txn kv.Txn) (kv.Revision, error) {
@@ -42,17 +45,31 @@
 }
 
 func (sto *store) apply(txn kv.Txn) (kv.Revision, error) {
+	var current []kv.Item
+	failed := false
 	for _, cnd := range txn.Conditions {
-		if cnd.Revision != sto.rev {
-			return 0, &kv.ConflictError{Current: []kv.Item{{Key: cnd.Key, Revision: sto.rev}}}
+		rev, other := sto.others[cnd.Key]
+		if !other {
+			rev = sto.rev
 		}
+		current = append(current, kv.Item{Key: cnd.Key, Revision: rev})
+		failed = failed || cnd.Revision != rev
+	}
+	if failed {
+		return 0, &kv.ConflictError{Current: current}
 	}
 	sto.rev += 3
 	sto.value = string(txn.Puts[0].Value)
+	sto.written = nil
+	for _, put := range txn.Puts {
+		sto.written = append(sto.written, put.Key)
+	}
 	return sto.rev, nil
 }
 
-func put(value string) kv.Put { return kv.Put{Key: "duty/load", Value: []byte(value)} }
+func value(text string) Value {
+	return Value{Puts: []kv.Put{{Key: "duty/load", Value: []byte(text)}}}
+}
 
 // TestLateWritesReplaceNoNewerOne guards against a stored value that stays old: a write
 // without an answer is carried out after a newer one, in any order of the late ones.
@@ -64,7 +81,7 @@
 			rec := New("duty/load", sto.commit)
 			sto.lose = 3
 			for i := range 3 {
-				assert.ErrorIs(t, rec.Write(ctx, put(fmt.Sprintf("old %d", i))), kv.ErrUnknown)
+				assert.ErrorIs(t, rec.Write(ctx, value(fmt.Sprintf("old %d", i))), kv.ErrUnknown)
 			}
 			assert.Equal(t, sto.value, "former")
 			late := func(from, to int) {
@@ -74,7 +91,7 @@
 				}
 			}
 			late(0, min(before, 3))
-			assert.NilError(t, rec.Write(ctx, put("new")))
+			assert.NilError(t, rec.Write(ctx, value("new")))
 			late(min(before, 3), 3)
 			assert.Equal(t, sto.value, "new", "late writes in the order %v, %d before the new one", order, before)
 		}
@@ -90,7 +107,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	for i := range 20 {
-		lat.Put(ctx, put(fmt.Sprint(i)))
+		lat.Put(ctx, value(fmt.Sprint(i)))
 	}
 	assert.ErrorIs(t, <-failures, kv.ErrUnknown)
 	assert.ErrorIs(t, <-failures, kv.ErrNotDone)
@@ -109,3 +126,40 @@
 	_, err := sto.apply(sto.late[0])
 	assert.Assert(t, err != nil)
 }
+
+// TestLateClaimOfOutdatedSource guards against a claim about another key that is stored after
+// that has changed: the write got no answer and is carried out late, or it is sent late.
+func TestLateClaimOfOutdatedSource(t *testing.T) {
+	ctx := context.Background()
+	source := kv.Condition{Key: "op/wave/1", Revision: 5}
+	outdated := 0
+	val := value("progress")
+	val.Claims = []kv.Put{{Key: "status/wave/1", Value: []byte("completed")}}
+	val.Source, val.Outdated = source, func() { outdated++ }
+	for _, lost := range []bool{false, true} {
+		sto := &store{rev: 40, value: "former", others: map[string]kv.Revision{source.Key: source.Revision}}
+		rec := New("duty/load", sto.commit)
+		if lost {
+			sto.lose = 1
+			assert.ErrorIs(t, rec.Write(ctx, val), kv.ErrUnknown)
+		}
+		sto.others[source.Key]++
+		for _, txn := range sto.late {
+			_, err := sto.apply(txn)
+			assert.Assert(t, err != nil)
+		}
+		assert.NilError(t, rec.Write(ctx, val))
+		assert.Equal(t, sto.value, "progress")
+		assert.DeepEqual(t, sto.written, []string{"duty/load"})
+	}
+	assert.Equal(t, outdated, 2)
+}
+
+// TestClaim checks that a claim is stored with the value while its source is as it was.
+func TestClaim(t *testing.T) {
+	sto := &store{others: map[string]kv.Revision{"op/wave/1": 5}}
+	val := value("progress")
+	val.Claims, val.Source = []kv.Put{{Key: "status/wave/1"}}, kv.Condition{Key: "op/wave/1", Revision: 5}
+	assert.NilError(t, New("duty/load", sto.commit).Write(context.Background(), val))
+	assert.DeepEqual(t, sto.written, []string{"duty/load", "status/wave/1"})
+}
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -34,6 +34,8 @@
 	// dropResponses is the number of further transactions that take effect but get
 	// no response.
 	dropResponses int
+	// loseAnswers decides which transactions get no answer; nil answers all.
+	loseAnswers func(puts map[string][]byte) (delay time.Duration, lost bool)
 	// waveReported is called with each status of a wave that a transaction has written, and
 	// with the wave as it was requested then; it may be nil.
 	waveReported func(status []byte, requested item)
@@ -331,12 +333,57 @@
 			return
 		}
 	}
+	sto.mu.Lock()
+	delay, lost := sto.lose(request)
+	sto.mu.Unlock()
+	if lost {
+		time.AfterFunc(delay, func() { sto.apply(request) })
+		// The connection returns nothing further.
+		<-req.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	status, body := sto.apply(request)
+	sto.mu.Lock()
+	dropped := status == http.StatusOK && sto.dropResponses > 0
+	if dropped {
+		sto.dropResponses--
+	}
+	sto.mu.Unlock()
+	if dropped {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(wri, status, body)
+}
+
+// LoseAnswers starts a fault in which some transactions get no answer and are carried out
+// after a delay, if their conditions still hold; or ends it with nil. The function decides by
+// the values that a transaction writes.
+func (sto *Store) LoseAnswers(decide func(puts map[string][]byte) (delay time.Duration, lost bool)) {
+	sto.mu.Lock()
+	defer sto.mu.Unlock()
+	sto.loseAnswers = decide
+}
+
+// lose decides whether a transaction gets no answer. The lock must be held.
+func (sto *Store) lose(request txn) (delay time.Duration, lost bool) {
+	if sto.loseAnswers == nil {
+		return 0, false
+	}
+	puts := map[string][]byte{}
+	for _, put := range request.Puts {
+		puts[put.Key] = put.Value
+	}
+	return sto.loseAnswers(puts)
+}
+
+// apply carries out a transaction.
+func (sto *Store) apply(request txn) (status int, body any) {
 	var reports []waveReport
 	defer func() { sto.reportWaves(reports) }()
 	sto.mu.Lock()
 	defer sto.mu.Unlock()
-	current := []item{}
-	failed := false
+	sto.expire(time.Now())
+	current, failed := []item{}, false
 	for _, exp := range request.Expected {
 		itm := sto.items[exp.Key]
 		failed = failed || itm.Revision != exp.Revision
@@ -345,13 +392,11 @@
 		}
 	}
 	if failed {
-		writeJSON(wri, http.StatusPreconditionFailed, map[string]any{"items": current})
-		return
+		return http.StatusPreconditionFailed, map[string]any{"items": current}
 	}
 	for _, put := range request.Puts {
 		if put.Lease != 0 && sto.leases[put.Lease] == nil {
-			wri.WriteHeader(http.StatusNotFound)
-			return
+			return http.StatusNotFound, struct{}{}
 		}
 	}
 	sto.revision++
@@ -362,11 +407,7 @@
 		sto.remove(key)
 	}
 	reports = sto.waveReports(request.Puts)
-	if sto.dropResponses > 0 {
-		sto.dropResponses--
-		panic(http.ErrAbortHandler)
-	}
-	writeJSON(wri, http.StatusOK, map[string]int64{"revision": sto.revision})
+	return http.StatusOK, map[string]int64{"revision": sto.revision}
 }
 
 func (sto *Store) serveLease(wri http.ResponseWriter, req *http.Request) {
