--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -470,6 +470,9 @@
 	// former holds machines that were down when a dispatcher received the wave, or may have
 	// been, by orders of its number.
 	former []string
+	// refusedAt holds when the platform last refused the upkeep of a machine as not of
+	// the wave, or as unknown.
+	refusedAt map[string]time.Time
 }
 
 // commit is a write to the store that may be in flight.
--- a/internal/core/scheduler/waves.go
+++ b/internal/core/scheduler/waves.go
@@ -31,7 +31,7 @@
 		plan = plan.WithBegun(name)
 	}
 	slices.Sort(former)
-	wav := &wave{plan: plan, former: slices.Compact(former)}
+	wav := &wave{plan: plan, former: slices.Compact(former), refusedAt: map[string]time.Time{}}
 	sta.waves[evt.Wave.Number] = wav
 	sta.logDecision("wave_asked", "", map[string]any{
 		"wave": evt.Wave.Number, "machines": len(evt.Wave.Machines), "cap": evt.Wave.Cap, "duration_ms": evt.Wave.Duration.Milliseconds(), "begun": len(plan.Begun),
@@ -79,6 +79,9 @@
 		if _, moves := sta.moves[name]; moves || wav.plan.Begun[name] || sta.upkeeps.MayBeDown(name) || !exists(name) {
 			continue
 		}
+		if at, refused := wav.refusedAt[name]; refused && sta.now.Sub(at) < upkeepRetryDelay {
+			continue
+		}
 		cans = append(cans, sta.candidate(name))
 	}
 	act := wav.plan.Next(sta.now, cans, sta.countMachinesDown(wav), sta.opt.UpkeepTime)
@@ -109,6 +112,10 @@
 	}
 }
 
+// upkeepRetryDelay is the time between two orders for a machine that the platform doesn't
+// take for one of the wave, or doesn't know: its view and this one's may differ for a while.
+const upkeepRetryDelay = time.Second
+
 // MaxOrderTransit is how long a machine order may take from when it is sent to its
 // arrival, or else never arrives.
 const MaxOrderTransit = 500 * time.Millisecond
@@ -352,7 +359,8 @@
 			hos.goingDown = false
 		}
 		if wav != nil && (evt.Result == worker.MachineNotInWave || evt.Result == worker.MachineInvalid) {
-			wav.plan = wav.plan.WithBegun(evt.Machine)
+			wav.refusedAt[evt.Machine] = sta.now
+			sta.machines.refreshDue = true
 		}
 	}
 }
