--- a/internal/core/job/progress.go
+++ b/internal/core/job/progress.go
@@ -60,8 +60,8 @@
 	At time.Time `msgpack:"t,omitempty"`
 }
 
-// Marshal encodes a Spec, Progress or Outcome for the store.
-func Marshal[T Spec | Progress | Outcome](rec T) (raw []byte, err error) {
+// Marshal encodes a Spec, Progress, Outcome or Fence for the store.
+func Marshal[T Spec | Progress | Outcome | Fence](rec T) (raw []byte, err error) {
 	raw, err = msgpack.Marshal(&rec)
 	if err != nil {
 		return nil, fmt.Errorf("encode %T: %w", rec, err)
@@ -70,7 +70,7 @@
 }
 
 // Unmarshal decodes a record that was encoded by Marshal.
-func Unmarshal[T Spec | Progress | Outcome](raw []byte) (rec T, err error) {
+func Unmarshal[T Spec | Progress | Outcome | Fence](raw []byte) (rec T, err error) {
 	if err = packed.Unmarshal(raw, &rec); err != nil {
 		return rec, fmt.Errorf("decode %T: %w", rec, err)
 	}
--- /dev/null
+++ b/internal/intake/fence.go
@@ -0,0 +1,105 @@
+package intake
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/balsamgauge/balsamgauge/internal/core/job"
+	"github.com/balsamgauge/balsamgauge/internal/kv"
+)
+
+// Times of fences.
+const (
+	// fenceTTL is the time to live of the leases of fences, the longest that the store
+	// grants. A lease serves for its first half, so that a fence lasts for the other half
+	// at least, which is far longer than the seconds after which the store
+	// carries out a write that got no answer.
+	fenceTTL = 10 * time.Minute
+)
+
+// fenceLease is the lease of the fences that are written now.
+type fenceLease struct {
+	mu    sync.Mutex
+	lease kv.LeaseID
+	// until is when the lease ceases to be used.
+	until time.Time
+}
+
+// get returns the lease, and grants one if there is none to use.
+func (fel *fenceLease) get(ctx context.Context, sto kv.Store, now time.Time) (lea kv.LeaseID, err error) {
+	fel.mu.Lock()
+	lea, until := fel.lease, fel.until
+	fel.mu.Unlock()
+	if lea != 0 && now.Before(until) {
+		return lea, nil
+	}
+	err = retryUnanswered(ctx, func(ctx context.Context) (err error) {
+		// A lease that was granted without an answer ends by itself.
+		lea, err = sto.Grant(ctx, fenceTTL)
+		return err
+	})
+	if err != nil {
+		return 0, fmt.Errorf("grant the lease of fences: %w", err)
+	}
+	fel.mu.Lock()
+	defer fel.mu.Unlock()
+	fel.lease, fel.until = lea, now.Add(fenceTTL/2)
+	return lea, nil
+}
+
+// drop forgets a lease that the store doesn't have any more.
+func (fel *fenceLease) drop(lea kv.LeaseID) {
+	fel.mu.Lock()
+	defer fel.mu.Unlock()
+	if fel.lease == lea {
+		fel.lease = 0
+	}
+}
+
+// fence stores a fence of a job that hasn't been accepted. It fails with a ConflictError if
+// the job is stored or a further condition doesn't hold.
+func (svc *JobService) fence(ctx context.Context, now time.Time, id job.ID, fen job.Fence, conditions ...kv.Condition) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("fence job %s: %w", id, err)
+		}
+	}()
+	raw, err := job.Marshal(fen)
+	if err != nil {
+		return err
+	}
+	lea, err := svc.fences.get(ctx, svc.Store, now)
+	if err != nil {
+		return err
+	}
+	err = svc.commit(ctx, kv.Txn{
+		Conditions: append([]kv.Condition{{Key: job.LiveKey(id)}, {Key: job.EndedKey(id)}}, conditions...),
+		Puts:       []kv.Put{{Key: job.FenceKey(id), Value: raw, Lease: lea}},
+	})
+	if errors.Is(err, kv.ErrLeaseGone) {
+		svc.fences.drop(lea)
+	}
+	return err
+}
+
+// refuseForGood is the answer to a submission of a job that was cancelled before it was
+// accepted.
+func refuseForGood() Answer {
+	return Answer{Verdict: VerdictRefused, Reason: "the job was cancelled before it was accepted"}
+}
+
+// readFence returns the fence in an item.
+func readFence(itm kv.Item) (fen job.Fence, err error) {
+	if itm.Revision == 0 {
+		return job.Fence{}, nil
+	}
+	return job.Unmarshal[job.Fence](itm.Value)
+}
+
+// accepted reports whether a conflict shows that the job is stored.
+func accepted(con *kv.ConflictError, id job.ID) bool {
+	return con.Item(job.LiveKey(id)).Revision != 0 || con.Item(job.EndedKey(id)).Revision != 0
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -1,7 +1,11 @@
 // Package intake carries out clients' calls about jobs: submission,
-// cancellation and queries of a job's state or a queue's backlog. It keeps no
-// state: a job is accepted once it is stored, on the condition that the
-// configuration that allowed it is still the newest.
+// cancellation and queries of a job's state or a queue's backlog. A job is accepted
+// once it is stored, on the condition that the configuration that allowed it is
+// still the newest.
+//
+// A write that got no answer may be carried out seconds later. So that no answer is
+// belied by one, a job that is cancelled before it is accepted gets a fence, which makes
+// its submissions fail.
 package intake
 
 import (
@@ -118,6 +122,8 @@
 	MaxValueBytes func() int
 	// Pending returns the number of a queue's jobs that have not begun.
 	Pending func(ctx context.Context, queue string) (count int, err error)
+
+	fences fenceLease
 }
 
 // unavailableRetryAfter is the retry delay of calls that this process couldn't
@@ -166,6 +172,7 @@
 // Submit accepts a job.
 func (svc *JobService) Submit(ctx context.Context, now time.Time, cal Call, spe job.Spec) Answer {
 	vie := svc.View()
+	fence := kv.Revision(0)
 	for range maxCommitAttempts {
 		que, account, ans := svc.resolve(now, vie, cal)
 		if que == nil {
@@ -179,31 +186,34 @@
 		}
 		spe.Account, spe.Accepted = account, now
 		spe = que.Record(spe)
-		ans, conflict := svc.store(ctx, now, que, vie, spe)
-		if !conflict {
+		ans, con := svc.store(ctx, now, que, vie, spe, fence)
+		if con == nil {
 			return ans
 		}
+		fence = con.Item(job.FenceKey(spe.ID)).Revision
 		vie = svc.View()
 	}
 	return unavailable("too many conflicting changes of the configuration")
 }
 
 // store writes a job. The configuration's revision is a condition, so that no
-// job is accepted under a superseded configuration.
-func (svc *JobService) store(ctx context.Context, now time.Time, que *catalog.Queue, vie View, spe job.Spec) (ans Answer, conflict bool) {
+// job is accepted under a superseded configuration, and so is that of the job's
+// fence. It returns a conflict if the job is to be submitted again.
+func (svc *JobService) store(ctx context.Context, now time.Time, que *catalog.Queue, vie View, spe job.Spec, fence kv.Revision) (ans Answer, again *kv.ConflictError) {
 	if svc.Admit != nil {
 		if after, reason := svc.Admit(now, que, spe); reason != "" {
-			return svc.refuseUnlessAccepted(ctx, spe, after, reason), false
+			return svc.refuseUnlessAccepted(ctx, spe, after, reason), nil
 		}
 	}
 	raw, err := svc.encode(spe)
 	if err != nil {
-		return Answer{Verdict: VerdictInvalid, Reason: err.Error()}, false
+		return Answer{Verdict: VerdictInvalid, Reason: err.Error()}, nil
 	}
 	txn := kv.Txn{
 		Conditions: []kv.Condition{
 			{Key: job.LiveKey(spe.ID)}, {Key: job.EndedKey(spe.ID)},
 			{Key: svc.ConfigKey, Revision: kv.Revision(vie.Catalog.Revision)},
+			{Key: job.FenceKey(spe.ID), Revision: fence},
 		},
 		Puts: []kv.Put{{Key: job.LiveKey(spe.ID), Value: raw}},
 	}
@@ -211,22 +221,35 @@
 	var con *kv.ConflictError
 	switch {
 	case err == nil:
-		return Answer{Verdict: VerdictOK, State: job.StateQueued}, false
+		return Answer{Verdict: VerdictOK, State: job.StateQueued}, nil
 	case errors.As(err, &con):
-		if con.Item(job.LiveKey(spe.ID)).Revision != 0 || con.Item(job.EndedKey(spe.ID)).Revision != 0 {
-			return Answer{Verdict: VerdictOK, State: job.StateQueued, Reason: "accepted before"}, false
-		}
-		if itm := con.Item(svc.ConfigKey); svc.Learn != nil && itm.Revision != 0 {
-			svc.Learn(itm)
-		}
-		return Answer{}, true
+		return svc.conflicted(con, spe.ID)
 	case errors.Is(err, kv.ErrUnknown):
-		return Answer{Verdict: VerdictUnknown, Reason: err.Error()}, false
+		return Answer{Verdict: VerdictUnknown, Reason: err.Error()}, nil
 	case errors.Is(err, kv.ErrRejected):
-		return Answer{Verdict: VerdictInvalid, Reason: err.Error()}, false
+		return Answer{Verdict: VerdictInvalid, Reason: err.Error()}, nil
 	default:
-		return unavailable(err.Error()), false
+		return unavailable(err.Error()), nil
+	}
+}
+
+// conflicted answers a submission whose conditions didn't hold, or returns the conflict if
+// the job is to be submitted again.
+func (svc *JobService) conflicted(con *kv.ConflictError, id job.ID) (ans Answer, again *kv.ConflictError) {
+	if accepted(con, id) {
+		return Answer{Verdict: VerdictOK, State: job.StateQueued, Reason: "accepted before"}, nil
+	}
+	fen, err := readFence(con.Item(job.FenceKey(id)))
+	switch {
+	case err != nil:
+		return unavailable(err.Error()), nil
+	case fen.Final:
+		return refuseForGood(), nil
 	}
+	if itm := con.Item(svc.ConfigKey); svc.Learn != nil && itm.Revision != 0 {
+		svc.Learn(itm)
+	}
+	return Answer{}, con
 }
 
 // encode encodes a job. It fails if the job's own record, or that of its progress at its
@@ -352,7 +375,8 @@
 	}
 }
 
-// Cancel cancels a job.
+// Cancel cancels a job. One that isn't stored is fenced, so that no submission of it is stored
+// after the answer.
 func (svc *JobService) Cancel(ctx context.Context, now time.Time, cal Call, id job.ID) Answer {
 	que, account, ans := svc.resolve(now, svc.View(), cal)
 	if que == nil {
@@ -360,23 +384,31 @@
 	}
 	for range maxCommitAttempts {
 		rec, err := svc.find(ctx, id)
+		unknown := errors.Is(err, kv.ErrNotFound)
 		switch {
-		case errors.Is(err, kv.ErrNotFound) || err == nil && !rec.visibleTo(que, account):
-			return Answer{Verdict: VerdictUnknownJob, Reason: "no such job"}
+		case unknown:
 		case err != nil:
 			return unavailable(err.Error())
+		case !rec.visibleTo(que, account):
+			return Answer{Verdict: VerdictUnknownJob, Reason: "no such job"}
 		case rec.live.Revision == 0 || rec.state == job.StateCancelled:
 			return Answer{Verdict: VerdictOK, State: rec.state}
 		}
-		err = svc.commit(ctx, kv.Txn{
-			Conditions: []kv.Condition{{Key: job.LiveKey(id), Revision: rec.live.Revision}},
-			Puts:       []kv.Put{{Key: job.CancelKey(id), Value: []byte{}}},
-		})
+		if unknown {
+			err = svc.fence(ctx, now, id, job.Fence{Final: true})
+		} else {
+			err = svc.commit(ctx, kv.Txn{
+				Conditions: []kv.Condition{{Key: job.LiveKey(id), Revision: rec.live.Revision}},
+				Puts:       []kv.Put{{Key: job.CancelKey(id), Value: []byte{}}},
+			})
+		}
 		var con *kv.ConflictError
 		switch {
+		case err == nil && unknown:
+			return Answer{Verdict: VerdictUnknownJob, Reason: "no such job"}
 		case err == nil:
 			return Answer{Verdict: VerdictOK, State: job.StateCancelled}
-		case errors.As(err, &con):
+		case errors.As(err, &con) || errors.Is(err, kv.ErrLeaseGone):
 			continue
 		case errors.Is(err, kv.ErrUnknown):
 			return Answer{Verdict: VerdictUnknown, Reason: err.Error()}
--- a/internal/outernames/names_test.go
+++ b/internal/outernames/names_test.go
@@ -41,6 +41,7 @@
 	{"store progress", "msgpack", job.Progress{}},
 	{"store progress part", "msgpack", progress.Part{}},
 	{"store ended", "msgpack", job.Outcome{}},
+	{"store fence", "msgpack", job.Fence{}},
 	{"store starts", "msgpack", startlog.Record{}},
 	{"store duty/holder", "msgpack", duty.Holder{}},
 	{"store duty/load", "msgpack", scheduler.Load{}},
