--- a/internal/core/job/fence.go
+++ b/internal/core/job/fence.go
@@ -10,6 +10,7 @@
 // that the store may still carry out. A submission is stored on the condition that the fence
 // of its job is at the revision at which the submission found it.
 type Fence struct {
-	// Final is set if the job was cancelled before it was accepted.
+	// Final is set if the job was cancelled before it was accepted. Without it the fence
+	// bars earlier submissions only.
 	Final bool `msgpack:"f,omitempty"`
 }
--- a/internal/intake/fence.go
+++ b/internal/intake/fence.go
@@ -13,13 +13,39 @@
 
 // Times of fences.
 const (
+	// maxWriteDelay is how long after a call the store may still carry out a write of it
+	// that got no answer.
+	maxWriteDelay = 15 * time.Second
 	// fenceTTL is the time to live of the leases of fences, the longest that the store
 	// grants. A lease serves for its first half, so that a fence lasts for the other half
-	// at least, which is far longer than the seconds after which the store
-	// carries out a write that got no answer.
+	// at least, which is far longer than maxWriteDelay.
 	fenceTTL = 10 * time.Minute
 )
 
+// unanswered is what a process knows of its writes that got no answer. The zero value knows
+// of none. It is safe for concurrent use.
+type unanswered struct {
+	mu sync.Mutex
+	// latest is the time of the last call with such a write.
+	latest time.Time
+}
+
+// noteWrite records that a write of a call got no answer.
+func (una *unanswered) noteWrite(now time.Time) {
+	una.mu.Lock()
+	defer una.mu.Unlock()
+	if now.After(una.latest) {
+		una.latest = now
+	}
+}
+
+// mayBeLate reports whether the store may still carry out a write that got no answer.
+func (una *unanswered) mayBeLate(now time.Time) bool {
+	una.mu.Lock()
+	defer una.mu.Unlock()
+	return !una.latest.IsZero() && now.Sub(una.latest) < maxWriteDelay
+}
+
 // fenceLease is the lease of the fences that are written now.
 type fenceLease struct {
 	mu    sync.Mutex
@@ -75,7 +101,7 @@
 	if err != nil {
 		return err
 	}
-	err = svc.commit(ctx, kv.Txn{
+	err = svc.commit(ctx, now, kv.Txn{
 		Conditions: append([]kv.Condition{{Key: job.LiveKey(id)}, {Key: job.EndedKey(id)}}, conditions...),
 		Puts:       []kv.Put{{Key: job.FenceKey(id), Value: raw, Lease: lea}},
 	})
@@ -99,6 +125,34 @@
 	return job.Unmarshal[job.Fence](itm.Value)
 }
 
+// fenceRefused fences a job that is being refused, so that no earlier submission is stored
+// after the refusal.
+func (svc *JobService) fenceRefused(ctx context.Context, now time.Time, id job.ID, refusal Answer) Answer {
+	known := kv.Revision(0)
+	for range maxCommitAttempts {
+		err := svc.fence(ctx, now, id, job.Fence{}, kv.Condition{Key: job.FenceKey(id), Revision: known})
+		var con *kv.ConflictError
+		switch {
+		case err == nil:
+			return refusal
+		case !errors.As(err, &con):
+			// An earlier submission may still be stored.
+			return Answer{Verdict: VerdictUnknown, Reason: err.Error()}
+		case accepted(con, id):
+			return Answer{Verdict: VerdictOK, State: job.StateQueued, Reason: "accepted before"}
+		}
+		fen, err := readFence(con.Item(job.FenceKey(id)))
+		switch {
+		case err != nil:
+			return Answer{Verdict: VerdictUnknown, Reason: err.Error()}
+		case fen.Final:
+			return refuseForGood()
+		}
+		known = con.Item(job.FenceKey(id)).Revision
+	}
+	return Answer{Verdict: VerdictUnknown, Reason: "too many concurrent submissions of the job"}
+}
+
 // accepted reports whether a conflict shows that the job is stored.
 func accepted(con *kv.ConflictError, id job.ID) bool {
 	return con.Item(job.LiveKey(id)).Revision != 0 || con.Item(job.EndedKey(id)).Revision != 0
--- a/internal/intake/fence_test.go
+++ b/internal/intake/fence_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/balsamgauge/balsamgauge/internal/core/catalog"
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
 	"github.com/balsamgauge/balsamgauge/internal/kv"
 	"gotest.tools/v3/assert"
@@ -112,6 +113,8 @@
 	sto *lossyStore
 	svc *JobService
 	now time.Time
+	// refuses is the reason for which jobs are refused; empty to admit them.
+	refuses string
 }
 
 func newLossyFixture(t *testing.T) *lossyFixture {
@@ -120,6 +123,7 @@
 	vie := fix.svc.View()
 	fix.svc.Store = fix.sto
 	fix.svc.View = func() View { return View{Catalog: vie.Catalog, Confirmed: fix.now, LastContact: fix.now} }
+	fix.svc.Admit = func(time.Time, *catalog.Queue, job.Spec) (time.Duration, string) { return time.Second, fix.refuses }
 	return fix
 }
 
@@ -201,6 +205,50 @@
 	fix.submit(VerdictRefused)
 }
 
+// TestRefusalBeforeLateSubmission guards against a job that is refused, and runs by an
+// earlier submission that got no answer. The client may submit it again later.
+func TestRefusalBeforeLateSubmission(t *testing.T) {
+	fix := newLossyFixture(t)
+	for range 2 {
+		fix.submitUnanswered()
+		late := fix.sto.late
+		fix.sto.late = nil
+		fix.refuses = "full"
+		fix.submit(VerdictRefused)
+		fix.sto.late = late
+		assert.Assert(t, !fix.sto.carryOut())
+		fix.state(VerdictUnknownJob)
+		fix.refuses = ""
+	}
+	fix.submit(VerdictOK)
+	assert.Assert(t, fix.sto.has("1"))
+	fix.refuses = "full"
+	fix.submit(VerdictOK)
+}
+
+// TestRefusalWithUnansweredFence guards against a refusal that says that the job doesn't run
+// while its fence isn't known to be stored.
+func TestRefusalWithUnansweredFence(t *testing.T) {
+	fix := newLossyFixture(t)
+	fix.submitUnanswered()
+	fix.refuses, fix.sto.lose = "full", maxAttempts
+	fix.submit(VerdictUnknown)
+}
+
+// TestRefusalIsCheap guards against writes for refusals while all writes are answered.
+func TestRefusalIsCheap(t *testing.T) {
+	fix := newLossyFixture(t)
+	fix.refuses = "full"
+	fix.submit(VerdictRefused)
+	assert.Equal(t, fix.sto.commits, 0)
+	fix.refuses = ""
+	fix.submitUnanswered()
+	fix.now = fix.now.Add(maxWriteDelay)
+	fix.sto.commits, fix.refuses = 0, "full"
+	fix.submit(VerdictRefused)
+	assert.Equal(t, fix.sto.commits, 0)
+}
+
 // TestLeaseOfFences checks that fences share a lease that lasts long after each of them, and
 // that one that the store has lost is replaced.
 func TestLeaseOfFences(t *testing.T) {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -5,7 +5,7 @@
 //
 // A write that got no answer may be carried out seconds later. So that no answer is
 // belied by one, a job that is cancelled before it is accepted gets a fence, which makes
-// its submissions fail.
+// earlier submissions fail, and so does one that is refused while such writes may be late.
 package intake
 
 import (
@@ -123,7 +123,8 @@
 	// Pending returns the number of a queue's jobs that have not begun.
 	Pending func(ctx context.Context, queue string) (count int, err error)
 
-	fences fenceLease
+	unanswered unanswered
+	fences     fenceLease
 }
 
 // unavailableRetryAfter is the retry delay of calls that this process couldn't
@@ -202,7 +203,7 @@
 func (svc *JobService) store(ctx context.Context, now time.Time, que *catalog.Queue, vie View, spe job.Spec, fence kv.Revision) (ans Answer, again *kv.ConflictError) {
 	if svc.Admit != nil {
 		if after, reason := svc.Admit(now, que, spe); reason != "" {
-			return svc.refuseUnlessAccepted(ctx, spe, after, reason), nil
+			return svc.refuseUnlessAccepted(ctx, now, spe, after, reason), nil
 		}
 	}
 	raw, err := svc.encode(spe)
@@ -217,7 +218,7 @@
 		},
 		Puts: []kv.Put{{Key: job.LiveKey(spe.ID), Value: raw}},
 	}
-	err = svc.commit(ctx, txn)
+	err = svc.commit(ctx, now, txn)
 	var con *kv.ConflictError
 	switch {
 	case err == nil:
@@ -270,19 +271,27 @@
 }
 
 // commit applies an idempotent transaction, with retries.
-func (svc *JobService) commit(ctx context.Context, txn kv.Txn) error {
+func (svc *JobService) commit(ctx context.Context, now time.Time, txn kv.Txn) error {
 	return retryUnanswered(ctx, func(ctx context.Context) error {
 		_, err := svc.Store.Commit(ctx, txn)
+		if errors.Is(err, kv.ErrUnknown) {
+			svc.unanswered.noteWrite(now)
+		}
 		return err
 	})
 }
 
-// refuseUnlessAccepted refuses a job unless it was accepted before.
-func (svc *JobService) refuseUnlessAccepted(ctx context.Context, spe job.Spec, after time.Duration, reason string) Answer {
+// refuseUnlessAccepted refuses a job unless it was accepted before. An earlier submission,
+// through any process, may still be stored if it got no answer; while writes of this process
+// get none, the job is fenced before.
+func (svc *JobService) refuseUnlessAccepted(ctx context.Context, now time.Time, spe job.Spec, after time.Duration, reason string) Answer {
 	rec, err := svc.find(ctx, spe.ID)
+	refusal := Answer{Verdict: VerdictRefused, RetryAfter: after, Reason: reason}
 	switch {
+	case errors.Is(err, kv.ErrNotFound) && svc.unanswered.mayBeLate(now):
+		return svc.fenceRefused(ctx, now, spe.ID, refusal)
 	case errors.Is(err, kv.ErrNotFound):
-		return Answer{Verdict: VerdictRefused, RetryAfter: after, Reason: reason}
+		return refusal
 	case err != nil:
 		return Answer{Verdict: VerdictUnknown, Reason: err.Error()}
 	default:
@@ -397,7 +406,7 @@
 		if unknown {
 			err = svc.fence(ctx, now, id, job.Fence{Final: true})
 		} else {
-			err = svc.commit(ctx, kv.Txn{
+			err = svc.commit(ctx, now, kv.Txn{
 				Conditions: []kv.Condition{{Key: job.LiveKey(id), Revision: rec.live.Revision}},
 				Puts:       []kv.Put{{Key: job.CancelKey(id), Value: []byte{}}},
 			})
