--- a/internal/intake/fence.go
+++ b/internal/intake/fence.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
+	"github.com/balsamgauge/balsamgauge/internal/core/recent"
 	"github.com/balsamgauge/balsamgauge/internal/kv"
 )
 
@@ -28,6 +29,8 @@
 	mu sync.Mutex
 	// latest is the time of the last call with such a write.
 	latest time.Time
+	// submitted holds the times of the last submissions of jobs whose outcome is unknown.
+	submitted *recent.Map[job.ID, time.Time]
 }
 
 // noteWrite records that a write of a call got no answer.
@@ -46,6 +49,37 @@
 	return !una.latest.IsZero() && now.Sub(una.latest) < maxWriteDelay
 }
 
+// noteSubmission records that the outcome of a job's submission is unknown.
+func (una *unanswered) noteSubmission(now time.Time, id job.ID) {
+	una.mu.Lock()
+	defer una.mu.Unlock()
+	if una.submitted == nil {
+		una.submitted = recent.NewMap[job.ID, time.Time]()
+	}
+	una.submitted.Put(now, id, now)
+}
+
+// settle records that no earlier submission of a job can be stored any more.
+func (una *unanswered) settle(id job.ID) {
+	una.mu.Lock()
+	defer una.mu.Unlock()
+	if una.submitted != nil {
+		una.submitted.Remove(id)
+	}
+}
+
+// mayBeAccepted reports whether a submission of the job through this process may still be
+// stored.
+func (una *unanswered) mayBeAccepted(now time.Time, id job.ID) bool {
+	una.mu.Lock()
+	defer una.mu.Unlock()
+	if una.submitted == nil {
+		return false
+	}
+	at, ok := una.submitted.Get(id)
+	return ok && now.Sub(at) < maxWriteDelay
+}
+
 // fenceLease is the lease of the fences that are written now.
 type fenceLease struct {
 	mu    sync.Mutex
@@ -108,6 +142,9 @@
 	if errors.Is(err, kv.ErrLeaseGone) {
 		svc.fences.drop(lea)
 	}
+	if err == nil {
+		svc.unanswered.settle(id)
+	}
 	return err
 }
 
@@ -125,6 +162,22 @@
 	return job.Unmarshal[job.Fence](itm.Value)
 }
 
+// stateOfUnanswered answers a query of a job that isn't stored, and of which a submission may
+// still be.
+func (svc *JobService) stateOfUnanswered(ctx context.Context, id job.ID) Answer {
+	itm, err := svc.Store.Get(ctx, job.FenceKey(id))
+	if err == nil {
+		var fen job.Fence
+		if fen, err = readFence(itm); err == nil && fen.Final {
+			return Answer{Verdict: VerdictUnknownJob, Reason: "the job was cancelled before it was accepted"}
+		}
+	}
+	if err == nil || errors.Is(err, kv.ErrNotFound) {
+		err = errors.New("a submission that got no answer may still be stored")
+	}
+	return Answer{Verdict: VerdictUnknown, Reason: err.Error()}
+}
+
 // fenceRefused fences a job that is being refused, so that no earlier submission is stored
 // after the refusal.
 func (svc *JobService) fenceRefused(ctx context.Context, now time.Time, id job.ID, refusal Answer) Answer {
--- a/internal/intake/fence_test.go
+++ b/internal/intake/fence_test.go
@@ -249,6 +249,21 @@
 	assert.Equal(t, fix.sto.commits, 0)
 }
 
+// TestAnswersWhileSubmissionMayBeStored guards against answers that a job doesn't exist, or
+// never runs, while an earlier submission through the same process may still be stored.
+func TestAnswersWhileSubmissionMayBeStored(t *testing.T) {
+	fix := newLossyFixture(t)
+	fix.submitUnanswered()
+	fix.state(VerdictUnknown)
+	vie := fix.svc.View()
+	fix.svc.View = func() View { return View{Catalog: vie.Catalog, Confirmed: noon, LastContact: noon.Add(-time.Minute)} }
+	fix.submit(VerdictUnknown)
+	fix.svc.View = func() View { return View{Catalog: vie.Catalog, Confirmed: fix.now, LastContact: fix.now.Add(-time.Minute)} }
+	fix.now = fix.now.Add(maxWriteDelay)
+	fix.state(VerdictUnknownJob)
+	fix.submit(VerdictUnavailable)
+}
+
 // TestLeaseOfFences checks that fences share a lease that lasts long after each of them, and
 // that one that the store has lost is replaced.
 func TestLeaseOfFences(t *testing.T) {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -171,7 +171,19 @@
 const maxCommitAttempts = 3
 
 // Submit accepts a job.
-func (svc *JobService) Submit(ctx context.Context, now time.Time, cal Call, spe job.Spec) Answer {
+func (svc *JobService) Submit(ctx context.Context, now time.Time, cal Call, spe job.Spec) (ans Answer) {
+	ans = svc.submit(ctx, now, cal, spe)
+	switch {
+	case ans.Verdict == VerdictUnknown:
+		svc.unanswered.noteSubmission(now, spe.ID)
+	case ans.Verdict == VerdictUnavailable && svc.unanswered.mayBeAccepted(now, spe.ID):
+		// This call did nothing, but an earlier one may still have an effect.
+		ans.Verdict = VerdictUnknown
+	}
+	return ans
+}
+
+func (svc *JobService) submit(ctx context.Context, now time.Time, cal Call, spe job.Spec) Answer {
 	vie := svc.View()
 	fence := kv.Revision(0)
 	for range maxCommitAttempts {
@@ -375,6 +387,8 @@
 	}
 	rec, err := svc.find(ctx, id)
 	switch {
+	case errors.Is(err, kv.ErrNotFound) && svc.unanswered.mayBeAccepted(now, id):
+		return svc.stateOfUnanswered(ctx, id)
 	case errors.Is(err, kv.ErrNotFound) || err == nil && !rec.visibleTo(que, account):
 		return Answer{Verdict: VerdictUnknownJob, Reason: "no such job"}
 	case err != nil:
