--- a/internal/intake/fence_test.go
+++ b/internal/intake/fence_test.go
@@ -258,7 +258,9 @@
 	vie := fix.svc.View()
 	fix.svc.View = func() View { return View{Catalog: vie.Catalog, Confirmed: noon, LastContact: noon.Add(-time.Minute)} }
 	fix.submit(VerdictUnknown)
-	fix.svc.View = func() View { return View{Catalog: vie.Catalog, Confirmed: fix.now, LastContact: fix.now.Add(-time.Minute)} }
+	fix.svc.View = func() View {
+		return View{Catalog: vie.Catalog, Confirmed: fix.now, LastContact: fix.now.Add(-time.Minute)}
+	}
 	fix.now = fix.now.Add(maxWriteDelay)
 	fix.state(VerdictUnknownJob)
 	fix.submit(VerdictUnavailable)
