--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -175,6 +175,10 @@
 			cal.run.answered(nod)
 			return true
 		}
+		if out == ledger.Unanswered && cal.run.opt.LateWrites && cal.rng.IntN(2) == 0 {
+			cal.giveUp(ctx, job)
+			return false
+		}
 		clock.Pause(ctx, retryInterval)
 	}
 	return false
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -169,13 +169,17 @@
 // the two halves.
 func (run *Run) requestWave() {
 	run.waves++
-	machines := []string{}
+	run.sit.RequestWave(run.waves, run.machinesOf(2, run.waves%2), waveTimeout, waveMaxDown)
+}
+
+// machinesOf returns those of every so many machines that come at a place among them.
+func (run *Run) machinesOf(every, place int) (machines []string) {
 	for i, wor := range run.sit.Workers {
-		if i%2 == run.waves%2 {
+		if i%every == place {
 			machines = append(machines, wor.MachineName())
 		}
 	}
-	run.sit.RequestWave(run.waves, machines, waveTimeout, waveMaxDown)
+	return machines
 }
 
 // awaitReady waits until every process reports that it is ready.
--- a/internal/soak/injectseries.go
+++ b/internal/soak/injectseries.go
@@ -86,6 +86,8 @@
 		run.injectLag(fau, afterFault)
 	case VMRecut:
 		run.recutVMs(fau)
+	case StoreWritesLate, WaveChanged, WaveReplaced:
+		run.injectLateWrites(fau, afterFault)
 	default:
 		run.injectVMSeries(fau, afterFault)
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -26,6 +26,10 @@
 	// Recut adds VMs that restart under their IDs and are cut off soon after, while long
 	// tasks run, and the ends of the holder in between. Leases may be longer then.
 	Recut bool
+	// LateWrites adds writes of the store that get no answer and are carried out late,
+	// callers that cancel jobs whose submission got none, and waves that are changed,
+	// withdrawn and requested again.
+	LateWrites bool
 	// FinalCrash makes the VMs of all availability zones crash once the other faults
 	// have ended.
 	FinalCrash bool
@@ -92,7 +96,10 @@
 
 	mu sync.Mutex
 	// linkCuts counts the faults that cut the connections to each VM.
-	linkCuts      map[int]int
+	linkCuts map[int]int
+	// lateWrites counts the faults in which writes are late, and lateRNG draws which are.
+	lateWrites    int
+	lateRNG       *rand.Rand
 	configVersion int
 	keys          map[string]string
 	waves         int
@@ -114,7 +121,7 @@
 
 func newRun(opt Options) *Run {
 	return &Run{
-		opt: opt, keys: map[string]string{}, linkCuts: map[int]int{}, calm: make(chan struct{}), stepEnded: make(chan struct{}),
+		opt: opt, keys: map[string]string{}, lateRNG: rand.New(rand.NewPCG(opt.Seed, 12)), linkCuts: map[int]int{}, calm: make(chan struct{}), stepEnded: make(chan struct{}),
 		ledger: ledger.New(ledger.PlatformBounds, map[string]int64{accounts[0]: smallCapMillicores}),
 	}
 }
@@ -159,6 +166,7 @@
 	stopLingering()
 	lingerers.Wait()
 	run.pollEnded(ctx)
+	run.sit.CheckWaves()
 	// Tasks cancelled last may still be stopping, and tasks on a VM that a fault
 	// disconnected run until its lease expires.
 	clock.Pause(ctx, ledger.PlatformBounds.Cancel+vmLease)
@@ -194,6 +202,9 @@
 		faults = merge(faults, ScheduleSeries(opt.Seed, opt.For, opt.Processes, vms, zones))
 		faults = merge(faults, ScheduleLag(opt.Seed, opt.For, opt.Processes, vms))
 	}
+	if opt.LateWrites {
+		faults = merge(faults, ScheduleLateWrites(opt.Seed, opt.For))
+	}
 	if opt.Recut && !opt.Series {
 		faults = thin(faults)
 	}
--- a/internal/standin/site/machines.go
+++ b/internal/standin/site/machines.go
@@ -243,6 +243,15 @@
 	return waveKey(one), isStatus && err == nil
 }
 
+// CheckWaves reports a violation for each wave that is said to be completed in which the
+// upkeep of a machine has not begun.
+func (sit *Site) CheckWaves() {
+	for _, requested := range sit.Store.withPrefix(wavePrefix) {
+		number := strings.TrimPrefix(requested.Key, wavePrefix)
+		sit.checkWave(sit.Store.Value(waveStatusPrefix+number), requested)
+	}
+}
+
 // checkWave reports a violation if a value says that a wave, as it was requested when
 // the value was written, is completed in which the upkeep of a machine has not begun.
 func (sit *Site) checkWave(value []byte, requested item) {
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -117,6 +117,18 @@
 	return sto.items[key]
 }
 
+// withPrefix returns the items whose keys begin with a prefix, by key.
+func (sto *Store) withPrefix(prefix string) (items []item) {
+	sto.mu.Lock()
+	defer sto.mu.Unlock()
+	for _, key := range slices.Sorted(maps.Keys(sto.items)) {
+		if strings.HasPrefix(key, prefix) {
+			items = append(items, sto.items[key])
+		}
+	}
+	return items
+}
+
 // put writes a value at the current revision, bound to a lease unless it is 0.
 func (sto *Store) put(key string, value []byte, lea int64) {
 	itm := sto.items[key]
