--- a/internal/core/scheduler/waves.go
+++ b/internal/core/scheduler/waves.go
@@ -64,8 +64,7 @@
 
 // planWave orders the upkeep that is due in one wave.
 func (sta *State) planWave(number int64, wav *wave) {
-	exists := func(name string) bool { _, ok := sta.machines.byName[name]; return ok }
-	if wav.plan.Completed(exists) && !sta.upkeeps.Unanswered(number) {
+	if wav.plan.Completed(sta.machineListed) && !sta.upkeeps.Unanswered(number) {
 		wav.completed = true
 		sta.logDecision("wave_completed", "", map[string]any{"wave": number, "age_ms": sta.now.Sub(wav.plan.RequestedAt).Milliseconds()})
 		sta.saveWave(wav)
@@ -74,17 +73,7 @@
 	if !sta.mayOrderMachines() {
 		return
 	}
-	var cans []upkeep.Candidate
-	for _, name := range wav.plan.Wave.Machines {
-		if _, moves := sta.moves[name]; moves || wav.plan.Begun[name] || sta.upkeeps.MayBeDown(name) || !exists(name) {
-			continue
-		}
-		if at, refused := wav.refusedAt[name]; refused && sta.now.Sub(at) < upkeepRetryDelay {
-			continue
-		}
-		cans = append(cans, sta.candidate(name))
-	}
-	act := wav.plan.Next(sta.now, cans, sta.countMachinesDown(wav), sta.opt.UpkeepTime)
+	act := wav.plan.Next(sta.now, sta.candidates(wav), sta.countMachinesDown(wav), sta.opt.UpkeepTime)
 	for _, name := range act.Cordon {
 		if hos := sta.hosts[sta.machines.byName[name].VM]; hos != nil {
 			hos.cordoned = true
@@ -191,6 +180,27 @@
 	return slices.Compact(names)
 }
 
+// machineListed reports whether the last list of machines has a machine.
+func (sta *State) machineListed(name string) bool {
+	_, ok := sta.machines.byName[name]
+	return ok
+}
+
+// candidates returns the machines of a wave whose upkeep may be ordered next.
+func (sta *State) candidates(wav *wave) (cans []upkeep.Candidate) {
+	for _, name := range wav.plan.Wave.Machines {
+		_, moves := sta.moves[name]
+		if moves || wav.plan.Begun[name] || sta.upkeeps.MayBeDown(name) || !sta.machineListed(name) {
+			continue
+		}
+		if at, refused := wav.refusedAt[name]; refused && sta.now.Sub(at) < upkeepRetryDelay {
+			continue
+		}
+		cans = append(cans, sta.candidate(name))
+	}
+	return cans
+}
+
 // candidate returns the description of a machine for the plan of a wave.
 func (sta *State) candidate(name string) upkeep.Candidate {
 	mac := sta.machines.byName[name]
