--- a/internal/soak/injectseries.go
+++ b/internal/soak/injectseries.go
@@ -82,12 +82,10 @@
 		})
 	case OddEntry:
 		afterFault(run.sit.RegisterOdd(fau.Target))
-	case ListsLate, UpkeepAnswersLost, VMReborn, QueueRemoved:
+	case ListsLate, UpkeepAnswersLost, VMReborn, QueueRemoved, StoreWritesLate, WaveChanged, WaveReplaced:
 		run.injectLag(fau, afterFault)
 	case VMRecut:
 		run.recutVMs(fau)
-	case StoreWritesLate, WaveChanged, WaveReplaced:
-		run.injectLateWrites(fau, afterFault)
 	default:
 		run.injectVMSeries(fau, afterFault)
 	}
--- a/internal/soak/lag.go
+++ b/internal/soak/lag.go
@@ -66,7 +66,7 @@
 	return faults
 }
 
-// injectLag injects a fault of ScheduleLag.
+// injectLag injects a fault of ScheduleLag or ScheduleLateWrites.
 func (run *Run) injectLag(fau Fault, afterFault func(func())) {
 	switch fau.Kind {
 	case ListsLate:
@@ -90,6 +90,8 @@
 			time.Sleep(fau.For)
 			run.setAnnex(1)
 		})
+	case StoreWritesLate, WaveChanged, WaveReplaced:
+		run.injectLateWrites(fau, afterFault)
 	default:
 		panic(fmt.Sprintf("soak: unknown fault %q", fau.Kind))
 	}
