--- a/internal/intake/fence_test.go
+++ b/internal/intake/fence_test.go
@@ -282,3 +282,25 @@
 	fix.cancel(VerdictUnknownJob)
 	assert.Equal(t, fix.sto.items[job.FenceKey("1")].Lease, kv.LeaseID(103))
 }
+
+// TestRefusalAfterLateWritesOfOtherProcess guards against a refusal by a process that doesn't
+// know that writes may be late: the earlier submission went through another process, which
+// reports its first write without an answer before it answers.
+func TestRefusalAfterLateWritesOfOtherProcess(t *testing.T) {
+	fix, oth := newLossyFixture(t), newLossyFixture(t)
+	oth.svc.Store = fix.sto
+	oth.refuses = "full"
+	reports := 0
+	fix.svc.Unanswered = func() {
+		reports++
+		oth.svc.NoteLateWrites(oth.now)
+	}
+	fix.submitUnanswered()
+	assert.Equal(t, reports, maxAttempts)
+	oth.submit(VerdictRefused)
+	assert.Assert(t, !fix.sto.carryOut())
+	assert.Assert(t, !fix.sto.has("1"))
+	vie := oth.svc.View()
+	oth.svc.View = func() View { return View{Catalog: vie.Catalog, Confirmed: noon, LastContact: noon.Add(-time.Minute)} }
+	oth.submit(VerdictUnknown)
+}
