--- a/internal/intake/fence.go
+++ b/internal/intake/fence.go
@@ -85,6 +85,12 @@
 	return ok && now.Sub(at) < maxWriteDelay
 }
 
+// mayBelie reports whether an earlier submission of the job may be stored after the job was
+// refused.
+func (una *unanswered) mayBelie(now time.Time, id job.ID) bool {
+	return una.mayBeLate(now) || una.mayBeAccepted(now, id)
+}
+
 // fenceLease is the lease of the fences that are written now.
 type fenceLease struct {
 	mu    sync.Mutex
--- a/internal/intake/fence_test.go
+++ b/internal/intake/fence_test.go
@@ -304,3 +304,25 @@
 	oth.svc.View = func() View { return View{Catalog: vie.Catalog, Confirmed: noon, LastContact: noon.Add(-time.Minute)} }
 	oth.submit(VerdictUnknown)
 }
+
+// TestLeavingClientIsNoLateWrite guards against reports of late writes, and what they cost, by
+// clients that leave before their answer.
+func TestLeavingClientIsNoLateWrite(t *testing.T) {
+	fix := newLossyFixture(t)
+	fix.svc.Unanswered = func() { t.Error("late writes are reported") }
+	ctx, cancel := context.WithCancel(context.Background())
+	fix.sto.beforeCommit = cancel
+	fix.sto.lose = maxAttempts
+	ans := fix.svc.Submit(ctx, fix.now, gateCall, oneStepJob())
+	assert.Equal(t, ans.Verdict, VerdictUnknown)
+	fix.state(VerdictUnknown)
+	fix.sto.beforeCommit, fix.sto.lose, fix.refuses = nil, 0, "full"
+	commits := fix.sto.commits
+	other := oneStepJob()
+	other.ID = "2"
+	assert.Equal(t, fix.svc.Submit(context.Background(), fix.now, gateCall, other).Verdict, VerdictRefused)
+	assert.Equal(t, fix.sto.commits, commits)
+	// The job itself may still be stored.
+	fix.submit(VerdictRefused)
+	assert.Assert(t, !fix.sto.carryOut())
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -179,7 +179,7 @@
 	switch {
 	case ans.Verdict == VerdictUnknown:
 		svc.unanswered.noteSubmission(now, spe.ID)
-	case ans.Verdict == VerdictUnavailable && svc.unanswered.mayBeLate(now):
+	case ans.Verdict == VerdictUnavailable && svc.unanswered.mayBelie(now, spe.ID):
 		// This call did nothing, but an earlier one may still have an effect.
 		ans.Verdict = VerdictUnknown
 	}
@@ -289,7 +289,8 @@
 func (svc *JobService) commit(ctx context.Context, now time.Time, txn kv.Txn) error {
 	return retryUnanswered(ctx, func(ctx context.Context) error {
 		_, err := svc.Store.Commit(ctx, txn)
-		if errors.Is(err, kv.ErrUnknown) {
+		// A client that leaves says nothing of the store.
+		if errors.Is(err, kv.ErrUnknown) && !errors.Is(ctx.Err(), context.Canceled) {
 			svc.unanswered.noteWrite(now)
 			if svc.Unanswered != nil {
 				svc.Unanswered()
@@ -306,7 +307,7 @@
 	rec, err := svc.find(ctx, spe.ID)
 	refusal := Answer{Verdict: VerdictRefused, RetryAfter: after, Reason: reason}
 	switch {
-	case errors.Is(err, kv.ErrNotFound) && svc.unanswered.mayBeLate(now):
+	case errors.Is(err, kv.ErrNotFound) && svc.unanswered.mayBelie(now, spe.ID):
 		return svc.fenceRefused(ctx, now, spe.ID, refusal)
 	case errors.Is(err, kv.ErrNotFound):
 		return refusal
