--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -209,7 +209,7 @@
 		fence = con.Item(job.FenceKey(spe.ID)).Revision
 		vie = svc.View()
 	}
-	return unavailable("too many conflicting changes of the configuration or the job")
+	return unavailable("too many conflicting changes of the configuration")
 }
 
 // store writes a job. The configuration's revision is a condition, so that no
--- a/internal/manager/latewrites.go
+++ b/internal/manager/latewrites.go
@@ -25,13 +25,10 @@
 	lateWritesTimeout = 5 * time.Second
 )
 
-// lateWrites limits the reports of late writes, and what is made of them. The zero value has
-// made and seen none.
+// lateWrites limits the reports of late writes. The zero value has made none.
 type lateWrites struct {
 	mu         sync.Mutex
 	reportedAt time.Time
-	// seen is the revision of the last report of any process.
-	seen kv.Revision
 }
 
 // due reports whether a report may be made now, which is noted.
@@ -45,18 +42,6 @@
 	return true
 }
 
-// isNew reports whether the report of a revision was not seen before, and notes it. Lists of
-// the keys show one again.
-func (lat *lateWrites) isNew(rev kv.Revision) bool {
-	lat.mu.Lock()
-	defer lat.mu.Unlock()
-	if rev <= lat.seen {
-		return false
-	}
-	lat.seen = rev
-	return true
-}
-
 // reportLateWrites tells all processes, in the background, that a write of this one got no
 // answer.
 func (nod *Node) reportLateWrites() {
@@ -85,9 +70,6 @@
 
 // lateWritesReported handles the report of any process.
 func (nod *Node) lateWritesReported(itm kv.Item) {
-	if !nod.late.isNew(itm.Revision) {
-		return
-	}
 	nod.log.Event("late_writes_reported", decisionlog.Fields{"by": string(itm.Value), "revision": itm.Revision})
 	nod.jobs.NoteLateWrites(nod.now())
 }
