--- a/internal/intake/fence.go
+++ b/internal/intake/fence.go
@@ -23,21 +23,16 @@
 	fenceTTL = 10 * time.Minute
 )
 
-// unanswered is what a process knows of writes that got no answer. The zero value knows of
-// none. It is safe for concurrent use.
+// unanswered is what a process knows of its writes that got no answer. The zero value knows
+// of none. It is safe for concurrent use.
 type unanswered struct {
 	mu sync.Mutex
-	// latest is the time of the last call with such a write, or at which another process
-	// was known to have had one.
+	// latest is the time of the last call with such a write.
 	latest time.Time
 	// submitted holds the times of the last submissions of jobs whose outcome is unknown.
 	submitted *recent.Map[job.ID, time.Time]
 }
 
-// NoteLateWrites records that another process has had a write without an answer, until some
-// time before now.
-func (svc *JobService) NoteLateWrites(now time.Time) { svc.unanswered.noteWrite(now) }
-
 // noteWrite records that a write of a call got no answer.
 func (una *unanswered) noteWrite(now time.Time) {
 	una.mu.Lock()
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -122,9 +122,6 @@
 	MaxValueBytes func() int
 	// Pending returns the number of a queue's jobs that have not begun.
 	Pending func(ctx context.Context, queue string) (count int, err error)
-	// Unanswered is called after a write that got no answer, so that other processes can
-	// be told: see NoteLateWrites. It must not block, and may be nil.
-	Unanswered func()
 
 	unanswered unanswered
 	fences     fenceLease
@@ -179,7 +176,7 @@
 	switch {
 	case ans.Verdict == VerdictUnknown:
 		svc.unanswered.noteSubmission(now, spe.ID)
-	case ans.Verdict == VerdictUnavailable && svc.unanswered.mayBelie(now, spe.ID):
+	case ans.Verdict == VerdictUnavailable && svc.unanswered.mayBeAccepted(now, spe.ID):
 		// This call did nothing, but an earlier one may still have an effect.
 		ans.Verdict = VerdictUnknown
 	}
@@ -292,17 +289,14 @@
 		// A client that leaves says nothing of the store.
 		if errors.Is(err, kv.ErrUnknown) && !errors.Is(ctx.Err(), context.Canceled) {
 			svc.unanswered.noteWrite(now)
-			if svc.Unanswered != nil {
-				svc.Unanswered()
-			}
 		}
 		return err
 	})
 }
 
 // refuseUnlessAccepted refuses a job unless it was accepted before. An earlier submission,
-// through any process, may still be stored if it got no answer; while writes may be late, the
-// job is fenced before.
+// through any process, may still be stored if it got no answer; while writes of this process
+// get none, the job is fenced before.
 func (svc *JobService) refuseUnlessAccepted(ctx context.Context, now time.Time, spe job.Spec, after time.Duration, reason string) Answer {
 	rec, err := svc.find(ctx, spe.ID)
 	refusal := Answer{Verdict: VerdictRefused, RetryAfter: after, Reason: reason}
--- a/internal/manager/node.go
+++ b/internal/manager/node.go
@@ -70,8 +70,6 @@
 	machines *platform.Machines
 	relay    *advisory.Relay
 	operator *operatorView
-	jobs     *intake.JobService
-	late     lateWrites
 	load     *loadView
 	election *election.Elector
 	metrics  metrics.Registry
@@ -91,7 +89,6 @@
 	}
 	nod.calls = hedge.NewCaller(time.Now, nod.metrics, nod.logRepeats)
 	nod.set.Store(&set)
-	nod.jobs = nod.newJobService()
 	nod.election = election.New(election.Options{Store: nod.store, Name: set.Name, CPUShare: set.CPUShare, Log: log, Now: clo.Now, Dispatch: nod.dispatch, EndTimeout: nod.endTimeout})
 	return nod, nil
 }
@@ -196,18 +193,14 @@
 	idleTimeout   = 60 * time.Second
 )
 
-func (nod *Node) newJobService() *intake.JobService {
-	return &intake.JobService{
+func (nod *Node) ingress() http.Handler {
+	svc := &intake.JobService{
 		Store: nod.store.WithAnswerTimeout(intake.AnswerTimeout), ConfigKey: platform.ConfigKey,
 		Freshness: nod.freshness, Learn: nod.operator.learnConfig,
 		View: nod.operator.current, Admit: nod.load.admit, Pending: nod.load.pending,
 		MaxValueBytes: func() int { return nod.settings().MaxValueBytes },
-		Unanswered:    nod.reportLateWrites,
 	}
-}
-
-func (nod *Node) ingress() http.Handler {
-	return &platform.Ingress{JobService: nod.jobs, Now: nod.now, AfterCall: nod.recordCall}
+	return &platform.Ingress{JobService: svc, Now: nod.now, AfterCall: nod.recordCall}
 }
 
 func (nod *Node) freshness() intake.Freshness {
@@ -303,9 +296,5 @@
 		if !cha.Deleted {
 			nod.load.change(cha.Item)
 		}
-	case lateWritesKey:
-		if !cha.Deleted {
-			nod.lateWritesReported(cha.Item)
-		}
 	}
 }
