--- a/internal/intake/fence.go
+++ b/internal/intake/fence.go
@@ -23,69 +23,44 @@
 	fenceTTL = 10 * time.Minute
 )
 
-// unanswered is what a process knows of its writes that got no answer. The zero value knows
-// of none. It is safe for concurrent use.
-type unanswered struct {
+// unsettled holds the jobs that were submitted through this process and whose submission may
+// still be stored. The zero value holds none. It is safe for concurrent use.
+type unsettled struct {
 	mu sync.Mutex
-	// latest is the time of the last call with such a write.
-	latest time.Time
-	// submitted holds the times of the last submissions of jobs whose outcome is unknown.
+	// submitted holds the times of the last submissions whose outcome is unknown.
 	submitted *recent.Map[job.ID, time.Time]
 }
 
-// noteWrite records that a write of a call got no answer.
-func (una *unanswered) noteWrite(now time.Time) {
-	una.mu.Lock()
-	defer una.mu.Unlock()
-	if now.After(una.latest) {
-		una.latest = now
+// add records that the outcome of a job's submission is unknown.
+func (uns *unsettled) add(now time.Time, id job.ID) {
+	uns.mu.Lock()
+	defer uns.mu.Unlock()
+	if uns.submitted == nil {
+		uns.submitted = recent.NewMap[job.ID, time.Time]()
 	}
+	uns.submitted.Put(now, id, now)
 }
 
-// mayBeLate reports whether the store may still carry out a write that got no answer.
-func (una *unanswered) mayBeLate(now time.Time) bool {
-	una.mu.Lock()
-	defer una.mu.Unlock()
-	return !una.latest.IsZero() && now.Sub(una.latest) < maxWriteDelay
-}
-
-// noteSubmission records that the outcome of a job's submission is unknown.
-func (una *unanswered) noteSubmission(now time.Time, id job.ID) {
-	una.mu.Lock()
-	defer una.mu.Unlock()
-	if una.submitted == nil {
-		una.submitted = recent.NewMap[job.ID, time.Time]()
-	}
-	una.submitted.Put(now, id, now)
-}
-
-// settle records that no earlier submission of a job can be stored any more.
-func (una *unanswered) settle(id job.ID) {
-	una.mu.Lock()
-	defer una.mu.Unlock()
-	if una.submitted != nil {
-		una.submitted.Remove(id)
+// remove records that no earlier submission of a job can be stored any more.
+func (uns *unsettled) remove(id job.ID) {
+	uns.mu.Lock()
+	defer uns.mu.Unlock()
+	if uns.submitted != nil {
+		uns.submitted.Remove(id)
 	}
 }
 
-// mayBeAccepted reports whether a submission of the job through this process may still be
-// stored.
-func (una *unanswered) mayBeAccepted(now time.Time, id job.ID) bool {
-	una.mu.Lock()
-	defer una.mu.Unlock()
-	if una.submitted == nil {
+// has reports whether a submission of the job may still be stored.
+func (uns *unsettled) has(now time.Time, id job.ID) bool {
+	uns.mu.Lock()
+	defer uns.mu.Unlock()
+	if uns.submitted == nil {
 		return false
 	}
-	at, ok := una.submitted.Get(id)
+	at, ok := uns.submitted.Get(id)
 	return ok && now.Sub(at) < maxWriteDelay
 }
 
-// mayBelie reports whether an earlier submission of the job may be stored after the job was
-// refused.
-func (una *unanswered) mayBelie(now time.Time, id job.ID) bool {
-	return una.mayBeLate(now) || una.mayBeAccepted(now, id)
-}
-
 // fenceLease is the lease of the fences that are written now.
 type fenceLease struct {
 	mu    sync.Mutex
@@ -141,7 +116,7 @@
 	if err != nil {
 		return err
 	}
-	err = svc.commit(ctx, now, kv.Txn{
+	err = svc.commit(ctx, kv.Txn{
 		Conditions: append([]kv.Condition{{Key: job.LiveKey(id)}, {Key: job.EndedKey(id)}}, conditions...),
 		Puts:       []kv.Put{{Key: job.FenceKey(id), Value: raw, Lease: lea}},
 	})
@@ -149,7 +124,7 @@
 		svc.fences.drop(lea)
 	}
 	if err == nil {
-		svc.unanswered.settle(id)
+		svc.unsettled.remove(id)
 	}
 	return err
 }
@@ -184,9 +159,9 @@
 	return Answer{Verdict: VerdictUnknown, Reason: err.Error()}
 }
 
-// fenceRefused fences a job that is being refused, so that no earlier submission is stored
-// after the refusal.
-func (svc *JobService) fenceRefused(ctx context.Context, now time.Time, id job.ID, refusal Answer) Answer {
+// refuse refuses a job, unless it was accepted before. It fences the job, so that no earlier
+// submission, through any process, is stored after the refusal.
+func (svc *JobService) refuse(ctx context.Context, now time.Time, id job.ID, refusal Answer) Answer {
 	known := kv.Revision(0)
 	for range maxCommitAttempts {
 		err := svc.fence(ctx, now, id, job.Fence{}, kv.Condition{Key: job.FenceKey(id), Revision: known})
@@ -196,7 +171,7 @@
 			return refusal
 		case !errors.As(err, &con):
 			// An earlier submission may still be stored.
-			return Answer{Verdict: VerdictUnknown, Reason: err.Error()}
+			return Answer{Verdict: VerdictUnknown, RetryAfter: refusal.RetryAfter, Reason: err.Error()}
 		case accepted(con, id):
 			return Answer{Verdict: VerdictOK, State: job.StateQueued, Reason: "accepted before"}
 		}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -4,8 +4,8 @@
 // still the newest.
 //
 // A write that got no answer may be carried out seconds later. So that no answer is
-// belied by one, a job that is cancelled before it is accepted gets a fence, which makes
-// earlier submissions fail, and so does one that is refused while such writes may be late.
+// belied by one, a job that is cancelled before it is accepted, or refused, gets a fence,
+// which makes earlier submissions fail.
 package intake
 
 import (
@@ -123,8 +123,8 @@
 	// Pending returns the number of a queue's jobs that have not begun.
 	Pending func(ctx context.Context, queue string) (count int, err error)
 
-	unanswered unanswered
-	fences     fenceLease
+	unsettled unsettled
+	fences    fenceLease
 }
 
 // unavailableRetryAfter is the retry delay of calls that this process couldn't
@@ -175,8 +175,8 @@
 	ans = svc.submit(ctx, now, cal, spe)
 	switch {
 	case ans.Verdict == VerdictUnknown:
-		svc.unanswered.noteSubmission(now, spe.ID)
-	case ans.Verdict == VerdictUnavailable && svc.unanswered.mayBeAccepted(now, spe.ID):
+		svc.unsettled.add(now, spe.ID)
+	case ans.Verdict == VerdictUnavailable && svc.unsettled.has(now, spe.ID):
 		// This call did nothing, but an earlier one may still have an effect.
 		ans.Verdict = VerdictUnknown
 	}
@@ -215,7 +215,7 @@
 func (svc *JobService) store(ctx context.Context, now time.Time, que *catalog.Queue, vie View, spe job.Spec, fence kv.Revision) (ans Answer, again *kv.ConflictError) {
 	if svc.Admit != nil {
 		if after, reason := svc.Admit(now, que, spe); reason != "" {
-			return svc.refuseUnlessAccepted(ctx, now, spe, after, reason), nil
+			return svc.refuse(ctx, now, spe.ID, Answer{Verdict: VerdictRefused, RetryAfter: after, Reason: reason}), nil
 		}
 	}
 	raw, err := svc.encode(spe)
@@ -230,7 +230,7 @@
 		},
 		Puts: []kv.Put{{Key: job.LiveKey(spe.ID), Value: raw}},
 	}
-	err = svc.commit(ctx, now, txn)
+	err = svc.commit(ctx, txn)
 	var con *kv.ConflictError
 	switch {
 	case err == nil:
@@ -283,35 +283,13 @@
 }
 
 // commit applies an idempotent transaction, with retries.
-func (svc *JobService) commit(ctx context.Context, now time.Time, txn kv.Txn) error {
+func (svc *JobService) commit(ctx context.Context, txn kv.Txn) error {
 	return retryUnanswered(ctx, func(ctx context.Context) error {
 		_, err := svc.Store.Commit(ctx, txn)
-		// A client that leaves says nothing of the store.
-		if errors.Is(err, kv.ErrUnknown) && !errors.Is(ctx.Err(), context.Canceled) {
-			svc.unanswered.noteWrite(now)
-		}
 		return err
 	})
 }
 
-// refuseUnlessAccepted refuses a job unless it was accepted before. An earlier submission,
-// through any process, may still be stored if it got no answer; while writes of this process
-// get none, the job is fenced before.
-func (svc *JobService) refuseUnlessAccepted(ctx context.Context, now time.Time, spe job.Spec, after time.Duration, reason string) Answer {
-	rec, err := svc.find(ctx, spe.ID)
-	refusal := Answer{Verdict: VerdictRefused, RetryAfter: after, Reason: reason}
-	switch {
-	case errors.Is(err, kv.ErrNotFound) && svc.unanswered.mayBelie(now, spe.ID):
-		return svc.fenceRefused(ctx, now, spe.ID, refusal)
-	case errors.Is(err, kv.ErrNotFound):
-		return refusal
-	case err != nil:
-		return Answer{Verdict: VerdictUnknown, Reason: err.Error()}
-	default:
-		return Answer{Verdict: VerdictOK, State: rec.state, Reason: "accepted before"}
-	}
-}
-
 // record is the stored state of a job.
 type record struct {
 	state job.State
@@ -388,7 +366,7 @@
 	}
 	rec, err := svc.find(ctx, id)
 	switch {
-	case errors.Is(err, kv.ErrNotFound) && svc.unanswered.mayBeAccepted(now, id):
+	case errors.Is(err, kv.ErrNotFound) && svc.unsettled.has(now, id):
 		return svc.stateOfUnanswered(ctx, id)
 	case errors.Is(err, kv.ErrNotFound) || err == nil && !rec.visibleTo(que, account):
 		return Answer{Verdict: VerdictUnknownJob, Reason: "no such job"}
@@ -421,7 +399,7 @@
 		if unknown {
 			err = svc.fence(ctx, now, id, job.Fence{Final: true})
 		} else {
-			err = svc.commit(ctx, now, kv.Txn{
+			err = svc.commit(ctx, kv.Txn{
 				Conditions: []kv.Condition{{Key: job.LiveKey(id), Revision: rec.live.Revision}},
 				Puts:       []kv.Put{{Key: job.CancelKey(id), Value: []byte{}}},
 			})
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -15,7 +15,8 @@
 var noon = time.Date(2026, 1, 2, 12, 0, 0, 0, time.UTC)
 
 // scriptedStore fails commits with the given errors in order, and then
-// succeeds. Get finds nothing; Range returns page.
+// succeeds. Get finds nothing; Range returns page, whose items are conditions'
+// current ones. Leases are always granted.
 type scriptedStore struct {
 	kv.Store
 	errs    []error
@@ -24,6 +25,13 @@
 }
 
 func (sto *scriptedStore) Commit(_ context.Context, txn kv.Txn) (kv.Revision, error) {
+	for _, itm := range sto.page.Items {
+		for _, cnd := range txn.Conditions {
+			if cnd.Key == itm.Key && cnd.Revision != itm.Revision {
+				return 0, &kv.ConflictError{Current: []kv.Item{itm}}
+			}
+		}
+	}
 	sto.commits = append(sto.commits, txn)
 	if len(sto.errs) == 0 {
 		return 9, nil
@@ -37,6 +45,8 @@
 	return sto.page, nil
 }
 
+func (sto *scriptedStore) Grant(context.Context, time.Duration) (kv.LeaseID, error) { return 1, nil }
+
 func (sto *scriptedStore) Get(context.Context, string) (kv.Item, error) {
 	return kv.Item{}, kv.ErrNotFound
 }
