--- a/internal/intake/fence.go
+++ b/internal/intake/fence.go
@@ -169,6 +169,8 @@
 		switch {
 		case err == nil:
 			return refusal
+		case errors.Is(err, kv.ErrLeaseGone):
+			continue
 		case !errors.As(err, &con):
 			// An earlier submission may still be stored.
 			return Answer{Verdict: VerdictUnknown, RetryAfter: refusal.RetryAfter, Reason: err.Error()}
--- a/internal/intake/fence_test.go
+++ b/internal/intake/fence_test.go
@@ -278,11 +278,20 @@
 		lea := fix.sto.items[job.FenceKey("1")].Lease
 		assert.Equal(t, lea, kv.LeaseID(100+i/5), "after %d minutes", i)
 	}
-	for lea := range fix.sto.leases {
-		fix.sto.leases[lea] = false
+	loseLeases := func() {
+		for lea := range fix.sto.leases {
+			fix.sto.leases[lea] = false
+		}
 	}
+	loseLeases()
 	fix.cancel(VerdictUnknownJob)
 	assert.Equal(t, fix.sto.items[job.FenceKey("1")].Lease, kv.LeaseID(103))
+	loseLeases()
+	fix.refuses = "full"
+	other := oneStepJob()
+	other.ID = "2"
+	assert.Equal(t, fix.svc.Submit(context.Background(), fix.now, gateCall, other).Verdict, VerdictRefused)
+	assert.Equal(t, fix.sto.items[job.FenceKey("2")].Lease, kv.LeaseID(104))
 }
 
 // TestRefusalByOtherProcess guards against a job that is refused and runs, as an earlier
