--- a/internal/core/scheduler/changedwave_test.go
+++ b/internal/core/scheduler/changedwave_test.go
@@ -73,15 +73,21 @@
 	return func() []string { return emu.wave.Machines }
 }
 
-// TestRefusalByChangedWave guards against a machine that counts as done in a wave because the
-// platform refused an order for it while the wave didn't name it.
-func TestRefusalByChangedWave(t *testing.T) {
-	fix := newOutageFixture(4)
+// newOrderedWave returns a dispatcher that has ordered the upkeep of the only machine of a wave.
+func newOrderedWave(t *testing.T) (fix *outageFixture, wav upkeep.Wave) {
+	fix = newOutageFixture(4)
 	fix.run(5 * time.Second)
-	wav := upkeep.Wave{Number: 1, Machines: []string{"m-vm-0"}, Duration: 40 * time.Second, Cap: 1, Revision: 7, Changed: 7}
+	wav = upkeep.Wave{Number: 1, Machines: []string{"m-vm-0"}, Duration: 40 * time.Second, Cap: 1, Revision: 7, Changed: 7}
 	fix.reduce(WaveRequested{Wave: wav})
 	fix.run(300 * time.Millisecond)
 	assert.DeepEqual(t, fix.orders, []string{"m-vm-0"})
+	return fix, wav
+}
+
+// TestRefusalByChangedWave guards against a machine that counts as done in a wave because the
+// platform refused an order for it while the wave didn't name it.
+func TestRefusalByChangedWave(t *testing.T) {
+	fix, wav := newOrderedWave(t)
 	wav.Changed = 9
 	fix.reduce(WaveRequested{Wave: wav})
 	fix.reduce(MachineAnswered{Machine: "m-vm-0", Wave: 1, Result: worker.MachineNotInWave})
@@ -93,12 +99,7 @@
 // TestAnswerToOrderOfFormerRequest guards against upkeep that counts for a wave that was
 // requested after it, as the answer arrives late.
 func TestAnswerToOrderOfFormerRequest(t *testing.T) {
-	fix := newOutageFixture(4)
-	fix.run(5 * time.Second)
-	wav := upkeep.Wave{Number: 1, Machines: []string{"m-vm-0"}, Duration: 40 * time.Second, Cap: 1, Revision: 7, Changed: 7}
-	fix.reduce(WaveRequested{Wave: wav})
-	fix.run(300 * time.Millisecond)
-	assert.DeepEqual(t, fix.orders, []string{"m-vm-0"})
+	fix, wav := newOrderedWave(t)
 	wav.Revision, wav.Changed = 9, 9
 	fix.reduce(WaveRequested{Wave: wav})
 	fix.reduce(MachineAnswered{Machine: "m-vm-0", Wave: 1, Result: worker.MachineOK})
