--- a/internal/soak/latewrites.go
+++ b/internal/soak/latewrites.go
@@ -34,6 +34,11 @@
 	maxWriteDelay  = 6 * time.Second
 	// minLateWrites is long enough for a submission and its repeats to get no answer.
 	minLateWrites = 3 * time.Second
+	// changedWaveRatio is the ratio of all machines to those of a wave that is changed.
+	changedWaveRatio = 3
+	// waveVariants is the number of variants of a changed wave: which machines, and whether
+	// it is requested again at once.
+	waveVariants = 2 * changedWaveRatio
 )
 
 // ScheduleLateWrites returns the faults of a run with late writes and waves that change.
@@ -42,7 +47,7 @@
 	rng := rand.New(rand.NewPCG(seed, 11))
 	for at := time.Second; at < span; {
 		for _, i := range rng.Perm(len(lateWriteKinds)) {
-			fau := Fault{At: at, Kind: lateWriteKinds[i], Target: rng.IntN(6), For: minFaultTime + time.Duration(rng.Int64N(int64(maxFaultTime-minFaultTime)))}
+			fau := Fault{At: at, Kind: lateWriteKinds[i], Target: rng.IntN(waveVariants), For: minFaultTime + time.Duration(rng.Int64N(int64(maxFaultTime-minFaultTime)))}
 			if fau.Kind == StoreWritesLate {
 				fau.For = max(fau.For, minLateWrites)
 			}
@@ -61,7 +66,9 @@
 		run.requestWave()
 	}
 	number := run.waves
-	change := func() { run.sit.RequestWave(number, run.machinesOf(3, fau.Target%3), waveTimeout, waveMaxDown) }
+	change := func() {
+		run.sit.RequestWave(number, run.machinesOf(changedWaveRatio, fau.Target%changedWaveRatio), waveTimeout, waveMaxDown)
+	}
 	switch {
 	case fau.Kind == StoreWritesLate:
 		run.setWritesLate(1)
