--- a/internal/core/scheduler/emulator_test.go
+++ b/internal/core/scheduler/emulator_test.go
@@ -204,8 +204,6 @@
 	// upkeepBegun holds the waves in which its upkeep has begun.
 	offline     bool
 	upkeepBegun map[int64]bool
-	// formerUpkeep reports whether its last upkeep belongs to a request that was withdrawn.
-	formerUpkeep bool
 }
 
 // sorted returns the active tasks in the order of their names.
@@ -677,19 +675,10 @@
 // forgetUpkeep has the platform forget the upkeep that has begun by a wave.
 func (emu *emulator) forgetUpkeep(number int64) {
 	for _, vm := range emu.vms {
-		vm.formerUpkeep = vm.formerUpkeep || vm.upkeepBegun[number]
 		delete(vm.upkeepBegun, number)
 	}
 }
 
-// waveCap returns the cap of the wave, or 0 if there is none.
-func (emu *emulator) waveCap() int {
-	if emu.wave == nil {
-		return 0
-	}
-	return emu.wave.Cap
-}
-
 // storedWave returns the wave with its stored progress.
 func (emu *emulator) storedWave() WaveRequested {
 	evt := WaveRequested{Wave: *emu.wave}
@@ -749,8 +738,7 @@
 	if emu.rng.Float64() < emu.killOnUpkeep {
 		emu.after(time.Millisecond, emu.killDispatcher)
 	}
-	// An order that is under way while the operator lowers the cap may be carried out.
-	term, capAtOrder := emu.term, emu.waveCap()
+	term := emu.term
 	answer := func(res worker.MachineResult) {
 		span := emulatedLatency
 		if emu.rng.Float64() < emu.loseMachineAnswer {
@@ -772,15 +760,14 @@
 		case !vm.up:
 			answer(worker.MachineBusy)
 		default:
-			vm.upkeepBegun, vm.formerUpkeep = map[int64]bool{eff.Wave: true}, false
+			vm.upkeepBegun = map[int64]bool{eff.Wave: true}
 			down := 0
 			for _, oth := range emu.vms {
-				// A wave's cap is that of the machines it names.
-				if oth.offline && (!oth.formerUpkeep || slices.Contains(emu.wave.Machines, oth.vm.Address)) {
+				if oth.offline {
 					down++
 				}
 			}
-			if down >= max(capAtOrder, emu.waveCap()) {
+			if down >= emu.wave.Cap {
 				emu.fail("upkeep of %s begins while %d are down", eff.Machine, down)
 			}
 			emu.shutDown(vm, emu.upkeepTime)
