--- a/internal/core/scheduler/assign.go
+++ b/internal/core/scheduler/assign.go
@@ -26,6 +26,9 @@
 // no value, by the platform's rules.
 const worthlessFactor = 3
 
+// runTimeFactor returns the ratio of expected to estimated run times of a queue.
+func (sta *State) runTimeFactor(queue string) float64 { return sta.runtimeRatios.Factor(queue) }
+
 // assign starts waiting tasks in order of priority where there is free capacity.
 func (sta *State) assign() {
 	if sta.now.Sub(sta.jobsSyncedAt) > maxJobStaleness {
@@ -182,7 +185,7 @@
 	liv := stg.liveJob
 	occ := liv.occs[stg.occ]
 	priorityKey := priority.Key{IsLongRunning: stg.step.LongRunning, Excess: liv.excess, Job: string(liv.spec.ID), Priority: sta.queueOf(liv).Priority}
-	rem, factor := occ.remainder(liv.spec), sta.runtimeRatios.Factor(liv.spec.Queue)
+	rem, factor := occ.remainder(liv.spec), sta.runTimeFactor(liv.spec.Queue)
 	priorityKey.Remaining, priorityKey.Work = time.Duration(float64(rem.path)*factor), rem.work*factor
 	if sta.needsAdvice(liv) {
 		priorityKey.Remaining = sta.criticalPath(liv, func(step int) bool { return occ.stages[step].left > 0 })
--- a/internal/core/scheduler/jobs.go
+++ b/internal/core/scheduler/jobs.go
@@ -59,7 +59,7 @@
 // criticalPath returns the duration of the longest chain of dependent steps
 // among those that count. Estimates are scaled by the queue's run-time ratio.
 func (sta *State) criticalPath(liv *liveJob, counts func(step int) bool) time.Duration {
-	factor, latency := sta.runtimeRatios.Factor(liv.spec.Queue), sta.advisorLatency(liv)
+	factor, latency := sta.runTimeFactor(liv.spec.Queue), sta.advisorLatency(liv)
 	return liv.spec.CriticalPath(counts, func(ste job.Step) time.Duration {
 		return time.Duration(float64(ste.Estimate)*factor) + latency
 	})
--- a/internal/core/scheduler/load.go
+++ b/internal/core/scheduler/load.go
@@ -120,7 +120,7 @@
 		if liv.final != "" || liv.spec.IsLongRunning() || liv.excess {
 			continue
 		}
-		factor := sta.runtimeRatios.Factor(liv.spec.Queue)
+		factor := sta.runTimeFactor(liv.spec.Queue)
 		for _, occ := range liv.occs {
 			if rest := time.Duration(float64(occ.remainder(liv.spec).path) * factor); sta.now.Add(rest).After(liv.deadline) {
 				continue
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -7,6 +7,7 @@
 
 	"github.com/balsamgauge/balsamgauge/internal/core/allowance"
 	"github.com/balsamgauge/balsamgauge/internal/core/blame"
+	"github.com/balsamgauge/balsamgauge/internal/core/capacity"
 	"github.com/balsamgauge/balsamgauge/internal/core/catalog"
 	"github.com/balsamgauge/balsamgauge/internal/core/estimate"
 	"github.com/balsamgauge/balsamgauge/internal/core/job"
@@ -57,6 +58,8 @@
 	// LinkBytesPerSecond is the bandwidth of the dispatcher's network link; 0 if
 	// it is unlimited.
 	LinkBytesPerSecond float64
+	// Capacity switches the decisions about scarce capacity.
+	Capacity capacity.Policy
 }
 
 // runsPerTerm is the difference between the first run numbers of two consecutive
--- a/internal/manager/dispatcher.go
+++ b/internal/manager/dispatcher.go
@@ -89,6 +89,7 @@
 		MachineOrdersPerSecond: set.MachineOrderRate,
 		LinkBytesPerSecond:     set.LinkBytesPerSecond,
 		MaxValueBytes:          set.MaxValueBytes,
+		Capacity:               set.Capacity,
 	})
 	go dis.readState(ctx)
 	go dis.followTicketSources(ctx)
