--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -4,8 +4,10 @@
 	"fmt"
 	"maps"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"slices"
+	"syscall"
 	"time"
 )
 
@@ -47,6 +49,7 @@
 		os.Exit(exitNotRun)
 	})
 	defer watchdog.Stop()
+	go sce.closeOnSignal()
 	broken, err := play(sce)
 	switch {
 	case err != nil:
@@ -60,3 +63,12 @@
 		return exitHeld
 	}
 }
+
+// closeOnSignal ends the case's processes if it is told to end itself.
+func (sce *scene) closeOnSignal() {
+	end := make(chan os.Signal, 1)
+	signal.Notify(end, syscall.SIGTERM, syscall.SIGINT)
+	<-end
+	sce.close()
+	os.Exit(exitNotRun)
+}
