--- a/review/stand3/newmachines.go
+++ b/review/stand3/newmachines.go
@@ -21,6 +21,8 @@
 type machinesFront struct {
 	target  string
 	address string
+	// listTime is how long the platform takes for an answer with the list.
+	listTime time.Duration
 
 	mu     sync.Mutex
 	hidden []string
@@ -56,6 +58,7 @@
 		fro.noteOrder(req, raw, status)
 	} else {
 		answer = fro.list(answer)
+		time.Sleep(fro.listTime)
 	}
 	wri.Header().Set("Content-Type", "application/json")
 	wri.WriteHeader(status)
@@ -141,6 +144,7 @@
 
 // Times of the new machines. A list is read every 10 s while nothing is expected to change.
 const (
+	listTime     = 100 * time.Millisecond
 	addAfterList = time.Second
 	waveAfterAdd = 2 * time.Second
 	waveDuration = 26 * time.Second
@@ -162,6 +166,7 @@
 	if err != nil {
 		return false, err
 	}
+	fro.listTime = listTime
 	sce.sit.MachinesAddress = fro.address
 	fro.onOrder = func(path, holder, token, machine string, status int) {
 		sce.note("%s with token %s: POST %s for %s -> %d", holder, token, path, machine, status)
