--- a/review/stand3/handback.go
+++ b/review/stand3/handback.go
@@ -9,7 +9,7 @@
 	"github.com/balsamgauge/balsamgauge/internal/standin/site"
 )
 
-func init() { cases["14"] = ordersInTurn }
+func init() { cases["15"] = ordersInTurn }
 
 // Times of the case. The smaller process hands the duty back a little over 4 s after it took it.
 const (
--- a/review/stand3/newmachines.go
+++ b/review/stand3/newmachines.go
@@ -14,7 +14,7 @@
 	"github.com/balsamgauge/balsamgauge/internal/standin/site"
 )
 
-func init() { cases["13"] = waveOfNewMachines }
+func init() { cases["14"] = waveOfNewMachines }
 
 // machinesFront stands before the platform's list of machines and leaves out those that have
 // not been added yet.
--- a/review/stand3/scene.go
+++ b/review/stand3/scene.go
@@ -50,6 +50,8 @@
 	onStart func(vm, task string, run int)
 	// onEnd is called when a run has ended; nil if nobody listens.
 	onEnd func(vm, task string, run int, outcome string)
+	// onAck is called when the end of a run was acknowledged; nil if nobody listens.
+	onAck func(task, outcome string)
 }
 
 func newScene(folder string, trouble bool) (sce *scene, err error) {
@@ -92,7 +94,9 @@
 
 // Started notes a run that has started.
 func (sce *scene) Started(vm, pool, _, task string, run int, _ string) {
-	sce.note("%s of %s starts run %d of %s", vm, pool, run, task)
+	if !strings.HasPrefix(task, "e0") {
+		sce.note("%s of %s starts run %d of %s", vm, pool, run, task)
+	}
 	if sce.onStart != nil {
 		sce.onStart(vm, task, run)
 	}
@@ -100,14 +104,20 @@
 
 // Ended notes a run that has ended.
 func (sce *scene) Ended(vm, task string, run int, outcome string) {
-	sce.note("%s ends run %d of %s: %s", vm, run, task, outcome)
+	if !strings.HasPrefix(task, "e0") {
+		sce.note("%s ends run %d of %s: %s", vm, run, task, outcome)
+	}
 	if sce.onEnd != nil {
 		sce.onEnd(vm, task, run, outcome)
 	}
 }
 
-// Acknowledged does nothing.
-func (sce *scene) Acknowledged(_, _ string, _ int, _ string) {}
+// Acknowledged passes on that the end of a run was acknowledged.
+func (sce *scene) Acknowledged(_, task string, _ int, outcome string) {
+	if sce.onAck != nil {
+		sce.onAck(task, outcome)
+	}
+}
 
 // Violation notes what the stand-in finds. The cases judge by their own rule.
 func (sce *scene) Violation(text string) { sce.note("stand-in: %s", text) }
--- a/review/stand3/soundjob.go
+++ b/review/stand3/soundjob.go
@@ -9,7 +9,7 @@
 	"github.com/balsamgauge/balsamgauge/internal/standin/site"
 )
 
-func init() { cases["11"] = soundJobFails }
+func init() { cases["12"] = soundJobFails }
 
 // Figures of the crashes, within those of srv_crash on plal-sched: a share of 0.14 of a
 // service's executors, for 4.5 s.
