--- a/review/stand3/renamedqueue.go
+++ b/review/stand3/renamedqueue.go
@@ -9,7 +9,7 @@
 	"github.com/balsamgauge/balsamgauge/internal/standin/site"
 )
 
-func init() { cases["13"] = renamedQueue }
+func init() { cases["12"] = renamedQueue }
 
 // Bounds of plal-sched.
 const (
--- a/review/stand3/scene.go
+++ b/review/stand3/scene.go
@@ -269,3 +269,25 @@
 	}
 	return nil
 }
+
+// startNodes starts processes of equal size, and waits until they are ready.
+func (sce *scene) startNodes(count int) (nodes []*node, err error) {
+	for i := range count {
+		nod, err := sce.addNode("frontend-"+string(rune('a'+i)), 0.4, sce.sit.StoreAddress, sce.sit.MachinesAddress)
+		if err != nil {
+			return nil, err
+		}
+		if err := nod.start(); err != nil {
+			return nil, err
+		}
+		nodes = append(nodes, nod)
+	}
+	for _, nod := range nodes {
+		if err := nod.awaitReady(); err != nil {
+			return nil, err
+		}
+	}
+	// The system starts 10 s before its traffic.
+	time.Sleep(5 * time.Second)
+	return nodes, nil
+}
