--- a/review/stand3/latestart.go
+++ b/review/stand3/latestart.go
@@ -38,6 +38,49 @@
 	done   time.Time
 	acked  bool
 	broken bool
+	// others counts the starts of other jobs, and lateShare is the share of all orders that was late.
+	others    int
+	lateShare float64
+	front     *ordersFront
+}
+
+// maxLateShare is the share of orders that are late on plal-sched.
+const maxLateShare = 0.055
+
+// begin starts the platform, with a count of the orders to the first executor.
+func (lat *lateStart) begin(pools []site.Pool) (err error) {
+	lat.sce.sit, err = site.Start(site.Options{
+		Pools: pools, TaskDuration: shortTask, Observer: lat.sce,
+		Expose: func(name, address string) (string, error) {
+			if name != "vm-0" {
+				return address, nil
+			}
+			lat.front, err = newOrdersFront(address)
+			if err != nil {
+				return "", err
+			}
+			return lat.front.address, nil
+		},
+	})
+	return err
+}
+
+// disturb starts the disruptions.
+func (lat *lateStart) disturb() {
+	sce, wor := lat.sce, lat.sce.sit.Workers[0]
+	sce.note("orders to vm-0 get no answer for %v, and are carried out after %v", lateFor, lateBy)
+	wor.SetOrdersLate(lateBy)
+	time.AfterFunc(lateFor, func() {
+		wor.SetOrdersLate(0)
+		lat.mu.Lock()
+		defer lat.mu.Unlock()
+		late := float64(lat.front.orders.Load())
+		lat.lateShare = late / (late + float64(lat.others))
+		sce.note("orders to vm-0 are answered again; %.0f were late, a share of %.3f", late, lat.lateShare)
+	})
+	time.AfterFunc(cutAt, func() { sce.note("vm-0 is cut from the store"); wor.Cut() })
+	time.AfterFunc(rebornAt, func() { sce.note("vm-0 crashes, and starts again under its id behind the cut"); wor.Restart(rebornIn) })
+	time.AfterFunc(cutAt+cutFor, wor.Uncut)
 }
 
 // twiceJob is the ID of the job.
@@ -46,7 +89,11 @@
 func (lat *lateStart) started(vm, task string, run int) {
 	lat.mu.Lock()
 	defer lat.mu.Unlock()
-	if !strings.HasPrefix(task, twiceJob) || lat.done.IsZero() {
+	if !strings.HasPrefix(task, twiceJob) {
+		lat.others++
+		return
+	}
+	if lat.done.IsZero() {
 		return
 	}
 	lat.sce.note("TWICE: %s starts run %d of %s %v after a run of it ended done; acknowledged: %v", vm, run, task, time.Since(lat.done).Round(time.Millisecond), lat.acked)
@@ -72,8 +119,7 @@
 		lat.acked = lat.acked || strings.HasPrefix(task, twiceJob) && outcome == "done"
 	}
 	pools := []site.Pool{{Name: "lots", Workers: 8}}
-	sce.sit, err = site.Start(site.Options{Pools: pools, TaskDuration: shortTask, Observer: sce})
-	if err != nil {
+	if err := lat.begin(pools); err != nil {
 		return false, err
 	}
 	sce.sit.Configure(site.Config{
@@ -84,15 +130,9 @@
 	if err != nil {
 		return false, err
 	}
-	wor := sce.sit.Workers[0]
 	begin := time.Now()
 	if sce.trouble {
-		sce.note("orders to vm-0 get no answer for %v, and are carried out after %v", lateFor, lateBy)
-		wor.SetOrdersLate(lateBy)
-		time.AfterFunc(lateFor, func() { wor.SetOrdersLate(0); sce.note("orders to vm-0 are answered again") })
-		time.AfterFunc(cutAt, func() { sce.note("vm-0 is cut from the store"); wor.Cut() })
-		time.AfterFunc(rebornAt, func() { sce.note("vm-0 crashes, and starts again under its id behind the cut"); wor.Restart(rebornIn) })
-		time.AfterFunc(cutAt+cutFor, wor.Uncut)
+		lat.disturb()
 	}
 	if err := sce.submit(nodes[0], "/gate/"+twiceJob, site.JobBody("twice", []site.Step{{Count: 1, CPU: 4000, Estimate: shortTask}})); err != nil {
 		return false, err
@@ -100,7 +140,7 @@
 	last := ""
 	for i := 0; time.Since(begin) < judgedAt; i++ {
 		// Other work, whose data is on the second rack.
-		other := fmt.Sprintf(`{"spec":"other","steps":[{"count":10,"cpu":2000,"mem-mb":64,"estimate-ms":%d,"data-rack":"r2"}]}`, shortTask.Milliseconds())
+		other := fmt.Sprintf(`{"spec":"other","steps":[{"count":30,"cpu":500,"mem-mb":64,"estimate-ms":%d,"data-rack":"r2"}]}`, shortTask.Milliseconds())
 		if status, answer := sce.call(nodes[i%3], "POST", fmt.Sprintf("/gate/e%015x", i), other); status != 200 {
 			sce.note("client: other job -> %d %s", status, answer)
 		}
@@ -115,5 +155,8 @@
 	if lat.done.IsZero() {
 		return false, errors.New("the task has not run")
 	}
+	if lat.lateShare > maxLateShare {
+		return false, errors.New("too large a share of the orders was late")
+	}
 	return lat.broken && lat.acked, nil
 }
