--- a/review/stand3/scene.go
+++ b/review/stand3/scene.go
@@ -24,7 +24,6 @@
 	grace        = 6 * time.Second
 	revoke       = 5 * time.Second
 	leaseTime    = 3 * time.Second
-	contactTime  = 3 * time.Second
 	callDeadline = 3 * time.Second
 	maxAttempts  = 4
 )
