review: the stand-in of the third review moves to a folder that may name the platform's words; review/15 no longer depends on one hand-over

Cause: TestWireNamesOnlyInPlatform leaves out folders named standin only; and after a smaller process has taken the duty again, no machine moved any more. Change: review/third/standin; the burst goes to the other pool at each try, and the wave names machines that have just moved.

--- a/review/stand3/handback.go
+++ b/review/third/standin/handback.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -105,10 +106,7 @@
 		return false, err
 	}
 	time.Sleep(waveAfter)
-	var names []string
-	for _, wor := range sce.sit.Workers[6:12] {
-		names = append(names, wor.MachineName())
-	}
+	names := tur.moved()
 	sce.sit.RequestWave(1, names, waveDuration, 2)
 	sce.note("operator: wave 1 for %v, two at once, in %v", names, waveDuration)
 	time.Sleep(10 * time.Second)
@@ -132,7 +130,9 @@
 			}
 		}
 		time.Sleep(burstAfter)
-		if err := tur.sce.submit(large[0], fmt.Sprintf("/gate/00000000000000a%d", i), body); err != nil {
+		// The machines of the other pool move each time.
+		queue := []string{"gate", "pay"}[i%2]
+		if err := tur.sce.submit(large[0], fmt.Sprintf("/%s/00000000000000a%d", queue, i), body); err != nil {
 			return err
 		}
 		if err = tur.sce.awaitAnyHolder(largeName, time.Second); err == nil {
@@ -144,6 +144,23 @@
 	return err
 }
 
+// maxWave is how many of the 14 machines the wave has, a share of 0.43.
+const maxWave = 6
+
+// moved returns the machines that were ordered to move last, by the smaller process if it had the
+// duty; at most as many as the wave has.
+func (tur *turns) moved() (names []string) {
+	tur.mu.Lock()
+	defer tur.mu.Unlock()
+	for name, ord := range tur.last {
+		if (ord.holder == smallName) == tur.sce.trouble && time.Since(ord.at) < 2*leaseTime && len(names) < maxWave {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // addProcesses prepares the processes, with the platform's API for machines and its store before them.
 func (tur *turns) addProcesses() (large []*node, small *node, err error) {
 	fro, err := newMachinesFront(tur.sce.sit.MachinesAddress)
