catalog: a queue is identified by its address, not by its name

Cause: a job was tied to the name of the queue that accepted it, which is not what clients address it by. On related paths the dispatcher used the name for the pool, priority and attempts of a job, the count of jobs that have not begun, and run times that were learned; a queue that takes a name over got the jobs of the former one, and could start their tasks in its own pool or show them to others.

Records of jobs and outcomes keep host and prefix now, by which each configuration tells the queue of a job. A queue that was moved keeps its jobs, closed to all but their own account.

TestRecordedQueue demands more than before: the address is recorded.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -46,16 +46,16 @@
 // Record returns a job with what its later steps need of the queue, which serves once
 // the queue has been removed.
 func (que *Queue) Record(spe job.Spec) job.Spec {
-	spe.Queue, spe.Pool, spe.MaxAttempts = que.Name, que.Pool, que.MaxAttempts
+	spe.Queue, spe.Host, spe.Prefix = que.Name, que.Host, que.Prefix
+	spe.Pool, spe.MaxAttempts = que.Pool, que.MaxAttempts
 	spe.Priority, spe.SlackFactor, spe.Target, spe.Advice = que.Priority, que.SlackFactor, que.Target, que.Advice
 	return spe
 }
 
-// RecordedQueue returns the queue of a job as it is recorded with the job. It accepts no
-// calls.
+// RecordedQueue returns the queue of a job as it is recorded with the job.
 func RecordedQueue(spe job.Spec) *Queue {
 	return &Queue{
-		Name: spe.Queue, Pool: spe.Pool, MaxAttempts: spe.MaxAttempts,
+		Name: spe.Queue, Host: spe.Host, Prefix: spe.Prefix, Pool: spe.Pool, MaxAttempts: spe.MaxAttempts,
 		Priority: spe.Priority, SlackFactor: max(1, spe.SlackFactor), Target: spe.Target, Advice: spe.Advice,
 	}
 }
@@ -138,6 +138,16 @@
 // Queue returns the queue with the given name, or nil.
 func (cat Catalog) Queue(name string) *Queue { return cat.queues[name] }
 
+// At returns the queue with the given host and prefix, or nil.
+func (cat Catalog) At(host, prefix string) *Queue {
+	for _, que := range cat.queuesByHost[strings.ToLower(host)] {
+		if que.Prefix == prefix {
+			return que
+		}
+	}
+	return nil
+}
+
 // Pool returns the pool with the given name, or nil.
 func (cat Catalog) Pool(name string) *Pool { return cat.pools[name] }
 
--- a/internal/core/catalog/record_test.go
+++ b/internal/core/catalog/record_test.go
@@ -20,7 +20,7 @@
 	spe, err := job.Unmarshal[job.Spec](raw)
 	assert.NilError(t, err)
 	want := que
-	want.Host, want.Prefix, want.Timeout, want.Public = "", "", 0, false
+	want.Timeout, want.Public = 0, false
 	assert.DeepEqual(t, *RecordedQueue(spe), want)
 	// Records of earlier versions have none of this.
 	assert.Equal(t, RecordedQueue(job.Spec{Queue: "gate"}).Objective(time.Second), time.Second)
--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -112,8 +112,11 @@
 // Spec is the specification of a job as submitted.
 type Spec struct {
 	ID ID `msgpack:"id"`
-	// Queue is the name of the queue that accepted the job.
-	Queue string `msgpack:"q"`
+	// Queue is the name of the queue that accepted the job. Host and Prefix are those by which
+	// clients address it, and with it the job; records of earlier versions lack them.
+	Queue  string `msgpack:"q"`
+	Host   string `msgpack:"qh,omitempty"`
+	Prefix string `msgpack:"qp,omitempty"`
 	// Pool, MaxAttempts, Priority, SlackFactor, Target and Advice are those of the
 	// queue when it accepted the job. They serve once the queue has been removed;
 	// records of earlier versions lack them. Advice is nil if the steps need none.
--- a/internal/core/job/progress.go
+++ b/internal/core/job/progress.go
@@ -53,8 +53,11 @@
 
 // Outcome is the record that is kept of a job that has ended.
 type Outcome struct {
-	State   State  `msgpack:"s"`
+	State State `msgpack:"s"`
+	// Queue, Host and Prefix are as in Spec.
 	Queue   string `msgpack:"q"`
+	Host    string `msgpack:"qh,omitempty"`
+	Prefix  string `msgpack:"qp,omitempty"`
 	Account string `msgpack:"a,omitempty"`
 	// At is the time at which the job ended, by the dispatcher's clock.
 	At time.Time `msgpack:"t,omitempty"`
--- a/internal/core/scheduler/assign.go
+++ b/internal/core/scheduler/assign.go
@@ -26,8 +26,10 @@
 // no value, by the platform's rules.
 const worthlessFactor = 3
 
-// runTimeFactor returns the ratio of expected to estimated run times of a queue.
-func (sta *State) runTimeFactor(queue string) float64 { return sta.runtimeRatios.Factor(queue) }
+// runTimeFactor returns the ratio of expected to estimated run times of a job's queue.
+func (sta *State) runTimeFactor(liv *liveJob) float64 {
+	return sta.runtimeRatios.Factor(sta.queueKeyOf(liv))
+}
 
 // assign starts waiting tasks in order of priority where there is free capacity.
 func (sta *State) assign() {
@@ -166,17 +168,24 @@
 // poolOf returns the pool that runs a job's tasks.
 func (sta *State) poolOf(liv *liveJob) string { return sta.queueOf(liv).Pool }
 
-// queueOf returns the queue of a job, as last configured if it has been removed.
+// queueOf returns the queue of a job, as last configured if it has been removed. Its name may have
+// changed since the job was accepted.
 func (sta *State) queueOf(liv *liveJob) *catalog.Queue {
 	if liv.queueAsOf != sta.catalogs {
 		liv.queueAsOf = sta.catalogs
-		if que := sta.catalog.Queue(liv.spec.Queue); que != nil {
-			liv.queue = que
+		if que := sta.catalog.Successor(liv.queue); que != nil {
+			liv.queue, liv.queueKey = que, que.Key()
 		}
 	}
 	return liv.queue
 }
 
+// queueKeyOf returns the key of a job's queue.
+func (sta *State) queueKeyOf(liv *liveJob) string {
+	sta.queueOf(liv)
+	return liv.queueKey
+}
+
 // needsAdvice reports whether the steps of a job need advice.
 func (sta *State) needsAdvice(liv *liveJob) bool { return sta.queueOf(liv).Advice != nil }
 
@@ -185,7 +194,7 @@
 	liv := stg.liveJob
 	occ := liv.occs[stg.occ]
 	priorityKey := priority.Key{IsLongRunning: stg.step.LongRunning, Excess: liv.excess, Job: string(liv.spec.ID), Priority: sta.queueOf(liv).Priority}
-	rem, factor := occ.remainder(liv.spec), sta.runTimeFactor(liv.spec.Queue)
+	rem, factor := occ.remainder(liv.spec), sta.runTimeFactor(liv)
 	priorityKey.Remaining, priorityKey.Work = time.Duration(float64(rem.path)*factor), rem.work*factor
 	if sta.needsAdvice(liv) {
 		priorityKey.Remaining = sta.criticalPath(liv, func(step int) bool { return occ.stages[step].left > 0 })
--- a/internal/core/scheduler/backlog.go
+++ b/internal/core/scheduler/backlog.go
@@ -53,7 +53,7 @@
 		if liv.final != "" || liv.spec.IsLongRunning() {
 			continue
 		}
-		factor := sta.runTimeFactor(liv.spec.Queue)
+		factor := sta.runTimeFactor(liv)
 		sum := 0.0
 		for _, occ := range liv.occs {
 			for i := range occ.stages {
--- a/internal/core/scheduler/jobs.go
+++ b/internal/core/scheduler/jobs.go
@@ -24,6 +24,7 @@
 		restored: evt.Revision <= sta.opt.Revision,
 		queue:    catalog.RecordedQueue(evt.Spec),
 	}
+	liv.queueKey = liv.queue.Key()
 	sta.jobs[id] = liv
 	sta.jobList = append(sta.jobList, liv)
 	sta.setDeadline(liv)
@@ -59,7 +60,7 @@
 // criticalPath returns the duration of the longest chain of dependent steps
 // among those that count. Estimates are scaled by the queue's run-time ratio.
 func (sta *State) criticalPath(liv *liveJob, counts func(step int) bool) time.Duration {
-	factor, latency := sta.runTimeFactor(liv.spec.Queue), sta.advisorLatency(liv)
+	factor, latency := sta.runTimeFactor(liv), sta.advisorLatency(liv)
 	return liv.spec.CriticalPath(counts, func(ste job.Step) time.Duration {
 		return time.Duration(float64(ste.Estimate)*factor) + latency
 	})
@@ -353,7 +354,7 @@
 	if started.IsZero() || stg.step.Estimate <= 0 || stg.step.Checkpointing {
 		return
 	}
-	sta.runtimeRatios.Add(stg.liveJob.spec.Queue, sta.now.Sub(started).Seconds()/stg.step.Estimate.Seconds())
+	sta.runtimeRatios.Add(sta.queueKeyOf(stg.liveJob), sta.now.Sub(started).Seconds()/stg.step.Estimate.Seconds())
 }
 
 // stopOtherRun stops the run of a task that was done by another run.
--- a/internal/core/scheduler/load.go
+++ b/internal/core/scheduler/load.go
@@ -64,7 +64,7 @@
 	loa = Load{Pending: map[string]int{}, Backlog: map[string][]time.Duration{}}
 	for _, liv := range sta.jobList {
 		if liv.final == "" && !liv.begun && liv.spec.Occurrences == 0 {
-			loa.Pending[liv.spec.Queue]++
+			loa.Pending[sta.queueOf(liv).Name]++
 		}
 	}
 	loa.AdvisorBacklog = sta.advisorBacklog().Truncate(advisorBacklogUnit)
@@ -120,7 +120,7 @@
 		if liv.final != "" || liv.spec.IsLongRunning() || liv.excess {
 			continue
 		}
-		factor := sta.runTimeFactor(liv.spec.Queue)
+		factor := sta.runTimeFactor(liv)
 		for _, occ := range liv.occs {
 			if rest := time.Duration(float64(occ.remainder(liv.spec).path) * factor); sta.now.Add(rest).After(liv.deadline) {
 				continue
--- a/internal/core/scheduler/rebalance.go
+++ b/internal/core/scheduler/rebalance.go
@@ -67,7 +67,7 @@
 	if liv.spec.IsLongRunning() || liv.restored {
 		return
 	}
-	sta.demandOf(sta.poolOf(liv)).Add(liv.work * sta.runTimeFactor(liv.spec.Queue))
+	sta.demandOf(sta.poolOf(liv)).Add(liv.work * sta.runTimeFactor(liv))
 }
 
 // demandOf returns the demand of a pool, and creates it if necessary.
@@ -239,7 +239,7 @@
 		if liv.final != "" || liv.spec.IsLongRunning() {
 			continue
 		}
-		factor := sta.runTimeFactor(liv.spec.Queue)
+		factor := sta.runTimeFactor(liv)
 		sum := 0.0
 		pool := sta.poolOf(liv)
 		for _, occ := range liv.occs {
--- a/internal/core/scheduler/save.go
+++ b/internal/core/scheduler/save.go
@@ -92,7 +92,7 @@
 	var outcome []byte
 	var err error
 	if wri.final {
-		outcome, err = job.Marshal(job.Outcome{State: liv.final, Queue: liv.spec.Queue, Account: liv.spec.Account, At: sta.now})
+		outcome, err = job.Marshal(job.Outcome{State: liv.final, Queue: liv.spec.Queue, Host: liv.spec.Host, Prefix: liv.spec.Prefix, Account: liv.spec.Account, At: sta.now})
 	} else {
 		wri.progress, err = liv.record.Write(liv.progress(), sta.opt.MaxValueBytes)
 	}
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -166,6 +166,8 @@
 	// number queueAsOf. It is kept when the queue is removed, and never nil.
 	queue     *catalog.Queue
 	queueAsOf int
+	// queueKey is the key of queue.
+	queueKey  string
 	cancelled bool
 	// begun reports whether a task of the job has started.
 	begun bool
@@ -447,7 +449,7 @@
 	// unlisted is the result of unlistedHosts while unlistedKnown is set.
 	unlisted      []*host
 	unlistedKnown bool
-	// runtimeRatios holds, by queue, the ratio of actual to estimated run times.
+	// runtimeRatios holds, by the key of a queue, the ratio of actual to estimated run times.
 	runtimeRatios estimate.Ratios
 	steppedDown   bool
 	// ending reports whether the tenure is about to end.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -293,7 +293,8 @@
 // record is the stored state of a job.
 type record struct {
 	state job.State
-	queue string
+	// queue is the queue that accepted the job, as far as its address tells.
+	queue catalog.Queue
 	// account is the job's client account; empty on public queues.
 	account string
 	// live is the item of a job that hasn't ended.
@@ -329,7 +330,7 @@
 		if err != nil {
 			return record{}, err
 		}
-		rec.queue, rec.account, rec.live = spe.Queue, spe.Account, itm
+		rec.queue, rec.account, rec.live = *catalog.RecordedQueue(spe), spe.Account, itm
 	}
 	if rec.live.Revision != 0 {
 		if rec.state == "" {
@@ -349,18 +350,19 @@
 	if err != nil {
 		return record{}, err
 	}
-	return record{state: out.State, queue: out.Queue, account: out.Account}, nil
+	return record{state: out.State, queue: catalog.Queue{Name: out.Queue, Host: out.Host, Prefix: out.Prefix}, account: out.Account}, nil
 }
 
 // visibleTo reports whether a call with a queue and a client account may see
 // the job.
-func (rec record) visibleTo(que *catalog.Queue, account string) bool {
-	return rec.queue == que.Name && (que.Public || rec.account == account)
+func (rec record) visibleTo(cat catalog.Catalog, que *catalog.Queue, account string) bool {
+	return cat.Reaches(que, &rec.queue, account, rec.account)
 }
 
 // State returns a job's state.
 func (svc *JobService) State(ctx context.Context, now time.Time, cal Call, id job.ID) Answer {
-	que, account, ans := svc.resolve(now, svc.View(), cal)
+	vie := svc.View()
+	que, account, ans := svc.resolve(now, vie, cal)
 	if que == nil {
 		return ans
 	}
@@ -368,7 +370,7 @@
 	switch {
 	case errors.Is(err, kv.ErrNotFound) && svc.unsettled.has(now, id):
 		return svc.stateOfUnanswered(ctx, id)
-	case errors.Is(err, kv.ErrNotFound) || err == nil && !rec.visibleTo(que, account):
+	case errors.Is(err, kv.ErrNotFound) || err == nil && !rec.visibleTo(vie.Catalog, que, account):
 		return Answer{Verdict: VerdictUnknownJob, Reason: "no such job"}
 	case err != nil:
 		return unavailable(err.Error())
@@ -380,7 +382,8 @@
 // Cancel cancels a job. One that isn't stored is fenced, so that no submission of it is stored
 // after the answer.
 func (svc *JobService) Cancel(ctx context.Context, now time.Time, cal Call, id job.ID) Answer {
-	que, account, ans := svc.resolve(now, svc.View(), cal)
+	vie := svc.View()
+	que, account, ans := svc.resolve(now, vie, cal)
 	if que == nil {
 		return ans
 	}
@@ -391,7 +394,7 @@
 		case unknown:
 		case err != nil:
 			return unavailable(err.Error())
-		case !rec.visibleTo(que, account):
+		case !rec.visibleTo(vie.Catalog, que, account):
 			return Answer{Verdict: VerdictUnknownJob, Reason: "no such job"}
 		case rec.live.Revision == 0 || rec.state == job.StateCancelled:
 			return Answer{Verdict: VerdictOK, State: rec.state}
