--- a/internal/core/scheduler/assign.go
+++ b/internal/core/scheduler/assign.go
@@ -256,7 +256,7 @@
 		if tas.blamed.IsSuspect() && room.leftForSuspects() <= 0 {
 			continue
 		}
-		if hos == nil || !stg.packs() || !sta.acceptsUnbound(hos, stg, i, 0) {
+		if hos == nil || !stg.packs() || !sta.accepts(hos, stg, i, 0) {
 			hos = sta.chooseHost(stg, i, room.hosts, nil)
 		}
 		if hos == nil && !room.fits(stg.step.Reservation()) {
@@ -338,16 +338,10 @@
 	return sta.canRun(stg, hos, planned) && !hos.isolates(stg.tasks[index].blamed.IsSuspect()) && hos.runs[stg.task(index)] == nil
 }
 
-// acceptsUnbound is like accepts for a task that may start on other hosts as well.
-func (sta *State) acceptsUnbound(hos *host, stg *stage, index, planned int) bool {
-	return hos.leavesRoomForBound(stg, planned) && sta.accepts(hos, stg, index, planned)
-}
-
 // chooseHost returns the best host for a task of a stage, or nil if there is none.
 // Tasks in planned take up capacity as well. The hosts are in the order of their IDs.
 func (sta *State) chooseHost(stg *stage, index int, hosts []*host, planned plannedTasks) (best *host) {
-	holder, bound := sta.holderOf(stg.task(index))
-	if bound {
+	if holder, bound := sta.holderOf(stg.task(index)); bound {
 		i, ok := slices.BinarySearchFunc(hosts, holder, compareHostID)
 		if !ok {
 			return nil
@@ -357,7 +351,7 @@
 	var bestScore score
 	sta.effort.Hosts += len(hosts)
 	for _, hos := range hosts {
-		if bound && !sta.accepts(hos, stg, index, planned[hos]) || !bound && !sta.acceptsUnbound(hos, stg, index, planned[hos]) {
+		if !sta.accepts(hos, stg, index, planned[hos]) {
 			continue
 		}
 		sco := sta.score(stg, hos, planned[hos])
@@ -373,7 +367,7 @@
 // number of other tasks of the stage are planned.
 func (sta *State) canRun(stg *stage, hos *host, planned int) bool {
 	ste := stg.step
-	if !ste.Reservation().Times(planned + 1).Fits(hos.vm.Capacity.Minus(hos.used)) {
+	if !ste.Reservation().Times(planned+1).Fits(hos.vm.Capacity.Minus(hos.used)) || hos.mayListNoMoreEnds() {
 		return false
 	}
 	if ste.Label != "" && !hos.vm.HasLabel(ste.Label) {
--- a/internal/core/scheduler/bound.go
+++ b/internal/core/scheduler/bound.go
@@ -17,8 +17,9 @@
 // ones. Its end is not acknowledged before (heldend.go).
 
 // neglects returns whether the starts of a task for former incarnations of a VM don't bind it. They
-// do, as the VM may restart once more, unless the VM answers, and so refuses them, and the task would
-// wait in vain: the VM can't run it, or the task serves and the VM gets no tasks.
+// do, as the VM may restart once more, but not at any price: if the VM answers, and so refuses them, and
+// has no room, other VMs may; and a serving task must not be without a run for seconds if the VM gets no
+// tasks.
 func (sta *State) neglects(tas job.Task) func(vm string) bool {
 	return func(vm string) bool {
 		hos, stg := sta.hosts[vm], sta.stageOfRun(tas)
@@ -28,7 +29,7 @@
 		if hos.vm.Leaving || hos.cordoned || hos.goingDown || sta.zonesOut[hos.vm.AZ] {
 			return stg.step.LongRunning
 		}
-		return !hos.suits(stg)
+		return !stg.step.Reservation().Fits(hos.vm.Capacity.Minus(hos.used))
 	}
 }
 
@@ -62,13 +63,9 @@
 	toLost bool
 }
 
-// findBound returns the waiting tasks that are bound, and records what they need on their VMs.
+// findBound returns the waiting tasks that are bound.
 func (sta *State) findBound() boundTasks {
 	bnd := boundTasks{sizes: map[string]job.Size{}}
-	for _, hos := range sta.awaited {
-		hos.awaited = job.Size{}
-	}
-	sta.awaited = sta.awaited[:0]
 	for tas := range sta.lateStarts.Tasks() {
 		stg := sta.waitingStageOf(tas)
 		if stg == nil {
@@ -80,25 +77,11 @@
 		}
 		account := stg.liveJob.spec.Account
 		bnd.sizes[account] = bnd.sizes[account].Plus(stg.step.Size)
-		hos := sta.hosts[vm]
-		bnd.toLost = bnd.toLost || hos == nil
-		if hos != nil && stg.tasks[tas.Index].lostStarts < maxLostStarts && hos.suits(stg) {
-			hos.awaited = hos.awaited.Plus(stg.step.Reservation())
-			sta.awaited = append(sta.awaited, hos)
-		}
+		bnd.toLost = bnd.toLost || sta.hosts[vm] == nil
 	}
 	return bnd
 }
 
-// leavesRoomForBound reports whether a task of a stage, besides a number of others that are planned,
-// leaves the room free that the tasks need that are bound to the VM. They can't start elsewhere.
-func (hos *host) leavesRoomForBound(stg *stage, planned int) bool {
-	if hos.awaited == (job.Size{}) {
-		return true
-	}
-	return stg.step.Reservation().Times(planned + 1).Plus(hos.awaited).Fits(hos.vm.Capacity.Minus(hos.used))
-}
-
 // waitingStageOf returns the stage of a task of a live job that has no run; nil if it has one.
 func (sta *State) waitingStageOf(tas job.Task) *stage {
 	stg := sta.stageOfRun(tas)
--- a/internal/core/scheduler/hosts.go
+++ b/internal/core/scheduler/hosts.go
@@ -503,6 +503,7 @@
 	}
 	hos.ackableUpTo = lowest - 1
 	maps.DeleteFunc(hos.ackable, func(number int64, _ bool) bool { return number <= hos.ackableUpTo })
+	hos.dropHeld(func(number int64, _ job.Task) bool { return number <= hos.ackableUpTo })
 }
 
 // markAckable records that an end may be acknowledged, as nothing about it is
--- a/internal/core/scheduler/state.go
+++ b/internal/core/scheduler/state.go
@@ -310,8 +310,9 @@
 	lastEnd, ackableUpTo int64
 	ackable              map[int64]bool
 	// heldEnds holds, by number, the tasks of the ends that are not acknowledged yet as another
-	// start of the task may arrive at the VM. They may be stored.
-	heldEnds map[int64]job.Task
+	// start of the task may arrive at the VM. They may be stored. lowestHeld is the lowest number.
+	heldEnds   map[int64]job.Task
+	lowestHeld int64
 	// ackSent is the number up to which the last poll acknowledged ends, 0 for none.
 	// ackedUpTo is the highest that a poll with an answer did: the next incarnation, whose
 	// numbers start anew, must not get it.
@@ -346,10 +347,8 @@
 	// suspects counts the runs of suspects on the VM, finite those of tasks that
 	// end by themselves.
 	suspects, finite int
-	// keptFree reports whether the VM gets only suspects in this call of Reduce, and awaited is the
-	// capacity that the waiting tasks need that are bound to the VM.
+	// keptFree reports whether the VM gets only suspects in this call of Reduce.
 	keptFree bool
-	awaited  job.Size
 	// pace controls the pace of the best-effort tasks on the VM. paceUnordered reports
 	// whether a former dispatcher may have ordered that of some, and this one none since it knows
 	// them.
@@ -399,8 +398,6 @@
 	former formerRuns
 	// bound describes the waiting tasks that are bound to VMs, in a call of Reduce.
 	bound boundTasks
-	// awaited holds the hosts to which waiting tasks are bound.
-	awaited []*host
 	// formerLeasesLogged reports whether the end of the former dispatcher's leases was
 	// logged.
 	formerLeasesLogged bool
